--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/package-info.java
@@ -0,0 +1,2 @@
+/** Coordination between instances: following the log, holding claims, routing and membership. */
+package io.snipeloom.coordination;
--- /dev/null
+++ b/src/main/java/io/snipeloom/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Thin daemons, their settings and the command line. */
+package io.snipeloom.daemon;
--- /dev/null
+++ b/src/main/java/io/snipeloom/package-info.java
@@ -0,0 +1,2 @@
+/** Snipeloom, a router fleet for language-model traffic paid from prepaid token budgets. */
+package io.snipeloom;
--- /dev/null
+++ b/src/main/java/io/snipeloom/state/Budget.java
@@ -0,0 +1,9 @@
+package io.snipeloom.state;
+
+/**
+ * A prepaid budget of a customer; its size is the sum of its top-ups.
+ *
+ * @param id the identifier
+ * @param customer the customer that owns the budget
+ */
+public record Budget(BudgetId id, CustomerId customer) {}
--- /dev/null
+++ b/src/main/java/io/snipeloom/state/CustomerId.java
@@ -0,0 +1,41 @@
+package io.snipeloom.state;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a customer.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param value the text form, 1 to 96 characters
+ */
+public record CustomerId(@JsonValue String value) implements Comparable<CustomerId> {
+
+  /** Checks the text form. */
+  public CustomerId {
+    Identifiers.checked("customer id", value);
+  }
+
+  /**
+   * Returns the identifier with this text form.
+   *
+   * @param value the text form
+   * @return the identifier
+   * @throws SnipeloomException with {@link ErrorCode#INVALID_IDENTIFIER} if the text is malformed
+   */
+  @JsonCreator
+  public static CustomerId of(String value) {
+    return new CustomerId(value);
+  }
+
+  @Override
+  public int compareTo(CustomerId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/state/Identifiers.java
@@ -0,0 +1,26 @@
+package io.snipeloom.state;
+
+import java.util.regex.Pattern;
+
+/** Checks the text form that all identifiers share. */
+final class Identifiers {
+  private static final Pattern SHAPE = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:#-]{0,95}");
+
+  private Identifiers() {}
+
+  /**
+   * Returns the text unchanged if it is a well-formed identifier.
+   *
+   * @param kind the kind of identifier, for the error text
+   * @param value the text to check
+   * @return the same text
+   * @throws SnipeloomException with {@link ErrorCode#INVALID_IDENTIFIER} if the text is malformed
+   */
+  static String checked(String kind, String value) {
+    if (value == null || !SHAPE.matcher(value).matches()) {
+      throw SnipeloomException.of(
+          ErrorCode.INVALID_IDENTIFIER, kind + " must match " + SHAPE + " but was " + value);
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/state/InstanceId.java
@@ -0,0 +1,41 @@
+package io.snipeloom.state;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies an instance slot of the fleet.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param value the text form, 1 to 96 characters
+ */
+public record InstanceId(@JsonValue String value) implements Comparable<InstanceId> {
+
+  /** Checks the text form. */
+  public InstanceId {
+    Identifiers.checked("instance id", value);
+  }
+
+  /**
+   * Returns the identifier with this text form.
+   *
+   * @param value the text form
+   * @return the identifier
+   * @throws SnipeloomException with {@link ErrorCode#INVALID_IDENTIFIER} if the text is malformed
+   */
+  @JsonCreator
+  public static InstanceId of(String value) {
+    return new InstanceId(value);
+  }
+
+  @Override
+  public int compareTo(InstanceId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/state/TopUpId.java
@@ -0,0 +1,41 @@
+package io.snipeloom.state;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a top-up.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param value the text form, 1 to 96 characters
+ */
+public record TopUpId(@JsonValue String value) implements Comparable<TopUpId> {
+
+  /** Checks the text form. */
+  public TopUpId {
+    Identifiers.checked("top-up id", value);
+  }
+
+  /**
+   * Returns the identifier with this text form.
+   *
+   * @param value the text form
+   * @return the identifier
+   * @throws SnipeloomException with {@link ErrorCode#INVALID_IDENTIFIER} if the text is malformed
+   */
+  @JsonCreator
+  public static TopUpId of(String value) {
+    return new TopUpId(value);
+  }
+
+  @Override
+  public int compareTo(TopUpId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/transport/package-info.java
@@ -0,0 +1,2 @@
+/** TCP connections between Snipeloom processes and the hosting of HTTP servers. */
+package io.snipeloom.transport;
