--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/RecordSink.java
@@ -0,0 +1,17 @@
+package io.snipeloom.coordination;
+
+import io.snipeloom.state.DecisionRecord;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+/** Takes records for the decision stream; records of several callers share one append. */
+public interface RecordSink {
+
+  /**
+   * Appends records together, in order. A lost answer is retried until the records are in the log.
+   *
+   * @param records the records
+   * @return the offset of their batch, once this process has applied it
+   */
+  CompletionStage<Long> append(List<DecisionRecord> records);
+}
