MessagePack codec, framed TCP with mutual proof, sidecar link

Cause: routers and sidecars had message types but no way to exchange them. Messages are arrays of a type number and fields; frames carry a four-byte length; both ends prove the shared key over both nonces and identities.

--- a/src/main/java/io/snipeloom/protocol/CallState.java
+++ b/src/main/java/io/snipeloom/protocol/CallState.java
@@ -10,6 +10,8 @@
   DONE,
   /** It ran, and its answer is gone or incomplete. */
   RAN,
+  /** It may have run: the back end broke off, or the sidecar no longer remembers it. */
+  UNKNOWN,
   /** It was refused and did not run. */
   NOT_RUN
 }
--- /dev/null
+++ b/src/main/java/io/snipeloom/transport/FrameServer.java
@@ -0,0 +1,121 @@
+package io.snipeloom.transport;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import io.snipeloom.protocol.Message;
+import io.snipeloom.state.Incarnation;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.function.Supplier;
+
+/** Accepts framed connections on one address. Thread-safe; started and stopped once. */
+public final class FrameServer {
+  private static final int THREADS = 2;
+
+  private final Incarnation self;
+  private final FrameSettings settings;
+  private final FrameListener listener;
+  private final Supplier<Message.Heartbeat> load;
+  private final MetricRegistry metrics;
+  private final SecureRandom random = new SecureRandom();
+  private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private EventLoopGroup loops;
+  private Channel serverChannel;
+
+  private FrameServer(
+      Incarnation self,
+      FrameSettings settings,
+      FrameListener listener,
+      Supplier<Message.Heartbeat> load,
+      MetricRegistry metrics) {
+    this.self = self;
+    this.settings = settings;
+    this.listener = listener;
+    this.load = load;
+    this.metrics = metrics;
+  }
+
+  /**
+   * Returns a server that is not started yet.
+   *
+   * @param self the incarnation that peers see
+   * @param settings the settings
+   * @param listener receives the events
+   * @param load gives the load for each heartbeat
+   * @param metrics the registry for metrics
+   * @return the server
+   */
+  public static FrameServer of(
+      Incarnation self,
+      FrameSettings settings,
+      FrameListener listener,
+      Supplier<Message.Heartbeat> load,
+      MetricRegistry metrics) {
+    return new FrameServer(self, settings, listener, load, metrics);
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address the IP address
+   * @param port the TCP port, or 0 for a free one
+   */
+  public synchronized void start(String address, int port) {
+    loops = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    serverChannel =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(FrameChannels.initializer(settings, this::accept, this::newHandler))
+            .bind(new InetSocketAddress(address, port))
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  private boolean accept(SocketChannel channel) {
+    if (channels.size() >= settings.maxConnections()) {
+      metrics.meter("transport.connections.refused").mark();
+      return false;
+    }
+    return channels.add(channel);
+  }
+
+  private FrameHandler newHandler() {
+    byte[] nonce = new byte[Handshake.NONCE_BYTES];
+    random.nextBytes(nonce);
+    Handshake handshake = new Handshake(Handshake.Side.SERVER, settings.key(), self, nonce);
+    return new FrameHandler(handshake, settings, listener, load, metrics);
+  }
+
+  /** Stops listening and closes all connections. */
+  public synchronized void stop() {
+    if (loops == null) {
+      return;
+    }
+    serverChannel.close().syncUninterruptibly();
+    channels.close().awaitUninterruptibly();
+    FrameChannels.shutDown(loops);
+    loops = null;
+  }
+
+  /**
+   * Returns the port that the server listens on.
+   *
+   * @return the TCP port
+   */
+  public synchronized int port() {
+    return ((InetSocketAddress) serverChannel.localAddress()).getPort();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/protocol/Messages.java
@@ -0,0 +1,89 @@
+package io.snipeloom.protocol;
+
+import io.snipeloom.state.AttemptId;
+import io.snipeloom.state.BudgetId;
+import io.snipeloom.state.CustomerId;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.Incarnation;
+import io.snipeloom.state.RequestClassId;
+import io.snipeloom.state.RequestKey;
+import io.snipeloom.state.RunState;
+import io.snipeloom.state.UpstreamId;
+import io.snipeloom.state.Urgency;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Sample messages for tests. */
+public final class Messages {
+  public static final Incarnation ROUTER = Incarnation.of("router-1#a1");
+  public static final Incarnation SIDECAR = Incarnation.of("sidecar-1#s1");
+  public static final UpstreamId UPSTREAM = UpstreamId.of("drafting");
+
+  private Messages() {}
+
+  /** Returns an attempt of the router. */
+  public static AttemptId attempt(long sequence) {
+    return AttemptId.of(ROUTER, sequence);
+  }
+
+  /** Returns a request key. */
+  public static RequestKey key(String token) {
+    return RequestKey.of(CustomerId.of("kilimanjaro"), token);
+  }
+
+  /** Returns a dispatch under its own key and fingerprint. */
+  public static Message.Dispatch dispatch(long sequence, Urgency urgency) {
+    return dispatch(attempt(sequence), key("key-" + sequence), urgency, "print-" + sequence);
+  }
+
+  /** Returns a dispatch to the sidecar. */
+  public static Message.Dispatch dispatch(
+      AttemptId attempt, RequestKey key, Urgency urgency, String fingerprint) {
+    HttpCall call =
+        new HttpCall(
+            "POST",
+            "/v1/chat/completions",
+            List.of(new Header("content-type", "application/json")),
+            "{\"model\":\"m\",\"messages\":[]}".getBytes(StandardCharsets.UTF_8));
+    return new Message.Dispatch(
+        attempt,
+        key,
+        1_000,
+        SIDECAR,
+        BudgetId.of("b"),
+        RequestClassId.of("c"),
+        UPSTREAM,
+        urgency,
+        120,
+        100,
+        30_000,
+        true,
+        fingerprint,
+        false,
+        call,
+        "");
+  }
+
+  /** Returns a message of each type and shape. */
+  public static List<Message> oneOfEach() {
+    byte[] data = "{\"choices\":[]}".getBytes(StandardCharsets.UTF_8);
+    return List.of(
+        new Message.Hello(1, ROUTER, new byte[16]),
+        new Message.Proof(new byte[32]),
+        new Message.Heartbeat(1, 2, 3),
+        new Message.Leaving(),
+        dispatch(7, Urgency.PROMPT),
+        new Message.AnswerHead(attempt(7), 200, List.of(new Header("a", "b"))),
+        new Message.AnswerChunk(attempt(7), 1, data),
+        new Message.AnswerEnd(attempt(7), 1, true, 10, 20, null, ""),
+        new Message.AnswerEnd(attempt(7), 1, false, 10, 20, ErrorCode.UPSTREAM_FAILED, "broken"),
+        new Message.Refused(attempt(7), ErrorCode.LEAVING, "leaving", RunState.NOT_RUN, 1000),
+        new Message.AnswerAck(attempt(7), 3),
+        new Message.Cancel(attempt(7)),
+        new Message.Attach(attempt(7), 2),
+        new Message.CallQuery(1, key("k"), attempt(7), true),
+        new Message.CallQuery(2, key("k"), null, false),
+        new Message.CallStatus(1, CallState.RUNNING, attempt(7)),
+        new Message.CallStatus(2, CallState.NEVER_RECEIVED, null));
+  }
+}
