--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/AnswerBuffer.java
@@ -0,0 +1,170 @@
+package io.snipeloom.coordination;
+
+import io.snipeloom.protocol.Header;
+import io.snipeloom.protocol.Message;
+import io.snipeloom.state.AttemptId;
+import io.snipeloom.transport.FrameConnection;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The frames of one answer, kept so that readers can follow it at their own pace and from any
+ * place.
+ *
+ * <p>Each reader has its own window of chunks not yet acknowledged, so a slow one holds back nobody
+ * else. Not thread-safe.
+ */
+final class AnswerBuffer {
+  private static final int CHUNK_OVERHEAD_BYTES = 64;
+
+  private final AttemptId attempt;
+  private final int windowChunks;
+  private final long maxBytes;
+  private final List<Message.AnswerChunk> chunks = new ArrayList<>();
+  private final Map<FrameConnection, Reader> readers = new LinkedHashMap<>();
+  private Message.AnswerHead head;
+  private Message last;
+  private long droppedChunks;
+  private long bytes;
+  private boolean read;
+
+  AnswerBuffer(AttemptId attempt, int windowChunks, long maxBytes) {
+    this.attempt = attempt;
+    this.windowChunks = windowChunks;
+    this.maxBytes = maxBytes;
+  }
+
+  void addHead(int status, List<Header> headers) {
+    head = new Message.AnswerHead(attempt, status, headers);
+    pump();
+  }
+
+  /** Adds a chunk; returns false if the answer has become too large to keep. */
+  boolean addChunk(byte[] data) {
+    chunks.add(new Message.AnswerChunk(attempt, chunkCount() + 1, data));
+    bytes += data.length + CHUNK_OVERHEAD_BYTES;
+    if (bytes > maxBytes) {
+      dropAcknowledged();
+    }
+    pump();
+    return bytes <= maxBytes;
+  }
+
+  /** Adds the last frame, an end or a refusal. */
+  void finish(Message lastFrame) {
+    last = lastFrame;
+    pump();
+  }
+
+  boolean isFinished() {
+    return last != null;
+  }
+
+  boolean hasHead() {
+    return head != null;
+  }
+
+  long chunkCount() {
+    return droppedChunks + chunks.size();
+  }
+
+  long bytes() {
+    return bytes;
+  }
+
+  boolean canServeFrom(long sequence) {
+    return sequence <= chunkCount() + 1 && (droppedChunks == 0 || sequence > droppedChunks);
+  }
+
+  void subscribe(FrameConnection connection, long fromSequence) {
+    readers.put(connection, new Reader(fromSequence));
+    pump();
+  }
+
+  void unsubscribe(FrameConnection connection) {
+    readers.remove(connection);
+  }
+
+  boolean isOnlyReader(FrameConnection connection) {
+    return readers.containsKey(connection) && readers.size() == 1;
+  }
+
+  /** Lets a reader that acknowledges nothing more receive the rest. */
+  void openWindow(FrameConnection connection) {
+    readers.get(connection).acknowledged = Long.MAX_VALUE;
+  }
+
+  /** Returns whether any reader was sent the whole answer. */
+  boolean wasRead() {
+    return read;
+  }
+
+  boolean hasReaders() {
+    return !readers.isEmpty();
+  }
+
+  /** Returns whether every reader was sent the whole answer. */
+  boolean isDelivered() {
+    return readers.values().stream().allMatch(reader -> reader.finished);
+  }
+
+  void acknowledge(FrameConnection connection, long nextSequence) {
+    Reader reader = readers.get(connection);
+    if (reader != null && nextSequence <= reader.next) {
+      reader.acknowledged = Math.max(reader.acknowledged, nextSequence);
+      pump();
+    }
+  }
+
+  /** Sends each reader what its window and its connection take. */
+  void pump() {
+    readers.forEach(this::pump);
+  }
+
+  private void pump(FrameConnection connection, Reader reader) {
+    if (reader.next == 0 && head != null) {
+      connection.send(head);
+      reader.next = 1;
+    }
+    while (reader.next > 0 && isChunkDue(connection, reader)) {
+      connection.send(chunks.get((int) (reader.next - 1 - droppedChunks)));
+      reader.next++;
+    }
+    boolean atEnd = reader.next > chunkCount() || (reader.next == 0 && chunkCount() == 0);
+    if (last != null && !reader.finished && atEnd) {
+      reader.finished = true;
+      read = true;
+      connection.send(last);
+    }
+  }
+
+  private boolean isChunkDue(FrameConnection connection, Reader reader) {
+    return reader.next <= chunkCount()
+        && reader.next - reader.acknowledged < windowChunks
+        && connection.isWritable();
+  }
+
+  private void dropAcknowledged() {
+    long acknowledged =
+        readers.values().stream().mapToLong(r -> r.acknowledged - 1).min().orElse(0);
+    int count = (int) Math.max(0, acknowledged - droppedChunks);
+    List<Message.AnswerChunk> done = chunks.subList(0, count);
+    bytes -= done.stream().mapToLong(c -> c.data().length + CHUNK_OVERHEAD_BYTES).sum();
+    done.clear();
+    droppedChunks += count;
+  }
+
+  /** The place of one reader. */
+  private static final class Reader {
+    private long next;
+    private long acknowledged;
+    private boolean finished;
+
+    Reader(long fromSequence) {
+      this.next = fromSequence;
+      this.acknowledged = Math.max(1, fromSequence);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/EngineRequest.java
@@ -0,0 +1,67 @@
+package io.snipeloom.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.snipeloom.protocol.HttpCall;
+import io.snipeloom.protocol.Message;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.state.UpstreamKind;
+import java.io.IOException;
+
+/**
+ * Prepares the call that a back end receives: a model engine always streams, states its usage and
+ * is held to the tokens that were reserved.
+ *
+ * <p>Stateless and thread-safe.
+ */
+final class EngineRequest {
+  private static final String MAX_TOKENS = "max_tokens";
+  private static final String MAX_COMPLETION_TOKENS = "max_completion_tokens";
+
+  private final ObjectMapper json = new ObjectMapper();
+
+  HttpCall of(Message.Dispatch dispatch, UpstreamKind kind) {
+    if (kind != UpstreamKind.MODEL_ENGINE) {
+      return dispatch.call();
+    }
+    HttpCall call = dispatch.call();
+    byte[] body = bounded(parse(call.body()), dispatch.maxOutputTokens());
+    return new HttpCall(call.method(), call.path(), call.headers(), body);
+  }
+
+  private ObjectNode parse(byte[] body) {
+    try {
+      JsonNode node = json.readTree(body);
+      if (node instanceof ObjectNode object && object.path("n").asLong(1) == 1) {
+        return object;
+      }
+    } catch (IOException e) {
+      throw invalid().withCause(e);
+    }
+    throw invalid();
+  }
+
+  private byte[] bounded(ObjectNode request, long maxOutputTokens) {
+    long asked = Math.min(limitOf(request, MAX_TOKENS), limitOf(request, MAX_COMPLETION_TOKENS));
+    request.put(MAX_TOKENS, Math.min(asked, maxOutputTokens));
+    request.remove(MAX_COMPLETION_TOKENS);
+    request.put("stream", true);
+    request.putObject("stream_options").put("include_usage", true);
+    try {
+      return json.writeValueAsBytes(request);
+    } catch (IOException e) {
+      throw invalid().withCause(e);
+    }
+  }
+
+  private static long limitOf(ObjectNode request, String field) {
+    return request.path(field).asLong(Long.MAX_VALUE);
+  }
+
+  private static SnipeloomException invalid() {
+    return SnipeloomException.of(
+        ErrorCode.INVALID_REQUEST, "the body must be a JSON object that asks for one answer");
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/Invariants.java
@@ -0,0 +1,28 @@
+package io.snipeloom.coordination;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.LogLine;
+import io.snipeloom.state.SnipeloomException;
+
+/** Reports violated invariants of attempts. */
+final class Invariants {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private Invariants() {}
+
+  /** Counts and logs a violation and returns the error that stops the offending action. */
+  static SnipeloomException violated(
+      MetricRegistry metrics, String message, SidecarAttempt attempt) {
+    metrics.counter("sidecar.invariants.violated").inc();
+    logger.atSevere().log(
+        "%s",
+        LogLine.of("invariant.violated")
+            .with("message", message)
+            .with("holder", attempt.holder())
+            .with("attempt", attempt.id().sequence()));
+    return SnipeloomException.of(ErrorCode.INVARIANT_VIOLATED, message)
+        .withPlace("sidecar", attempt.holder().value());
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/OrderQueue.java
@@ -0,0 +1,95 @@
+package io.snipeloom.coordination;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.snipeloom.state.EngineOrder;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.LogLine;
+import io.snipeloom.state.SnipeloomException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+
+/**
+ * Gives orders to the engine, one at a time and in order of their fencing numbers.
+ *
+ * <p>An order whose number is not above all earlier ones is dropped here, so that an engine that
+ * ignores the number is protected as well. Confined to one executor.
+ */
+final class OrderQueue {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final BackEnd backEnd;
+  private final Executor executor;
+  private final MetricRegistry metrics;
+  private final Deque<Order> waiting = new ArrayDeque<>();
+  private long highestNumber = -1;
+  private boolean busy;
+  private boolean fenced;
+
+  OrderQueue(BackEnd backEnd, Executor executor, MetricRegistry metrics) {
+    this.backEnd = backEnd;
+    this.executor = executor;
+    this.metrics = metrics;
+  }
+
+  void add(long fencingNumber, EngineOrder order) {
+    if (fenced || fencingNumber <= highestNumber) {
+      metrics.meter("sidecar.orders.fenced").mark();
+      return;
+    }
+    highestNumber = fencingNumber;
+    waiting.addLast(new Order(fencingNumber, order));
+  }
+
+  /** Drops all orders for good, since another incarnation gives them now. */
+  void fence() {
+    fenced = true;
+    waiting.clear();
+  }
+
+  /** Gives the next order, unless one is under way. */
+  void giveNext() {
+    if (busy || waiting.isEmpty()) {
+      return;
+    }
+    Order order = waiting.peekFirst();
+    busy = true;
+    var unused =
+        backEnd
+            .order(order.fencingNumber(), order.order())
+            .handleAsync(
+                (done, error) -> {
+                  answered(order, error);
+                  return null;
+                },
+                executor);
+  }
+
+  private void answered(Order order, Throwable error) {
+    busy = false;
+    boolean refused = isFenced(error);
+    if (error == null || refused) {
+      waiting.remove(order);
+    }
+    metrics.meter(error == null ? "sidecar.orders.done" : "sidecar.orders.failed").mark();
+    logger.atInfo().log(
+        "%s",
+        LogLine.of("order.answered")
+            .with("fencing", order.fencingNumber())
+            .with("action", order.order().action())
+            .with("result", error == null ? "done" : refused ? "fenced" : "retried"));
+    if (error == null) {
+      giveNext();
+    }
+  }
+
+  private static boolean isFenced(Throwable error) {
+    Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+    return cause instanceof SnipeloomException e && e.code() == ErrorCode.FENCED;
+  }
+
+  /** An order with its fencing number. */
+  private record Order(long fencingNumber, EngineOrder order) {}
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/Sidecar.java
@@ -0,0 +1,374 @@
+package io.snipeloom.coordination;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.snipeloom.protocol.Message;
+import io.snipeloom.state.DecisionRecord;
+import io.snipeloom.state.EngineOrder;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.Incarnation;
+import io.snipeloom.state.LogLine;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.state.UpstreamId;
+import io.snipeloom.state.UpstreamKind;
+import io.snipeloom.transport.FrameConnection;
+import io.snipeloom.transport.FrameListener;
+import java.time.InstantSource;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+
+/**
+ * The process beside one back end: takes attempts from routers, runs each at most once, keeps the
+ * answers for readers and settles what was consumed.
+ *
+ * <p>Thread-safe: every event is passed to one serial executor, which owns all state. The owner
+ * calls {@link #tick()} several times a second.
+ */
+public final class Sidecar implements FrameListener {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Incarnation self;
+  private final UpstreamId upstream;
+  private final SidecarLimits limits;
+  private final RecordSink sink;
+  private final Executor executor;
+  private final LongSupplier nanoClock;
+  private final MetricRegistry metrics;
+  private final AttemptMemory memory;
+  private final AttemptTable attempts;
+  private final AttemptQueue queue;
+  private final CrashWatch crashes;
+  private final SettlementWriter settlements;
+  private final AttemptRunner runner;
+  private final EngineWatch engine;
+  private final RouterRequests requests;
+  private final OrderQueue orders;
+  private final Set<FrameConnection> routers = new LinkedHashSet<>();
+  private final CompletableFuture<Void> left = new CompletableFuture<>();
+  private volatile Message.Heartbeat load = new Message.Heartbeat(0, 0, 0);
+  private volatile boolean joined;
+  private boolean leaving;
+  private boolean leaveRecorded;
+  private boolean replaced;
+  private long lastTickNanos;
+
+  private Sidecar(
+      Incarnation self,
+      UpstreamId upstream,
+      UpstreamKind kind,
+      SidecarLimits limits,
+      Decisions decisions,
+      RecordSink sink,
+      BackEnd backEnd,
+      Executor executor,
+      InstantSource clock,
+      LongSupplier nanoClock,
+      MetricRegistry metrics) {
+    this.self = self;
+    this.upstream = upstream;
+    this.limits = limits;
+    this.sink = sink;
+    this.executor = executor;
+    this.nanoClock = nanoClock;
+    this.metrics = metrics;
+    this.memory = new AttemptMemory(limits.memoryEntries(), limits.memoryTime().toNanos());
+    this.attempts = new AttemptTable(limits.keptBytes(), limits.keptTime().toNanos());
+    this.queue = new AttemptQueue(limits.capacity(), limits.queueLimit());
+    this.crashes = new CrashWatch(decisions);
+    DispatchGuard guard = new DispatchGuard(self, decisions, crashes, memory);
+    this.settlements = new SettlementWriter(self, sink, executor, metrics);
+    this.runner =
+        new AttemptRunner(
+            kind,
+            backEnd,
+            queue,
+            memory,
+            guard,
+            crashes,
+            settlements,
+            executor,
+            nanoClock,
+            metrics);
+    this.engine =
+        new EngineWatch(
+            self,
+            backEnd,
+            queue,
+            runner,
+            crashes,
+            sink,
+            executor,
+            nanoClock,
+            limits.crashReportLimit().toNanos(),
+            metrics);
+    this.orders = new OrderQueue(backEnd, executor, metrics);
+    this.requests =
+        new RouterRequests(
+            kind,
+            limits,
+            memory,
+            attempts,
+            queue,
+            guard,
+            settlements,
+            runner,
+            this::readiness,
+            clock,
+            nanoClock,
+            metrics);
+    this.lastTickNanos = nanoClock.getAsLong();
+    runner.setCrashHandler(engine::onBroken);
+    runner.setBlocked(true);
+  }
+
+  /**
+   * Returns a sidecar that is not started yet.
+   *
+   * @param self its incarnation
+   * @param upstream the upstream that it stands beside
+   * @param kind the kind of back end
+   * @param limits its bounds
+   * @param decisions the decision state
+   * @param sink takes its records
+   * @param backEnd the back end
+   * @param executor runs tasks one at a time and in order
+   * @param clock the wall clock, which only bounds the issue time of keys
+   * @param nanoClock a monotonic clock in nanoseconds
+   * @param metrics the registry for metrics
+   * @return the sidecar
+   */
+  public static Sidecar of(
+      Incarnation self,
+      UpstreamId upstream,
+      UpstreamKind kind,
+      SidecarLimits limits,
+      Decisions decisions,
+      RecordSink sink,
+      BackEnd backEnd,
+      Executor executor,
+      InstantSource clock,
+      LongSupplier nanoClock,
+      MetricRegistry metrics) {
+    return new Sidecar(
+        self, upstream, kind, limits, decisions, sink, backEnd, executor, clock, nanoClock,
+        metrics);
+  }
+
+  /** Announces the incarnation; work is taken once that record is in the log. */
+  public void start() {
+    executor.execute(engine::probe);
+    var unused =
+        sink.append(List.of(new DecisionRecord.SidecarJoined(self, upstream)))
+            .thenRunAsync(() -> joined = true, executor);
+  }
+
+  /**
+   * Refuses new work, finishes what is open and settles it.
+   *
+   * @return completes when the last record is in the log and every reader has its answer
+   */
+  public CompletionStage<Void> leave() {
+    executor.execute(this::leaveNow);
+    return left;
+  }
+
+  /**
+   * Returns whether work is taken.
+   *
+   * @return true after the joining record is in the log
+   */
+  public boolean isJoined() {
+    return joined;
+  }
+
+  /**
+   * Returns the load to report in heartbeats.
+   *
+   * @return the load
+   */
+  public Message.Heartbeat load() {
+    return load;
+  }
+
+  /** Does what is due by time. */
+  public void tick() {
+    executor.execute(this::tickNow);
+  }
+
+  /**
+   * Learns that a holder was closed.
+   *
+   * @param holder the holder
+   */
+  public void onHolderClosed(Incarnation holder) {
+    executor.execute(() -> closeHolder(holder));
+  }
+
+  /**
+   * Learns that the conviction or the suspicion of a request has ended.
+   *
+   * @param fingerprint the digest of the request
+   */
+  public void onCleared(String fingerprint) {
+    executor.execute(() -> crashes.clear(fingerprint));
+  }
+
+  /** Learns that another incarnation has taken the slot. */
+  public void onReplaced() {
+    executor.execute(
+        () -> {
+          replaced = true;
+          orders.fence();
+        });
+  }
+
+  /**
+   * Learns of an order to the engine of this slot.
+   *
+   * @param fencingNumber the offset of its record
+   * @param order the order
+   */
+  public void onOrder(long fencingNumber, EngineOrder order) {
+    executor.execute(
+        () -> {
+          orders.add(fencingNumber, order);
+          orders.giveNext();
+        });
+  }
+
+  @Override
+  public void onOpened(FrameConnection connection) {
+    executor.execute(
+        () -> {
+          routers.add(connection);
+          if (leaving) {
+            connection.send(new Message.Leaving());
+          }
+        });
+  }
+
+  @Override
+  public void onMessage(FrameConnection connection, Message message) {
+    executor.execute(
+        () -> {
+          requests.receive(connection, message);
+          updateLoad();
+        });
+  }
+
+  @Override
+  public void onWritable(FrameConnection connection) {
+    executor.execute(() -> attempts.pump(connection));
+  }
+
+  @Override
+  public void onClosed(FrameConnection connection, SnipeloomException reason) {
+    executor.execute(
+        () -> {
+          routers.remove(connection);
+          attempts.unsubscribe(connection);
+        });
+  }
+
+  @Override
+  public void onFailed(SnipeloomException reason) {
+    throw new UnsupportedOperationException("a sidecar opens no connections");
+  }
+
+  private DispatchGuard.Readiness readiness() {
+    if (replaced) {
+      return DispatchGuard.Readiness.REPLACED;
+    }
+    if (leaving) {
+      return DispatchGuard.Readiness.LEAVING;
+    }
+    if (!joined) {
+      return DispatchGuard.Readiness.STARTING;
+    }
+    if (nanoClock.getAsLong() - lastTickNanos > limits.pauseLimit().toNanos()) {
+      return DispatchGuard.Readiness.PAUSED;
+    }
+    return engine.isUp() ? DispatchGuard.Readiness.READY : DispatchGuard.Readiness.BACK_END_DOWN;
+  }
+
+  private void closeHolder(Incarnation holder) {
+    for (SidecarAttempt waiting : queue.waiting()) {
+      if (waiting.holder().equals(holder) && queue.removeWaiting(waiting)) {
+        runner.refuse(waiting, ErrorCode.FENCED, "the holder is closed", 0);
+      }
+    }
+    settlements.holderClosed(holder);
+  }
+
+  private void leaveNow() {
+    if (leaving) {
+      return;
+    }
+    leaving = true;
+    logger.atInfo().log("%s", LogLine.of("sidecar.leaving").with("open", queue.runningCount()));
+    routers.forEach(router -> router.send(new Message.Leaving()));
+    finishLeaving();
+  }
+
+  private void finishLeaving() {
+    boolean idle = queue.runningCount() == 0 && queue.waitingCount() == 0;
+    if (!leaving || leaveRecorded || !idle || !settlements.isSettled() || !isDelivered()) {
+      return;
+    }
+    leaveRecorded = true;
+    var unused =
+        sink.append(List.of(new DecisionRecord.SidecarLeft(self)))
+            .thenRunAsync(() -> left.complete(null), executor);
+  }
+
+  private boolean isDelivered() {
+    return attempts.isDelivered(limits.orphanLimit().toNanos(), nanoClock.getAsLong());
+  }
+
+  private void tickNow() {
+    long now = nanoClock.getAsLong();
+    lastTickNanos = now;
+    engine.tick(now);
+    engine.probe();
+    orders.giveNext();
+    expireAttempts(now);
+    attempts.evict(now);
+    memory.expire(now);
+    finishLeaving();
+    updateLoad();
+  }
+
+  private void expireAttempts(long now) {
+    for (SidecarAttempt waiting : queue.waiting()) {
+      if (waiting.isExpired(now) && queue.removeWaiting(waiting)) {
+        runner.refuse(waiting, ErrorCode.DEADLINE_EXCEEDED, "the deadline passed", 0);
+      }
+    }
+    for (SidecarAttempt running : queue.running()) {
+      expireRunning(running, now);
+    }
+  }
+
+  private void expireRunning(SidecarAttempt running, long now) {
+    if (running.isEnded() || running.isBroken() || !running.isRepeatable()) {
+      return;
+    }
+    boolean unread = running.isUnreadFor(limits.orphanLimit().toNanos(), now);
+    if (running.isExpired(now)) {
+      runner.fail(running, ErrorCode.DEADLINE_EXCEEDED, "the deadline passed");
+    } else if (unread && !running.dispatch().retained()) {
+      metrics.meter("sidecar.attempts.unread").mark();
+      runner.fail(running, ErrorCode.CONNECTION_LOST, "nobody reads the answer");
+    }
+  }
+
+  private void updateLoad() {
+    int capacity = engine.isUp() ? queue.capacity() : 0;
+    load = new Message.Heartbeat(queue.runningCount(), queue.waitingCount(), capacity);
+  }
+}
--- a/src/main/java/io/snipeloom/coordination/TcpSidecarLink.java
+++ b/src/main/java/io/snipeloom/coordination/TcpSidecarLink.java
@@ -8,7 +8,6 @@
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.Incarnation;
 import io.snipeloom.state.LogLine;
-import io.snipeloom.state.RunState;
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.transport.FrameClient;
 import io.snipeloom.transport.FrameConnection;
@@ -44,14 +43,13 @@
   private final ScheduledExecutorService executor;
   private final ReconnectDelay delay;
   private final Map<AttemptId, OpenAnswer> answers = new HashMap<>();
-  private final Map<Long, CompletableFuture<Message.CallStatus>> queries = new HashMap<>();
+  private final PendingQueries queries;
 
   private volatile FrameConnection connection;
   private volatile boolean leaving;
   private volatile Message.Heartbeat load = NO_LOAD;
   private volatile long loadNanos;
   private Incarnation lastIncarnation;
-  private long nextQueryId = 1;
   private long losses;
   private boolean stopped;
 
@@ -69,6 +67,7 @@
     this.metrics = metrics;
     this.executor = client.nextExecutor();
     this.delay = new ReconnectDelay(settings.firstDelay(), settings.maxDelay(), random);
+    this.queries = new PendingQueries(instance.id().value());
     this.loadNanos = nanoClock.getAsLong();
   }
 
@@ -202,13 +201,10 @@
 
   private void queryNow(Message.CallQuery query, CompletableFuture<Message.CallStatus> answer) {
     if (connection == null) {
-      answer.completeExceptionally(queryLost());
-      return;
+      queries.fail(answer);
+    } else {
+      connection.send(queries.add(query, answer));
     }
-    long id = nextQueryId++;
-    queries.put(id, answer);
-    connection.send(
-        new Message.CallQuery(id, query.key(), query.attempt(), query.plantTombstone()));
   }
 
   private void sendIfConnected(Message message) {
@@ -235,7 +231,7 @@
       connection.close("the link is stopped");
       connection = null;
     }
-    failQueries();
+    queries.failAll();
     loseAnswers("the link is stopped");
   }
 
@@ -276,7 +272,7 @@
             .with("sidecar", closed.peer())
             .with("open", answers.size())
             .with("reason", reason.getMessage()));
-    failQueries();
+    queries.failAll();
     var unused =
         executor.schedule(
             () -> giveUp(loss), settings.lossLimit().toMillis(), TimeUnit.MILLISECONDS);
@@ -295,18 +291,6 @@
     lost.forEach(answer -> answer.lost(reason));
   }
 
-  private void failQueries() {
-    List<CompletableFuture<Message.CallStatus>> failed = new ArrayList<>(queries.values());
-    queries.clear();
-    failed.forEach(query -> query.completeExceptionally(queryLost()));
-  }
-
-  private SnipeloomException queryLost() {
-    return SnipeloomException.of(ErrorCode.CONNECTION_LOST, "the sidecar is not connected")
-        .withPlace("query", instance.id().value())
-        .withRunState(RunState.UNKNOWN);
-  }
-
   private void received(Message message) {
     if (message instanceof Message.Heartbeat heartbeat) {
       load = heartbeat;
@@ -332,7 +316,7 @@
     } else if (message instanceof Message.Refused refused) {
       refused(refused);
     } else if (message instanceof Message.CallStatus status) {
-      answerQuery(status);
+      queries.complete(status);
     } else {
       connection.close("a message of the wrong direction");
     }
@@ -370,13 +354,6 @@
     }
   }
 
-  private void answerQuery(Message.CallStatus status) {
-    CompletableFuture<Message.CallStatus> query = queries.remove(status.queryId());
-    if (query != null) {
-      query.complete(status);
-    }
-  }
-
   /** Passes the events of one connection to the link. */
   private final class Events implements FrameListener {
     @Override
