--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/AdmissionQueue.java
@@ -0,0 +1,464 @@
+package io.snipeloom.coordination;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.RequestClass;
+import io.snipeloom.state.RequestClassId;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.state.UpstreamId;
+import io.snipeloom.state.Urgency;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Decides when a router sends requests to one upstream: at once, after waiting, or not at all.
+ *
+ * <p>Waiting requests are ordered by the rank of their urgency, within a rank by request class, and
+ * within a class evenly between customers. A request that can't be served before its deadline, or
+ * that gives way to more urgent ones, is refused as soon as that is known and is told when to come
+ * back.
+ *
+ * <p>Thread-safe; each upstream has its own queue under its own lock, and turns complete outside of
+ * it on the thread that made them possible. Call {@link #sweep} every {@link #SWEEP_PERIOD}.
+ */
+public final class AdmissionQueue {
+  /** How often {@link #sweep} should be called. */
+  public static final Duration SWEEP_PERIOD = Duration.ofMillis(50);
+
+  /** The share of the slots that work of the last rank may hold, out of {@link #SHARES}. */
+  static final int LAST_RANK_SHARES = 7;
+
+  /** The shares into which the slots are divided. */
+  static final int SHARES = 8;
+
+  /** Of so many turns, one goes to the least urgent that waits, so that it cannot starve. */
+  static final int YIELD_PERIOD = 16;
+
+  /** The shortest time to come back that is told to a caller. */
+  static final Duration MIN_RETRY_AFTER = Duration.ofMillis(100);
+
+  /** The longest time to come back that is told to a caller. */
+  static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(60);
+
+  private static final String STEP = "admit";
+
+  private final UpstreamId upstream;
+  private final LongSupplier nanoClock;
+  private final int totalQueueLimit;
+  private final Map<RequestClassId, ClassQueue> classes = new HashMap<>();
+  private final List<ClassQueue> ranked = new ArrayList<>();
+  private final DrainRate drain;
+  private final Meter refusals;
+  private final Meter grants;
+  private final Timer waits;
+  private int limit;
+  private int inFlight;
+  private int lastRankInFlight;
+  private int queued;
+  private int turns;
+
+  /** The waiting requests of one class. */
+  private static final class ClassQueue {
+    private final FairQueue<Ticket> waiting = new FairQueue<>();
+    private RequestClass requestClass;
+
+    private int rank() {
+      return requestClass.urgency().rank();
+    }
+  }
+
+  private AdmissionQueue(
+      UpstreamId upstream,
+      int limit,
+      int totalQueueLimit,
+      LongSupplier nanoClock,
+      MetricRegistry metrics) {
+    this.upstream = upstream;
+    this.limit = limit;
+    this.totalQueueLimit = totalQueueLimit;
+    this.nanoClock = nanoClock;
+    this.drain = new DrainRate(nanoClock.getAsLong());
+    String prefix = "admission." + upstream;
+    this.refusals = metrics.meter(prefix + ".refused");
+    this.grants = metrics.meter(prefix + ".granted");
+    this.waits = metrics.timer(prefix + ".wait");
+    metrics.gauge(prefix + ".queued", () -> this::queued);
+    metrics.gauge(prefix + ".inFlight", () -> this::inFlight);
+    metrics.gauge(prefix + ".limit", () -> this::limit);
+  }
+
+  /**
+   * Returns an empty queue.
+   *
+   * @param upstream the upstream
+   * @param limit the requests that may be in flight from this router
+   * @param totalQueueLimit the most requests that may wait, over all classes
+   * @param nanoClock the clock in nanoseconds
+   * @param metrics receives the counts and times
+   * @return the queue
+   */
+  public static AdmissionQueue of(
+      UpstreamId upstream,
+      int limit,
+      int totalQueueLimit,
+      LongSupplier nanoClock,
+      MetricRegistry metrics) {
+    return new AdmissionQueue(upstream, limit, totalQueueLimit, nanoClock, metrics);
+  }
+
+  /**
+   * Offers a request.
+   *
+   * @param request the request
+   * @return the decision
+   */
+  public Admission offer(AdmissionRequest request) {
+    List<Ticket> done = new ArrayList<>();
+    Ticket ticket;
+    synchronized (this) {
+      long now = advance();
+      ticket = new Ticket(request, now);
+      decide(ticket, now, done);
+      ticket.decision = ticket.state.decision();
+    }
+    finish(done);
+    return ticket;
+  }
+
+  /**
+   * Changes the requests that may be in flight; see {@link ConcurrencyLimit}.
+   *
+   * @param newLimit the limit; 0 while no back end is usable
+   */
+  public void setLimit(int newLimit) {
+    List<Ticket> done = new ArrayList<>();
+    synchronized (this) {
+      long now = advance();
+      limit = newLimit;
+      admitNext(now, done);
+    }
+    finish(done);
+  }
+
+  /** Refuses the waiting requests that can't be served before their deadline any more. */
+  public void sweep() {
+    List<Ticket> done = new ArrayList<>();
+    synchronized (this) {
+      long now = advance();
+      admitNext(now, done);
+      sweepLate(now, done);
+    }
+    finish(done);
+  }
+
+  /**
+   * Returns the number of waiting requests.
+   *
+   * @return the number of requests
+   */
+  public synchronized int queued() {
+    return queued;
+  }
+
+  /**
+   * Returns the number of requests in flight.
+   *
+   * @return the number of requests
+   */
+  public synchronized int inFlight() {
+    return inFlight;
+  }
+
+  /**
+   * Returns the requests that may be in flight.
+   *
+   * @return the limit
+   */
+  public synchronized int limit() {
+    return limit;
+  }
+
+  private long advance() {
+    long now = nanoClock.getAsLong();
+    drain.advance(now, inFlight > 0 || queued > 0);
+    return now;
+  }
+
+  private void decide(Ticket ticket, long now, List<Ticket> done) {
+    ClassQueue queue = queueOf(ticket.request.requestClass());
+    if (now - ticket.request.deadlineNanos() >= 0) {
+      refuse(ticket, ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed", done);
+      return;
+    }
+    if (queuedAtOrBefore(queue.rank()) == 0 && hasSlot(queue.rank())) {
+      grant(ticket, now, done);
+      return;
+    }
+    double wait = expectedWaitNanos(ticket, queue);
+    if (now + wait > ticket.request.deadlineNanos()) {
+      refuse(ticket, ErrorCode.OVERLOADED, "the deadline would pass while waiting", done);
+      return;
+    }
+    if (!makeRoom(ticket, queue, done)) {
+      refuse(ticket, ErrorCode.OVERLOADED, "too many requests are waiting", done);
+      return;
+    }
+    queue.waiting.add(ticket.request.customer(), ticket.request.cost(), ticket);
+    queued++;
+  }
+
+  private boolean makeRoom(Ticket ticket, ClassQueue queue, List<Ticket> done) {
+    if (queue.waiting.size() >= queue.requestClass.queueLimit()) {
+      int own = queue.waiting.sizeOf(ticket.request.customer());
+      if (own + 1 >= queue.waiting.longestLane()) {
+        return false;
+      }
+      shedTail(queue, "a customer with fewer waiting requests came", done);
+    }
+    if (queued < totalQueueLimit) {
+      return true;
+    }
+    ClassQueue last = lastWaiting();
+    if (last.rank() <= queue.rank()) {
+      return false;
+    }
+    shedTail(last, "a more urgent request came", done);
+    return true;
+  }
+
+  private void shedTail(ClassQueue queue, String reason, List<Ticket> done) {
+    Ticket shed = queue.waiting.pollLongestTail();
+    queued--;
+    refuse(shed, ErrorCode.OVERLOADED, reason, done);
+  }
+
+  private void sweepLate(long now, List<Ticket> done) {
+    for (ClassQueue queue : ranked) {
+      double ahead = queuedBefore(queue.rank());
+      double soonest = drain.nanosFor(ahead + 1, limit);
+      List<Ticket> late =
+          queue.waiting.removeIf(ticket -> now + soonest > ticket.request.deadlineNanos());
+      queued -= late.size();
+      late.forEach(
+          ticket ->
+              refuse(ticket, ErrorCode.OVERLOADED, "the deadline would pass while waiting", done));
+    }
+  }
+
+  private void admitNext(long now, List<Ticket> done) {
+    while (queued > 0) {
+      ClassQueue next = nextQueue();
+      if (next == null) {
+        return;
+      }
+      Ticket ticket = next.waiting.poll();
+      queued--;
+      turns++;
+      if (now - ticket.request.deadlineNanos() >= 0) {
+        refuse(ticket, ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed", done);
+      } else {
+        grant(ticket, now, done);
+      }
+    }
+  }
+
+  private ClassQueue nextQueue() {
+    boolean yield = turns % YIELD_PERIOD == YIELD_PERIOD - 1;
+    ClassQueue chosen = null;
+    for (ClassQueue queue : ranked) {
+      if (queue.waiting.size() == 0 || !hasSlot(queue.rank())) {
+        continue;
+      }
+      if (chosen == null || (yield && queue.rank() > chosen.rank())) {
+        chosen = queue;
+      }
+    }
+    return chosen;
+  }
+
+  private boolean hasSlot(int rank) {
+    if (inFlight >= limit) {
+      return false;
+    }
+    return !isLastRank(rank) || lastRankInFlight < lastRankLimit();
+  }
+
+  private int lastRankLimit() {
+    return Math.max(1, limit * LAST_RANK_SHARES / SHARES);
+  }
+
+  private static boolean isLastRank(int rank) {
+    return rank >= Urgency.CAN_WAIT.rank();
+  }
+
+  private void grant(Ticket ticket, long now, List<Ticket> done) {
+    ticket.state = State.GRANTED;
+    ticket.grantedNanos = now;
+    inFlight++;
+    if (isLastRank(ticket.rank())) {
+      lastRankInFlight++;
+    }
+    grants.mark();
+    waits.update(now - ticket.offeredNanos, TimeUnit.NANOSECONDS);
+    done.add(ticket);
+  }
+
+  private void refuse(Ticket ticket, ErrorCode code, String reason, List<Ticket> done) {
+    ClassQueue queue = queueOf(ticket.request.requestClass());
+    ticket.state = State.REFUSED;
+    ticket.refusal =
+        SnipeloomException.of(code, reason)
+            .withPlace(STEP, upstream.value())
+            .withRetryAfter(retryAfter(queue));
+    refusals.mark();
+    done.add(ticket);
+  }
+
+  private Duration retryAfter(ClassQueue queue) {
+    double ahead = queuedBefore(queue.rank()) + (double) queue.waiting.size();
+    long nanos = (long) drain.nanosFor(ahead + 1, limit);
+    Duration wait = Duration.ofNanos(nanos);
+    if (wait.compareTo(MIN_RETRY_AFTER) < 0) {
+      return MIN_RETRY_AFTER;
+    }
+    return wait.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : wait;
+  }
+
+  private double expectedWaitNanos(Ticket ticket, ClassQueue queue) {
+    int own = queue.waiting.sizeOf(ticket.request.customer());
+    double lanes = Math.max(1, queue.waiting.lanes() + (own == 0 ? 1 : 0));
+    double ahead = Math.min(queue.waiting.size(), own * lanes);
+    return drain.nanosFor(queuedBefore(queue.rank()) + ahead + 1, limit);
+  }
+
+  private int queuedBefore(int rank) {
+    int before = 0;
+    for (ClassQueue queue : ranked) {
+      before += queue.rank() < rank ? queue.waiting.size() : 0;
+    }
+    return before;
+  }
+
+  private int queuedAtOrBefore(int rank) {
+    return queuedBefore(rank + 1);
+  }
+
+  private ClassQueue lastWaiting() {
+    ClassQueue last = ranked.get(0);
+    for (ClassQueue queue : ranked) {
+      last = queue.waiting.size() > 0 ? queue : last;
+    }
+    return last;
+  }
+
+  private ClassQueue queueOf(RequestClass requestClass) {
+    ClassQueue queue = classes.get(requestClass.id());
+    if (queue == null) {
+      queue = new ClassQueue();
+      queue.requestClass = requestClass;
+      classes.put(requestClass.id(), queue);
+      ranked.add(queue);
+      ranked.sort(Comparator.comparingInt(ClassQueue::rank));
+    } else if (!queue.requestClass.equals(requestClass)) {
+      queue.requestClass = requestClass;
+      ranked.sort(Comparator.comparingInt(ClassQueue::rank));
+    }
+    return queue;
+  }
+
+  private static void finish(List<Ticket> done) {
+    for (Ticket ticket : done) {
+      ticket.complete();
+    }
+  }
+
+  /** The state of a request within the queue. */
+  private enum State {
+    QUEUED(Admission.Decision.QUEUED),
+    GRANTED(Admission.Decision.GRANTED),
+    REFUSED(Admission.Decision.REFUSED),
+    RELEASED(Admission.Decision.GRANTED);
+
+    private final Admission.Decision decision;
+
+    State(Admission.Decision decision) {
+      this.decision = decision;
+    }
+
+    private Admission.Decision decision() {
+      return decision;
+    }
+  }
+
+  /** One request; its fields are guarded by the queue. */
+  private final class Ticket implements Admission {
+    private final AdmissionRequest request;
+    private final long offeredNanos;
+    private final CompletableFuture<Void> turn = new CompletableFuture<>();
+    private State state = State.QUEUED;
+    private Decision decision = Decision.QUEUED;
+    private long grantedNanos;
+    private SnipeloomException refusal;
+
+    private Ticket(AdmissionRequest request, long offeredNanos) {
+      this.request = request;
+      this.offeredNanos = offeredNanos;
+    }
+
+    private int rank() {
+      return request.requestClass().urgency().rank();
+    }
+
+    private void complete() {
+      if (refusal != null) {
+        turn.completeExceptionally(refusal);
+      } else {
+        turn.complete(null);
+      }
+    }
+
+    @Override
+    public Decision decision() {
+      return decision;
+    }
+
+    @Override
+    public CompletionStage<Void> turn() {
+      return turn;
+    }
+
+    @Override
+    public void release() {
+      List<Ticket> done = new ArrayList<>();
+      synchronized (AdmissionQueue.this) {
+        long now = advance();
+        releaseLocked(now);
+        admitNext(now, done);
+      }
+      finish(done);
+    }
+
+    private void releaseLocked(long now) {
+      if (state == State.GRANTED) {
+        inFlight--;
+        if (isLastRank(rank())) {
+          lastRankInFlight--;
+        }
+        drain.released(now - grantedNanos);
+      } else if (state == State.QUEUED) {
+        queued -= queueOf(request.requestClass()).waiting.removeIf(this::equals).size();
+      }
+      state = state == State.REFUSED ? State.REFUSED : State.RELEASED;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/BackEndPicker.java
@@ -0,0 +1,72 @@
+package io.snipeloom.coordination;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses a back end for a request by a routing policy.
+ *
+ * <p>Thread-safe. The cost of a pick does not grow with the fleet, except under the policies that
+ * are kept for comparison and when most of the fleet takes no work. The caller then calls {@link
+ * BackEnd#tryBegin}, and on false picks again with that back end excluded.
+ */
+public final class BackEndPicker {
+  private final RoutingPolicy policy;
+  private final PrefixIndex prefixes;
+  private final LongSupplier nanoClock;
+  private final AtomicInteger turn = new AtomicInteger();
+
+  private BackEndPicker(RoutingPolicy policy, PrefixIndex prefixes, LongSupplier nanoClock) {
+    this.policy = policy;
+    this.prefixes = prefixes;
+    this.nanoClock = nanoClock;
+  }
+
+  /**
+   * Returns a picker.
+   *
+   * @param policy the policy
+   * @param prefixes the index of cached prefixes
+   * @param nanoClock the clock in nanoseconds
+   * @return the picker
+   */
+  public static BackEndPicker of(
+      RoutingPolicy policy, PrefixIndex prefixes, LongSupplier nanoClock) {
+    return new BackEndPicker(policy, prefixes, nanoClock);
+  }
+
+  /**
+   * Chooses a back end.
+   *
+   * @param request the request
+   * @param candidates the back ends of the upstream
+   * @param random the source of randomness
+   * @return the back end; empty if none takes the request now
+   */
+  public Optional<BackEnd> pick(RouteRequest request, BackEnds candidates, RandomGenerator random) {
+    BackEnds.Pool pool = candidates.serving(request.model());
+    if (pool.all().length == 0) {
+      return Optional.empty();
+    }
+    return Optional.ofNullable(policy.choose(this, request, pool, random));
+  }
+
+  /**
+   * Returns the index of cached prefixes, which the caller feeds with its sends.
+   *
+   * @return the index
+   */
+  public PrefixIndex prefixes() {
+    return prefixes;
+  }
+
+  long nowNanos() {
+    return nanoClock.getAsLong();
+  }
+
+  int nextTurn(int size) {
+    return Math.floorMod(turn.getAndIncrement(), size);
+  }
+}
