--- a/src/main/java/io/snipeloom/state/Budget.java
+++ b/src/main/java/io/snipeloom/state/Budget.java
@@ -6,4 +6,9 @@
  * @param id the identifier
  * @param customer the customer that owns the budget
  */
-public record Budget(BudgetId id, CustomerId customer) {}
+public record Budget(BudgetId id, CustomerId customer) {
+  /** Checks that the identifier is there. */
+  public Budget {
+    Entry.required("id", id);
+  }
+}
--- a/src/main/java/io/snipeloom/state/ConfigurationChange.java
+++ b/src/main/java/io/snipeloom/state/ConfigurationChange.java
@@ -12,6 +12,9 @@
  */
 public record ConfigurationChange(long baseOffset, String operator, List<ConfigurationEdit> edits) {
 
+  /** The most edits of one change. */
+  public static final int MAX_EDITS = 10_000;
+
   /** Copies the edits. */
   public ConfigurationChange {
     edits = List.copyOf(edits);
--- /dev/null
+++ b/src/main/java/io/snipeloom/state/ConfigurationContent.java
@@ -0,0 +1,183 @@
+package io.snipeloom.state;
+
+import io.snipeloom.state.ConfigurationSnapshot.Removal;
+import org.pcollections.TreePMap;
+
+/**
+ * The sections of a configuration document with their indexes, without any rule.
+ *
+ * <p>Immutable and thread-safe. Each method returns new content that shares all but a logarithmic
+ * number of nodes with the old one.
+ */
+record ConfigurationContent(
+    TreePMap<CustomerId, Entry<Customer>> customers,
+    TreePMap<BudgetId, Entry<Budget>> budgets,
+    TreePMap<TopUpId, Entry<TopUp>> topUps,
+    TreePMap<UpstreamId, Entry<Upstream>> upstreams,
+    TreePMap<RequestClassId, Entry<RequestClass>> requestClasses,
+    ConfigurationIndexes indexes,
+    RemovalMemory removals) {
+
+  static ConfigurationContent empty() {
+    return new ConfigurationContent(
+        TreePMap.empty(),
+        TreePMap.empty(),
+        TreePMap.empty(),
+        TreePMap.empty(),
+        TreePMap.empty(),
+        ConfigurationIndexes.empty(),
+        RemovalMemory.empty());
+  }
+
+  static ConfigurationContent of(ConfigurationSnapshot snapshot) {
+    ConfigurationContent content = empty();
+    for (Entry<Customer> entry : snapshot.customers()) {
+      content = content.plus(entry.value(), entry.changedAt());
+    }
+    for (Entry<Budget> entry : snapshot.budgets()) {
+      content = content.plus(entry.value(), entry.changedAt());
+    }
+    for (Entry<TopUp> entry : snapshot.topUps()) {
+      content = content.plus(entry.value(), entry.changedAt());
+    }
+    for (Entry<Upstream> entry : snapshot.upstreams()) {
+      content = content.plus(entry.value(), entry.changedAt());
+    }
+    for (Entry<RequestClass> entry : snapshot.requestClasses()) {
+      content = content.plus(entry.value(), entry.changedAt());
+    }
+    return content.withRemovals(RemovalMemory.of(snapshot.removals(), snapshot.forgottenUpTo()));
+  }
+
+  ConfigurationContent plus(ConfigurationEdit edit, long offset) {
+    if (edit instanceof ConfigurationEdit.PutCustomer put) {
+      return plus(put.customer(), offset);
+    }
+    if (edit instanceof ConfigurationEdit.PutBudget put) {
+      return plus(put.budget(), offset);
+    }
+    if (edit instanceof ConfigurationEdit.AddTopUp add) {
+      return plus(add.topUp(), offset);
+    }
+    if (edit instanceof ConfigurationEdit.PutUpstream put) {
+      return plus(put.upstream(), offset);
+    }
+    if (edit instanceof ConfigurationEdit.PutRequestClass put) {
+      return plus(put.requestClass(), offset);
+    }
+    return minus((ConfigurationEdit.Remove) edit, offset);
+  }
+
+  private ConfigurationContent plus(Customer customer, long offset) {
+    Entry<Customer> old = customers.get(customer.id());
+    ConfigurationIndexes without = old == null ? indexes : indexes.minus(old.value());
+    return withCustomers(
+        customers.plus(customer.id(), new Entry<>(customer, offset)), without.plus(customer));
+  }
+
+  private ConfigurationContent plus(Budget budget, long offset) {
+    Entry<Budget> old = budgets.get(budget.id());
+    ConfigurationIndexes without = old == null ? indexes : indexes.minus(old.value());
+    return withBudgets(
+        budgets.plus(budget.id(), new Entry<>(budget, offset)), without.plus(budget));
+  }
+
+  private ConfigurationContent plus(TopUp topUp, long offset) {
+    if (topUps.containsKey(topUp.id())) {
+      return this;
+    }
+    return new ConfigurationContent(
+        customers,
+        budgets,
+        topUps.plus(topUp.id(), new Entry<>(topUp, offset)),
+        upstreams,
+        requestClasses,
+        indexes.plus(topUp),
+        removals);
+  }
+
+  private ConfigurationContent plus(Upstream upstream, long offset) {
+    Entry<Upstream> old = upstreams.get(upstream.id());
+    ConfigurationIndexes without = old == null ? indexes : indexes.minus(old.value());
+    return withUpstreams(
+        upstreams.plus(upstream.id(), new Entry<>(upstream, offset)), without.plus(upstream));
+  }
+
+  private ConfigurationContent plus(RequestClass requestClass, long offset) {
+    Entry<RequestClass> old = requestClasses.get(requestClass.id());
+    ConfigurationIndexes without = old == null ? indexes : indexes.minus(old.value());
+    return withRequestClasses(
+        requestClasses.plus(requestClass.id(), new Entry<>(requestClass, offset)),
+        without.plus(requestClass));
+  }
+
+  private ConfigurationContent minus(ConfigurationEdit.Remove remove, long offset) {
+    Entry<?> entry = entry(remove.section(), remove.entryId());
+    if (entry == null) {
+      return this;
+    }
+    ConfigurationContent left = minus(entry.value());
+    return left.withRemovals(
+        removals.plus(new Removal(remove.section(), remove.entryId(), offset)));
+  }
+
+  private ConfigurationContent minus(Object value) {
+    if (value instanceof Customer customer) {
+      return withCustomers(customers.minus(customer.id()), indexes.minus(customer));
+    }
+    if (value instanceof Budget budget) {
+      return withBudgets(budgets.minus(budget.id()), indexes.minus(budget));
+    }
+    if (value instanceof Upstream upstream) {
+      return withUpstreams(upstreams.minus(upstream.id()), indexes.minus(upstream));
+    }
+    if (value instanceof RequestClass requestClass) {
+      return withRequestClasses(
+          requestClasses.minus(requestClass.id()), indexes.minus(requestClass));
+    }
+    return this;
+  }
+
+  /** Returns the entry with this identifier, or null if there is none. */
+  Entry<?> entry(ConfigurationSection section, String entryId) {
+    if (!Identifiers.isWellFormed(entryId)) {
+      return null;
+    }
+    return switch (section) {
+      case CUSTOMERS -> customers.get(CustomerId.of(entryId));
+      case BUDGETS -> budgets.get(BudgetId.of(entryId));
+      case TOP_UPS -> topUps.get(TopUpId.of(entryId));
+      case UPSTREAMS -> upstreams.get(UpstreamId.of(entryId));
+      case REQUEST_CLASSES -> requestClasses.get(RequestClassId.of(entryId));
+    };
+  }
+
+  ConfigurationContent withRemovals(RemovalMemory newRemovals) {
+    return new ConfigurationContent(
+        customers, budgets, topUps, upstreams, requestClasses, indexes, newRemovals);
+  }
+
+  private ConfigurationContent withCustomers(
+      TreePMap<CustomerId, Entry<Customer>> newCustomers, ConfigurationIndexes newIndexes) {
+    return new ConfigurationContent(
+        newCustomers, budgets, topUps, upstreams, requestClasses, newIndexes, removals);
+  }
+
+  private ConfigurationContent withBudgets(
+      TreePMap<BudgetId, Entry<Budget>> newBudgets, ConfigurationIndexes newIndexes) {
+    return new ConfigurationContent(
+        customers, newBudgets, topUps, upstreams, requestClasses, newIndexes, removals);
+  }
+
+  private ConfigurationContent withUpstreams(
+      TreePMap<UpstreamId, Entry<Upstream>> newUpstreams, ConfigurationIndexes newIndexes) {
+    return new ConfigurationContent(
+        customers, budgets, topUps, newUpstreams, requestClasses, newIndexes, removals);
+  }
+
+  private ConfigurationContent withRequestClasses(
+      TreePMap<RequestClassId, Entry<RequestClass>> newClasses, ConfigurationIndexes newIndexes) {
+    return new ConfigurationContent(
+        customers, budgets, topUps, upstreams, newClasses, newIndexes, removals);
+  }
+}
--- a/src/main/java/io/snipeloom/state/ConfigurationDocument.java
+++ b/src/main/java/io/snipeloom/state/ConfigurationDocument.java
@@ -1,40 +1,29 @@
 package io.snipeloom.state;
 
 import java.util.Collection;
-import java.util.Map;
+import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
-import java.util.TreeMap;
+import java.util.SortedMap;
+import org.pcollections.TreePMap;
 
 /**
  * The configuration document as of one log offset.
  *
- * <p>Immutable and thread-safe. A change yields a new document that shares the untouched sections.
- * Start from {@link #empty()} and apply changes in log order with {@link #with}.
+ * <p>Immutable and thread-safe. A change yields a new document that shares all but a logarithmic
+ * number of nodes with the old one, and costs time in proportion to its edits. Start from {@link
+ * #empty()} or {@link #of} and apply changes in log order with {@link #with}.
  */
 public final class ConfigurationDocument {
   private static final ConfigurationDocument EMPTY =
-      new ConfigurationDocument(-1, Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+      new ConfigurationDocument(-1, ConfigurationContent.empty());
 
   private final long offset;
-  private final Map<CustomerId, Entry<Customer>> customers;
-  private final Map<BudgetId, Entry<Budget>> budgets;
-  private final Map<TopUpId, Entry<TopUp>> topUps;
-  private final Map<UpstreamId, Entry<Upstream>> upstreams;
-  private final Map<RequestClassId, Entry<RequestClass>> requestClasses;
-
-  private ConfigurationDocument(
-      long offset,
-      Map<CustomerId, Entry<Customer>> customers,
-      Map<BudgetId, Entry<Budget>> budgets,
-      Map<TopUpId, Entry<TopUp>> topUps,
-      Map<UpstreamId, Entry<Upstream>> upstreams,
-      Map<RequestClassId, Entry<RequestClass>> requestClasses) {
+  private final ConfigurationContent content;
+
+  private ConfigurationDocument(long offset, ConfigurationContent content) {
     this.offset = offset;
-    this.customers = customers;
-    this.budgets = budgets;
-    this.topUps = topUps;
-    this.upstreams = upstreams;
-    this.requestClasses = requestClasses;
+    this.content = content;
   }
 
   /**
@@ -46,6 +35,16 @@
     return EMPTY;
   }
 
+  /**
+   * Returns the document that a snapshot holds.
+   *
+   * @param snapshot the snapshot
+   * @return the document
+   */
+  public static ConfigurationDocument of(ConfigurationSnapshot snapshot) {
+    return new ConfigurationDocument(snapshot.offset(), ConfigurationContent.of(snapshot));
+  }
+
   /**
    * Returns the document after a change.
    *
@@ -54,12 +53,28 @@
    * @return the new document
    * @throws SnipeloomException with {@link ErrorCode#CONFIGURATION_CONFLICT} if an entry that the
    *     change touches has changed since its base, or {@link ErrorCode#INVALID_CONFIGURATION} if
-   *     the outcome would break a rule
+   *     the outcome would break a rule; its violations name every wrong place
    */
   public ConfigurationDocument with(long changeOffset, ConfigurationChange change) {
-    Builder builder = new Builder(this, changeOffset);
-    change.edits().forEach(edit -> builder.apply(change.baseOffset(), edit));
-    return builder.build();
+    return new ConfigurationDocument(
+        changeOffset, new ConfigurationTransition(this, changeOffset, change).run());
+  }
+
+  /**
+   * Returns the plain form of the document.
+   *
+   * @return the snapshot
+   */
+  public ConfigurationSnapshot toSnapshot() {
+    return new ConfigurationSnapshot(
+        offset,
+        List.copyOf(customers()),
+        List.copyOf(budgets()),
+        List.copyOf(topUps()),
+        List.copyOf(upstreams()),
+        List.copyOf(requestClasses()),
+        content.removals().removals(),
+        content.removals().forgottenUpTo());
   }
 
   /**
@@ -78,7 +93,17 @@
    * @return the customer; empty if there is none
    */
   public Optional<Customer> customer(CustomerId id) {
-    return Optional.ofNullable(customers.get(id)).map(Entry::value);
+    return Optional.ofNullable(content.customers().get(id)).map(Entry::value);
+  }
+
+  /**
+   * Returns the customer that holds an API key.
+   *
+   * @param keyHash the SHA-256 of the key, in lower-case hexadecimal
+   * @return the customer; empty if none holds the key
+   */
+  public Optional<Customer> customerOfKey(String keyHash) {
+    return content.indexes().keyHolders().get(keyHash).stream().findFirst().flatMap(this::customer);
   }
 
   /**
@@ -88,7 +113,27 @@
    * @return the budget; empty if there is none
    */
   public Optional<Budget> budget(BudgetId id) {
-    return Optional.ofNullable(budgets.get(id)).map(Entry::value);
+    return Optional.ofNullable(content.budgets().get(id)).map(Entry::value);
+  }
+
+  /**
+   * Returns the sum of the top-ups of a budget.
+   *
+   * @param id the budget
+   * @return the tokens; 0 if there is no top-up
+   */
+  public long toppedUpTokens(BudgetId id) {
+    return content.indexes().toppedUpTokens(id);
+  }
+
+  /**
+   * Returns a top-up.
+   *
+   * @param id the identifier
+   * @return the top-up; empty if there is none
+   */
+  public Optional<TopUp> topUp(TopUpId id) {
+    return Optional.ofNullable(content.topUps().get(id)).map(Entry::value);
   }
 
   /**
@@ -98,7 +143,17 @@
    * @return the upstream; empty if there is none
    */
   public Optional<Upstream> upstream(UpstreamId id) {
-    return Optional.ofNullable(upstreams.get(id)).map(Entry::value);
+    return Optional.ofNullable(content.upstreams().get(id)).map(Entry::value);
+  }
+
+  /**
+   * Returns the upstream that serves a model.
+   *
+   * @param model the model
+   * @return the upstream; empty if none serves the model
+   */
+  public Optional<Upstream> upstreamOfModel(ModelId model) {
+    return content.indexes().modelServers().get(model).stream().findFirst().flatMap(this::upstream);
   }
 
   /**
@@ -108,7 +163,7 @@
    * @return the request class; empty if there is none
    */
   public Optional<RequestClass> requestClass(RequestClassId id) {
-    return Optional.ofNullable(requestClasses.get(id)).map(Entry::value);
+    return Optional.ofNullable(content.requestClasses().get(id)).map(Entry::value);
   }
 
   /**
@@ -117,7 +172,7 @@
    * @return the entries, unmodifiable
    */
   public Collection<Entry<Customer>> customers() {
-    return customers.values();
+    return content.customers().values();
   }
 
   /**
@@ -126,7 +181,7 @@
    * @return the entries, unmodifiable
    */
   public Collection<Entry<Budget>> budgets() {
-    return budgets.values();
+    return content.budgets().values();
   }
 
   /**
@@ -135,7 +190,7 @@
    * @return the entries, unmodifiable
    */
   public Collection<Entry<TopUp>> topUps() {
-    return topUps.values();
+    return content.topUps().values();
   }
 
   /**
@@ -144,7 +199,7 @@
    * @return the entries, unmodifiable
    */
   public Collection<Entry<Upstream>> upstreams() {
-    return upstreams.values();
+    return content.upstreams().values();
   }
 
   /**
@@ -153,82 +208,71 @@
    * @return the entries, unmodifiable
    */
   public Collection<Entry<RequestClass>> requestClasses() {
-    return requestClasses.values();
-  }
-
-  /** Collects the edits of one change. */
-  private static final class Builder {
-    private final long offset;
-    private final Map<CustomerId, Entry<Customer>> customers;
-    private final Map<BudgetId, Entry<Budget>> budgets;
-    private final Map<TopUpId, Entry<TopUp>> topUps;
-    private final Map<UpstreamId, Entry<Upstream>> upstreams;
-    private final Map<RequestClassId, Entry<RequestClass>> requestClasses;
-
-    private Builder(ConfigurationDocument base, long offset) {
-      this.offset = offset;
-      this.customers = new TreeMap<>(base.customers);
-      this.budgets = new TreeMap<>(base.budgets);
-      this.topUps = new TreeMap<>(base.topUps);
-      this.upstreams = new TreeMap<>(base.upstreams);
-      this.requestClasses = new TreeMap<>(base.requestClasses);
-    }
-
-    private void apply(long baseOffset, ConfigurationEdit edit) {
-      if (edit instanceof ConfigurationEdit.PutCustomer put) {
-        put(customers, put.customer().id(), put.customer(), baseOffset, edit);
-      } else if (edit instanceof ConfigurationEdit.PutBudget put) {
-        put(budgets, put.budget().id(), put.budget(), baseOffset, edit);
-      } else if (edit instanceof ConfigurationEdit.AddTopUp add) {
-        put(topUps, add.topUp().id(), add.topUp(), -1, edit);
-      } else if (edit instanceof ConfigurationEdit.PutUpstream put) {
-        put(upstreams, put.upstream().id(), put.upstream(), baseOffset, edit);
-      } else if (edit instanceof ConfigurationEdit.PutRequestClass put) {
-        put(requestClasses, put.requestClass().id(), put.requestClass(), baseOffset, edit);
-      } else if (edit instanceof ConfigurationEdit.Remove remove) {
-        remove(baseOffset, remove);
-      }
-    }
-
-    private <K, T> void put(
-        Map<K, Entry<T>> section, K id, T value, long baseOffset, ConfigurationEdit edit) {
-      checkUnchanged(section.get(id), baseOffset, edit);
-      section.put(id, new Entry<>(value, offset));
-    }
-
-    private void remove(long baseOffset, ConfigurationEdit.Remove remove) {
-      String id = remove.entryId();
-      switch (remove.section()) {
-        case CUSTOMERS -> removeFrom(customers, CustomerId.of(id), baseOffset, remove);
-        case BUDGETS -> removeFrom(budgets, BudgetId.of(id), baseOffset, remove);
-        case UPSTREAMS -> removeFrom(upstreams, UpstreamId.of(id), baseOffset, remove);
-        case REQUEST_CLASSES ->
-            removeFrom(requestClasses, RequestClassId.of(id), baseOffset, remove);
-        case TOP_UPS ->
-            throw SnipeloomException.of(
-                ErrorCode.INVALID_CONFIGURATION, "/topUps/" + id + ": a top-up stays for good");
-        default -> throw new IllegalStateException("unknown section " + remove.section());
-      }
-    }
-
-    private <K, T> void removeFrom(
-        Map<K, Entry<T>> section, K id, long baseOffset, ConfigurationEdit edit) {
-      checkUnchanged(section.get(id), baseOffset, edit);
-      section.remove(id);
-    }
-
-    private static void checkUnchanged(Entry<?> entry, long baseOffset, ConfigurationEdit edit) {
-      if (entry != null && entry.changedAt() > baseOffset) {
-        throw SnipeloomException.of(
-            ErrorCode.CONFIGURATION_CONFLICT,
-            "/%s/%s was changed at offset %d, after base offset %d"
-                .formatted(edit.section().text(), edit.entryId(), entry.changedAt(), baseOffset));
-      }
-    }
-
-    private ConfigurationDocument build() {
-      return new ConfigurationDocument(
-          offset, customers, budgets, topUps, upstreams, requestClasses);
-    }
+    return content.requestClasses().values();
+  }
+
+  /**
+   * Returns the entry with this identifier.
+   *
+   * @param section the section
+   * @param entryId the text form of the identifier
+   * @return the entry; empty if there is none
+   */
+  public Optional<Entry<?>> entry(ConfigurationSection section, String entryId) {
+    return Optional.ofNullable(content.entry(section, entryId));
+  }
+
+  /**
+   * Returns a run of entries in the order of their identifiers.
+   *
+   * @param section the section
+   * @param after the identifier after which the run starts; empty for the start of the section
+   * @param limit the most entries
+   * @return the entries
+   * @throws SnipeloomException with {@link ErrorCode#INVALID_IDENTIFIER} if the identifier is
+   *     malformed
+   */
+  public List<? extends Entry<?>> page(ConfigurationSection section, String after, int limit) {
+    boolean fromStart = after.isEmpty();
+    return switch (section) {
+      case CUSTOMERS -> page(content.customers(), fromStart ? null : CustomerId.of(after), limit);
+      case BUDGETS -> page(content.budgets(), fromStart ? null : BudgetId.of(after), limit);
+      case TOP_UPS -> page(content.topUps(), fromStart ? null : TopUpId.of(after), limit);
+      case UPSTREAMS -> page(content.upstreams(), fromStart ? null : UpstreamId.of(after), limit);
+      case REQUEST_CLASSES ->
+          page(content.requestClasses(), fromStart ? null : RequestClassId.of(after), limit);
+    };
+  }
+
+  private static <K extends Comparable<K>, T> List<Entry<T>> page(
+      TreePMap<K, Entry<T>> section, K after, int limit) {
+    SortedMap<K, Entry<T>> rest = after == null ? section : section.tailMap(after, false);
+    return rest.values().stream().limit(limit).toList();
+  }
+
+  ConfigurationContent content() {
+    return content;
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ConfigurationDocument that
+        && offset == that.offset
+        && content.customers().equals(that.content.customers())
+        && content.budgets().equals(that.content.budgets())
+        && content.topUps().equals(that.content.topUps())
+        && content.upstreams().equals(that.content.upstreams())
+        && content.requestClasses().equals(that.content.requestClasses());
+  }
+
+  @Override
+  public int hashCode() {
+    return Objects.hash(
+        offset,
+        content.customers().size(),
+        content.budgets().size(),
+        content.topUps().size(),
+        content.upstreams().size(),
+        content.requestClasses().size());
   }
 }
--- a/src/main/java/io/snipeloom/state/ConfigurationEdit.java
+++ b/src/main/java/io/snipeloom/state/ConfigurationEdit.java
@@ -31,8 +31,23 @@
    */
   String entryId();
 
+  /**
+   * Returns the JSON Pointer to the entry of this edit within its change.
+   *
+   * @param index the position of the edit in the change
+   * @return the pointer
+   */
+  default String pointer(int index) {
+    return "/edits/" + index;
+  }
+
   /** Puts a customer in place. */
   record PutCustomer(Customer customer) implements ConfigurationEdit {
+    /** Checks that the entry is there. */
+    public PutCustomer {
+      Entry.required("customer", customer);
+    }
+
     @Override
     public ConfigurationSection section() {
       return ConfigurationSection.CUSTOMERS;
@@ -42,10 +57,20 @@
     public String entryId() {
       return customer.id().value();
     }
+
+    @Override
+    public String pointer(int index) {
+      return "/edits/" + index + "/customer";
+    }
   }
 
   /** Puts a budget in place. */
   record PutBudget(Budget budget) implements ConfigurationEdit {
+    /** Checks that the entry is there. */
+    public PutBudget {
+      Entry.required("budget", budget);
+    }
+
     @Override
     public ConfigurationSection section() {
       return ConfigurationSection.BUDGETS;
@@ -55,10 +80,20 @@
     public String entryId() {
       return budget.id().value();
     }
+
+    @Override
+    public String pointer(int index) {
+      return "/edits/" + index + "/budget";
+    }
   }
 
   /** Adds a top-up, once. */
   record AddTopUp(TopUp topUp) implements ConfigurationEdit {
+    /** Checks that the entry is there. */
+    public AddTopUp {
+      Entry.required("topUp", topUp);
+    }
+
     @Override
     public ConfigurationSection section() {
       return ConfigurationSection.TOP_UPS;
@@ -68,10 +103,20 @@
     public String entryId() {
       return topUp.id().value();
     }
+
+    @Override
+    public String pointer(int index) {
+      return "/edits/" + index + "/topUp";
+    }
   }
 
   /** Puts an upstream in place. */
   record PutUpstream(Upstream upstream) implements ConfigurationEdit {
+    /** Checks that the entry is there. */
+    public PutUpstream {
+      Entry.required("upstream", upstream);
+    }
+
     @Override
     public ConfigurationSection section() {
       return ConfigurationSection.UPSTREAMS;
@@ -81,10 +126,20 @@
     public String entryId() {
       return upstream.id().value();
     }
+
+    @Override
+    public String pointer(int index) {
+      return "/edits/" + index + "/upstream";
+    }
   }
 
   /** Puts a request class in place. */
   record PutRequestClass(RequestClass requestClass) implements ConfigurationEdit {
+    /** Checks that the entry is there. */
+    public PutRequestClass {
+      Entry.required("requestClass", requestClass);
+    }
+
     @Override
     public ConfigurationSection section() {
       return ConfigurationSection.REQUEST_CLASSES;
@@ -94,8 +149,19 @@
     public String entryId() {
       return requestClass.id().value();
     }
+
+    @Override
+    public String pointer(int index) {
+      return "/edits/" + index + "/requestClass";
+    }
   }
 
   /** Removes an entry. */
-  record Remove(ConfigurationSection section, String entryId) implements ConfigurationEdit {}
+  record Remove(ConfigurationSection section, String entryId) implements ConfigurationEdit {
+    /** Checks that both parts are there. */
+    public Remove {
+      Entry.required("section", section);
+      Entry.required("entryId", entryId);
+    }
+  }
 }
--- a/src/main/java/io/snipeloom/state/Customer.java
+++ b/src/main/java/io/snipeloom/state/Customer.java
@@ -20,6 +20,7 @@
 
   /** Copies the hashes and fills in the defaults. */
   public Customer {
+    Entry.required("id", id);
     name = name == null ? "" : name;
     apiKeyHashes = apiKeyHashes == null ? List.of() : List.copyOf(apiKeyHashes);
     policy = policy == null ? SpendPolicy.AVAILABLE : policy;
--- a/src/main/java/io/snipeloom/state/Entry.java
+++ b/src/main/java/io/snipeloom/state/Entry.java
@@ -7,4 +7,11 @@
  * @param value the entry
  * @param changedAt the offset of the change that put it in place
  */
-public record Entry<T>(T value, long changedAt) {}
+public record Entry<T>(T value, long changedAt) {
+
+  static void required(String name, Object value) {
+    if (value == null) {
+      throw SnipeloomException.of(ErrorCode.INVALID_CONFIGURATION, name + " is required");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/state/EntryRules.java
@@ -0,0 +1,160 @@
+package io.snipeloom.state;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/**
+ * Rules that concern one entry alone: bounds of texts and numbers, and parts that must be there.
+ */
+public final class EntryRules {
+  /** The greatest number of characters of a name. */
+  public static final int MAX_NAME_CHARACTERS = 200;
+
+  /** The greatest number of API keys of one customer. */
+  public static final int MAX_API_KEYS = 20;
+
+  /** The greatest number of models of one upstream. */
+  public static final int MAX_MODELS = 100;
+
+  /** The greatest number of output tokens of one answer. */
+  public static final long MAX_OUTPUT_TOKENS = 10_000_000;
+
+  /** The greatest price of one plain call, in tokens. */
+  public static final long MAX_FIXED_TOKENS = 1_000_000_000_000L;
+
+  /** The greatest deadline, in milliseconds: one day. */
+  public static final long MAX_DEADLINE_MILLIS = 86_400_000;
+
+  /** The greatest queue limit. */
+  public static final int MAX_QUEUE_LIMIT = 1_000_000;
+
+  private static final int MAX_PATH_CHARACTERS = 200;
+  private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
+  private static final Pattern PATH =
+      Pattern.compile("/|(/(?!\\.{1,2}(/|$))[A-Za-z0-9._~!$&'()*+,;=:@-]+)+");
+  private static final Set<String> METHODS =
+      Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+  private static final String REQUIRED = "is required";
+
+  private final String pointer;
+  private final List<Violation> violations;
+
+  private EntryRules(String pointer, List<Violation> violations) {
+    this.pointer = pointer;
+    this.violations = violations;
+  }
+
+  /** Adds each violation of one edit and returns whether there was none that bars applying it. */
+  static boolean check(ConfigurationEdit edit, String pointer, List<Violation> violations) {
+    EntryRules rules = new EntryRules(pointer, violations);
+    if (edit instanceof ConfigurationEdit.PutCustomer put) {
+      rules.checkCustomer(put.customer());
+    } else if (edit instanceof ConfigurationEdit.PutBudget put) {
+      rules.require("customer", put.budget().customer());
+    } else if (edit instanceof ConfigurationEdit.AddTopUp add) {
+      return rules.checkTopUp(add.topUp());
+    } else if (edit instanceof ConfigurationEdit.PutUpstream put) {
+      rules.checkUpstream(put.upstream());
+    } else if (edit instanceof ConfigurationEdit.PutRequestClass put) {
+      rules.checkRequestClass(put.requestClass());
+    }
+    return true;
+  }
+
+  private void checkCustomer(Customer customer) {
+    if (customer.name().length() > MAX_NAME_CHARACTERS) {
+      add("name", "must have at most %d characters".formatted(MAX_NAME_CHARACTERS));
+    }
+    if (customer.name().chars().anyMatch(Character::isISOControl)) {
+      add("name", "must not have control characters");
+    }
+    List<String> hashes = customer.apiKeyHashes();
+    if (hashes.size() > MAX_API_KEYS) {
+      add("apiKeyHashes", "must have at most %d keys".formatted(MAX_API_KEYS));
+    }
+    Set<String> seen = new HashSet<>();
+    for (int i = 0; i < hashes.size(); i++) {
+      if (!HASH.matcher(hashes.get(i)).matches()) {
+        add("apiKeyHashes/" + i, "must be a SHA-256 in lower-case hexadecimal");
+      } else if (!seen.add(hashes.get(i))) {
+        add("apiKeyHashes/" + i, "stands twice");
+      }
+    }
+  }
+
+  private boolean checkTopUp(TopUp topUp) {
+    boolean hasBudget = require("budget", topUp.budget());
+    if (topUp.tokens() < 1) {
+      add("tokens", "must be at least 1 but was %d".formatted(topUp.tokens()));
+      return false;
+    }
+    return hasBudget;
+  }
+
+  private void checkUpstream(Upstream upstream) {
+    List<ModelId> models = upstream.models();
+    if (models.size() > MAX_MODELS) {
+      add("models", "must have at most %d models".formatted(MAX_MODELS));
+    }
+    if (Set.copyOf(models).size() < models.size()) {
+      add("models", "must not name a model twice");
+    }
+    if (!require("kind", upstream.kind())) {
+      return;
+    }
+    boolean isEngine = upstream.kind() == UpstreamKind.MODEL_ENGINE;
+    if (isEngine && models.isEmpty()) {
+      add("models", "must name at least one model for model engines");
+    }
+    if (!isEngine && !models.isEmpty()) {
+      add("models", "must be empty for plain services");
+    }
+  }
+
+  private void checkRequestClass(RequestClass requestClass) {
+    require("urgency", requestClass.urgency());
+    require("upstream", requestClass.upstream());
+    checkRange("maxOutputTokens", requestClass.maxOutputTokens(), 0, MAX_OUTPUT_TOKENS);
+    checkRange("fixedTokens", requestClass.fixedTokens(), 0, MAX_FIXED_TOKENS);
+    checkRange("deadlineMillis", requestClass.deadlineMillis(), 1, MAX_DEADLINE_MILLIS);
+    checkRange("queueLimit", requestClass.queueLimit(), 0, MAX_QUEUE_LIMIT);
+    if (requestClass.route() != null) {
+      checkRoute(requestClass.route());
+    }
+  }
+
+  private void checkRoute(Route route) {
+    if (route.method() == null || !METHODS.contains(route.method())) {
+      add("route/method", "must be an HTTP method in upper case");
+    }
+    String prefix = route.pathPrefix();
+    if (prefix == null
+        || prefix.length() > MAX_PATH_CHARACTERS
+        || !PATH.matcher(prefix).matches()) {
+      add(
+          "route/pathPrefix",
+          "must be a path of at most %d characters that starts with a slash, ends without one and"
+                  .formatted(MAX_PATH_CHARACTERS)
+              + " has no empty or dot segment");
+    }
+  }
+
+  private void checkRange(String field, long value, long least, long most) {
+    if (value < least || value > most) {
+      add(field, "must be %d to %d but was %d".formatted(least, most, value));
+    }
+  }
+
+  private boolean require(String field, Object value) {
+    if (value == null) {
+      add(field, REQUIRED);
+    }
+    return value != null;
+  }
+
+  private void add(String field, String message) {
+    violations.add(new Violation(pointer + '/' + field, message));
+  }
+}
--- a/src/main/java/io/snipeloom/state/Identifiers.java
+++ b/src/main/java/io/snipeloom/state/Identifiers.java
@@ -6,6 +6,8 @@
 final class Identifiers {
   private static final Pattern SHAPE = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:#-]{0,95}");
 
+  private static final int MAX_SHOWN_CHARACTERS = 120;
+
   private Identifiers() {}
 
   /**
@@ -17,10 +19,21 @@
    * @throws SnipeloomException with {@link ErrorCode#INVALID_IDENTIFIER} if the text is malformed
    */
   static String checked(String kind, String value) {
-    if (value == null || !SHAPE.matcher(value).matches()) {
+    if (!isWellFormed(value)) {
       throw SnipeloomException.of(
-          ErrorCode.INVALID_IDENTIFIER, kind + " must match " + SHAPE + " but was " + value);
+          ErrorCode.INVALID_IDENTIFIER,
+          kind + " must match " + SHAPE + " but was " + shortened(value));
     }
     return value;
   }
+
+  static boolean isWellFormed(String value) {
+    return value != null && SHAPE.matcher(value).matches();
+  }
+
+  static String shortened(String value) {
+    return value == null || value.length() <= MAX_SHOWN_CHARACTERS
+        ? value
+        : value.substring(0, MAX_SHOWN_CHARACTERS) + "...";
+  }
 }
--- a/src/main/java/io/snipeloom/state/RequestClass.java
+++ b/src/main/java/io/snipeloom/state/RequestClass.java
@@ -20,4 +20,10 @@
     long maxOutputTokens,
     long fixedTokens,
     long deadlineMillis,
-    int queueLimit) {}
+    int queueLimit) {
+
+  /** Checks that the identifier is there. */
+  public RequestClass {
+    Entry.required("id", id);
+  }
+}
--- a/src/main/java/io/snipeloom/state/SnipeloomException.java
+++ b/src/main/java/io/snipeloom/state/SnipeloomException.java
@@ -1,6 +1,7 @@
 package io.snipeloom.state;
 
 import java.time.Duration;
+import java.util.List;
 
 /**
  * An unchecked error with a code, the step and the peer at which it arose, and whether the request
@@ -16,6 +17,7 @@
   private final String peer;
   private final RunState runState;
   private final long retryAfterMillis;
+  private final transient List<Violation> violations;
 
   private SnipeloomException(
       ErrorCode code,
@@ -24,6 +26,7 @@
       String peer,
       RunState runState,
       long retryAfterMillis,
+      List<Violation> violations,
       Throwable cause) {
     super(message, cause);
     this.code = code;
@@ -31,6 +34,7 @@
     this.peer = peer;
     this.runState = runState;
     this.retryAfterMillis = retryAfterMillis;
+    this.violations = violations;
   }
 
   /**
@@ -41,7 +45,7 @@
    * @return the error
    */
   public static SnipeloomException of(ErrorCode code, String message) {
-    return new SnipeloomException(code, message, "", "", RunState.NOT_RUN, 0, null);
+    return new SnipeloomException(code, message, "", "", RunState.NOT_RUN, 0, List.of(), null);
   }
 
   /**
@@ -52,7 +56,7 @@
    */
   public SnipeloomException withCause(Throwable cause) {
     return new SnipeloomException(
-        code, getMessage(), step, peer, runState, retryAfterMillis, cause);
+        code, getMessage(), step, peer, runState, retryAfterMillis, violations, cause);
   }
 
   /**
@@ -64,7 +68,7 @@
    */
   public SnipeloomException withPlace(String newStep, String newPeer) {
     return new SnipeloomException(
-        code, getMessage(), newStep, newPeer, runState, retryAfterMillis, getCause());
+        code, getMessage(), newStep, newPeer, runState, retryAfterMillis, violations, getCause());
   }
 
   /**
@@ -75,7 +79,7 @@
    */
   public SnipeloomException withRunState(RunState newRunState) {
     return new SnipeloomException(
-        code, getMessage(), step, peer, newRunState, retryAfterMillis, getCause());
+        code, getMessage(), step, peer, newRunState, retryAfterMillis, violations, getCause());
   }
 
   /**
@@ -86,7 +90,25 @@
    */
   public SnipeloomException withRetryAfter(Duration delay) {
     return new SnipeloomException(
-        code, getMessage(), step, peer, runState, delay.toMillis(), getCause());
+        code, getMessage(), step, peer, runState, delay.toMillis(), violations, getCause());
+  }
+
+  /**
+   * Returns a copy that names each wrong place of an input.
+   *
+   * @param newViolations the wrong places
+   * @return the copy
+   */
+  public SnipeloomException withViolations(List<Violation> newViolations) {
+    return new SnipeloomException(
+        code,
+        getMessage(),
+        step,
+        peer,
+        runState,
+        retryAfterMillis,
+        List.copyOf(newViolations),
+        getCause());
   }
 
   /**
@@ -133,4 +155,13 @@
   public long retryAfterMillis() {
     return retryAfterMillis;
   }
+
+  /**
+   * Returns the wrong places of an input.
+   *
+   * @return the places; empty if the error does not concern an input
+   */
+  public List<Violation> violations() {
+    return violations == null ? List.of() : violations;
+  }
 }
--- a/src/main/java/io/snipeloom/state/TopUp.java
+++ b/src/main/java/io/snipeloom/state/TopUp.java
@@ -7,4 +7,9 @@
  * @param budget the budget
  * @param tokens the tokens added, at least 1
  */
-public record TopUp(TopUpId id, BudgetId budget, long tokens) {}
+public record TopUp(TopUpId id, BudgetId budget, long tokens) {
+  /** Checks that the identifier is there. */
+  public TopUp {
+    Entry.required("id", id);
+  }
+}
--- a/src/main/java/io/snipeloom/state/Upstream.java
+++ b/src/main/java/io/snipeloom/state/Upstream.java
@@ -15,6 +15,7 @@
 
   /** Copies the models. */
   public Upstream {
+    Entry.required("id", id);
     models = models == null ? List.of() : List.copyOf(models);
   }
 }
