Platform clients with stand-ins for the log and the instance list

Others need a log and a list to build on. A call is never repeated inside the client, since an append without an answer may be written; the next call uses the next address.

--- /dev/null
+++ b/src/main/java/io/snipeloom/platform/AppendAnswer.java
@@ -0,0 +1,8 @@
+package io.snipeloom.platform;
+
+/**
+ * The answer to an append to the log.
+ *
+ * @param offset the offset of the record
+ */
+public record AppendAnswer(long offset) {}
--- /dev/null
+++ b/src/main/java/io/snipeloom/standin/ConnectionFaults.java
@@ -0,0 +1,64 @@
+package io.snipeloom.standin;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.util.ReferenceCountUtil;
+
+/** Refuses or silences one connection of a stand-in. The first handler of its channel. */
+@SuppressWarnings("FutureReturnValueIgnored")
+final class ConnectionFaults extends ChannelDuplexHandler {
+  private final Connections connections;
+  private final Channel channel;
+
+  private volatile boolean silenced;
+
+  ConnectionFaults(Connections connections, Channel channel) {
+    this.connections = connections;
+    this.channel = channel;
+  }
+
+  /** Swallows all bytes in both directions from now on. */
+  void silence() {
+    silenced = true;
+  }
+
+  /** Closes the connection. */
+  void close() {
+    channel.close();
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    if (connections.isRefusing()) {
+      context.close();
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (isSilent()) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    context.fireChannelRead(message);
+  }
+
+  @Override
+  public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    if (isSilent()) {
+      ReferenceCountUtil.release(message);
+      promise.trySuccess();
+      return;
+    }
+    context.write(message, promise);
+  }
+
+  private boolean isSilent() {
+    if (connections.isSilent()) {
+      silenced = true;
+    }
+    return silenced;
+  }
+}
