--- a/src/main/java/io/snipeloom/coordination/BackEnd.java
+++ b/src/main/java/io/snipeloom/coordination/BackEnd.java
@@ -52,7 +52,7 @@
 
   private final SidecarLink link;
   private final Zone zone;
-  private final Set<ModelId> models;
+  private volatile Set<ModelId> models;
   private final Circuit circuit = new Circuit();
   private final AtomicInteger inFlight = new AtomicInteger();
   private volatile boolean withdrawn;
@@ -118,6 +118,20 @@
     return models;
   }
 
+  /**
+   * Sets the models served; {@link BackEnds} made earlier do not notice.
+   *
+   * @param newModels the models; empty for a plain service
+   * @return true if they changed
+   */
+  public boolean serve(Set<ModelId> newModels) {
+    if (models.equals(newModels)) {
+      return false;
+    }
+    models = Set.copyOf(newModels);
+    return true;
+  }
+
   /**
    * Returns the circuit.
    *
