Configuration as JSON with a committed schema, and diffs of whole documents

Parsing reports every place that breaks the schema, duplicate and unknown keys, deep nesting and numbers out of range, each with a JSON Pointer; a whole document becomes the edits against the document in force, in which top-ups are only added. The reader's own context gives the pointer of broken JSON: Jackson's constraint errors carry none (seen as an empty pointer for a number of 50 digits).

--- /dev/null
+++ b/src/main/java/io/snipeloom/state/ConfigurationSchema.java
@@ -0,0 +1,66 @@
+package io.snipeloom.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.PathType;
+import com.networknt.schema.SchemaLocation;
+import com.networknt.schema.SchemaValidatorsConfig;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.util.List;
+
+/** The JSON Schema of configuration documents and changes. Immutable and thread-safe. */
+final class ConfigurationSchema {
+  private static final int MAX_VIOLATIONS = 1_000;
+  private static final int MAX_MESSAGE_CHARACTERS = 300;
+  private static final String RESOURCE = "classpath:io/snipeloom/state/configuration.schema.json";
+  private static final ConfigurationSchema DOCUMENT = new ConfigurationSchema("#");
+  private static final ConfigurationSchema CHANGE = new ConfigurationSchema("#/$defs/change");
+
+  private final JsonSchema schema;
+
+  private ConfigurationSchema(String fragment) {
+    SchemaValidatorsConfig config =
+        SchemaValidatorsConfig.builder().pathType(PathType.JSON_POINTER).build();
+    this.schema =
+        JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
+            .getSchema(SchemaLocation.of(RESOURCE + fragment), config);
+    schema.initializeValidators();
+  }
+
+  static ConfigurationSchema document() {
+    return DOCUMENT;
+  }
+
+  static ConfigurationSchema change() {
+    return CHANGE;
+  }
+
+  /** Returns each place that breaks the schema, at most 1,000. */
+  List<Violation> violations(JsonNode node) {
+    return schema.validate(node).stream()
+        .limit(MAX_VIOLATIONS)
+        .map(ConfigurationSchema::violation)
+        .toList();
+  }
+
+  private static Violation violation(ValidationMessage message) {
+    String pointer = message.getInstanceLocation().toString();
+    String text = message.getMessage();
+    String withoutPlace =
+        text.startsWith(pointer + ": ") ? text.substring(pointer.length() + 2) : text;
+    String property = message.getProperty() == null ? "" : '/' + escaped(message.getProperty());
+    return new Violation(shortened(pointer + property), shortened(withoutPlace));
+  }
+
+  private static String escaped(String property) {
+    return property.replace("~", "~0").replace("/", "~1");
+  }
+
+  static String shortened(String text) {
+    return text.length() <= MAX_MESSAGE_CHARACTERS
+        ? text
+        : text.substring(0, MAX_MESSAGE_CHARACTERS) + "...";
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/state/ConfigurationJsonTest.java
@@ -0,0 +1,179 @@
+package io.snipeloom.state;
+
+import static io.snipeloom.state.ConfigurationSamples.change;
+import static io.snipeloom.state.ConfigurationSamples.customer;
+import static io.snipeloom.state.ConfigurationSamples.document;
+import static io.snipeloom.state.ConfigurationSamples.put;
+import static io.snipeloom.state.ConfigurationSamples.remove;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ConfigurationJsonTest {
+  private static final String EMPTY =
+      "{'customers':[%s],'budgets':[%s],'topUps':[%s],'upstreams':[%s],'requestClasses':[%s]}";
+
+  private static byte[] text(String json) {
+    return json.replace('\'', '"').getBytes(UTF_8);
+  }
+
+  private static byte[] json(
+      String customers, String budgets, String topUps, String upstreams, String classes) {
+    return text(EMPTY.formatted(customers, budgets, topUps, upstreams, classes));
+  }
+
+  private static List<Violation> refused(byte[] json) {
+    SnipeloomException error =
+        assertThrows(SnipeloomException.class, () -> ConfigurationJson.parseDocument(json));
+    assertThat(error.code(), is(ErrorCode.INVALID_CONFIGURATION));
+    assertThat("errors stay short", error.getMessage().length(), lessThan(1_000));
+    return error.violations();
+  }
+
+  private static List<String> pointers(List<Violation> violations) {
+    return violations.stream().map(Violation::pointer).distinct().toList();
+  }
+
+  @Test
+  void rendersWhatItParses() {
+    byte[] json = ConfigurationJson.render(document());
+    ConfigurationForm form = ConfigurationJson.parseDocument(json);
+    assertThat(form, is(ConfigurationForm.of(document())));
+    assertThat(ConfigurationDiff.between(document(), 0, form).edits(), is(List.of()));
+  }
+
+  @Test
+  void rendersChangesThatItParses() {
+    ConfigurationChange change =
+        change(3, put(customer("acme")), remove(ConfigurationSection.BUDGETS, "b"));
+    assertThat(
+        ConfigurationJson.parseChange(ConfigurationJson.render(change), "amina"), is(change));
+  }
+
+  @Test
+  void reportsEveryPlaceThatBreaksTheSchema() {
+    List<Violation> violations =
+        refused(
+            json(
+                "{'id':'-'},{'id':'b','colour':'red','policy':'LOOSE'}",
+                "{'id':'b'}",
+                "{'id':'t','budget':'b','tokens':0},{'id':'t','budget':'b','tokens':'9'}",
+                "{'id':'u','kind':'TEAPOT'}",
+                ""));
+    assertThat(
+        pointers(violations),
+        containsInAnyOrder(
+            "/customers/0/id",
+            "/customers/1/colour",
+            "/customers/1/policy",
+            "/budgets/0/customer",
+            "/topUps/0/tokens",
+            "/topUps/1/tokens",
+            "/upstreams/0/kind"));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "9223372036854775808",
+    "-9223372036854775809",
+    "1e400",
+    "1.5",
+    "-1",
+    "true",
+    "null",
+    "[]",
+    "99999999999999999999999999999999999999999999999999",
+    "1e999999999"
+  })
+  void refusesAmountsThatAreNotPositiveLongs(String tokens) {
+    List<Violation> violations =
+        refused(json("", "", "{'id':'t','budget':'b','tokens':" + tokens + "}", "", ""));
+    assertThat(pointers(violations), contains("/topUps/0/tokens"));
+  }
+
+  @Test
+  void refusesKeysThatStandTwice() {
+    assertThat(
+        pointers(refused(json("{'id':'a','id':'b'}", "", "", "", ""))),
+        contains("/customers/0/id"));
+  }
+
+  @Test
+  void refusesLongNamesWithShortErrors() {
+    String name = "x".repeat(1 << 20);
+    assertThat(
+        pointers(refused(json("{'id':'a','name':'" + name + "'}", "", "", "", ""))),
+        contains("/customers/0/name"));
+    assertThat(
+        pointers(refused(json("{'id':'" + name + "'}", "", "", "", ""))),
+        contains("/customers/0/id"));
+  }
+
+  @Test
+  void refusesDeepNesting() {
+    String deep = "[".repeat(100_000);
+    assertThat(refused(text("{'customers':" + deep)).size(), is(1));
+  }
+
+  @Test
+  void refusesBrokenAndEmptyText() {
+    assertThat(refused(text("")).size(), is(1));
+    assertThat(refused(text("{'customers':[")).size(), is(1));
+    assertThat(pointers(refused(text("[]"))), contains(""));
+    assertThat(refused(text("{} {}")).size(), is(1));
+  }
+
+  @Test
+  void refusesIdentifiersThatStandTwice() {
+    ConfigurationForm form =
+        ConfigurationJson.parseDocument(json("{'id':'a'},{'id':'a'}", "", "", "", ""));
+    SnipeloomException error =
+        assertThrows(
+            SnipeloomException.class,
+            () -> ConfigurationDiff.between(ConfigurationDocument.empty(), -1, form));
+    assertThat(pointers(error.violations()), contains("/customers/1/id"));
+  }
+
+  @Test
+  void pointsIntoTheDocumentThatTheOperatorWrote() {
+    ConfigurationForm form =
+        ConfigurationJson.parseDocument(
+            json("{'id':'a'}", "{'id':'a1','customer':'a'},{'id':'b','customer':'x'}", "", "", ""));
+    ConfigurationDiff diff = ConfigurationDiff.between(ConfigurationDocument.empty(), -1, form);
+    SnipeloomException error =
+        assertThrows(
+            SnipeloomException.class,
+            () ->
+                ConfigurationDocument.empty()
+                    .with(0, new ConfigurationChange(-1, "amina", diff.edits())));
+    assertThat(pointers(diff.relocated(error.violations())), contains("/budgets/1/customer"));
+  }
+
+  @Test
+  void addsTopUpsOnly() {
+    ConfigurationForm without =
+        new ConfigurationForm(
+            ConfigurationForm.of(document()).customers(),
+            ConfigurationForm.of(document()).budgets(),
+            List.of(),
+            ConfigurationForm.of(document()).upstreams(),
+            ConfigurationForm.of(document()).requestClasses());
+    assertThat(
+        "a top-up added after the base stays",
+        ConfigurationDiff.between(document(), -1, without).edits(),
+        is(List.of()));
+    SnipeloomException error =
+        assertThrows(
+            SnipeloomException.class, () -> ConfigurationDiff.between(document(), 0, without));
+    assertThat(pointers(error.violations()), contains("/topUps"));
+  }
+}
