--- a/src/main/java/io/snipeloom/coordination/AttemptRunner.java
+++ b/src/main/java/io/snipeloom/coordination/AttemptRunner.java
@@ -28,7 +28,7 @@
   private static final int FIRST_SERVER_ERROR = 500;
 
   private final UpstreamKind kind;
-  private final BackEnd backEnd;
+  private final BackEndClient backEnd;
   private final AttemptQueue queue;
   private final AttemptMemory memory;
   private final DispatchGuard guard;
@@ -44,7 +44,7 @@
 
   AttemptRunner(
       UpstreamKind kind,
-      BackEnd backEnd,
+      BackEndClient backEnd,
       AttemptQueue queue,
       AttemptMemory memory,
       DispatchGuard guard,
--- a/src/main/java/io/snipeloom/coordination/AttemptTable.java
+++ b/src/main/java/io/snipeloom/coordination/AttemptTable.java
@@ -44,11 +44,15 @@
   /** Returns whether every answer was read to its end, or nobody came to read it for a while. */
   boolean isDelivered(long unreadLimitNanos, long nowNanos) {
     return attempts.values().stream()
-        .allMatch(
-            attempt ->
-                attempt.buffer().hasReaders() || attempt.buffer().wasRead()
-                    ? attempt.buffer().isDelivered()
-                    : attempt.hasEndedFor(unreadLimitNanos, nowNanos));
+        .allMatch(attempt -> isDelivered(attempt, unreadLimitNanos, nowNanos));
+  }
+
+  private static boolean isDelivered(SidecarAttempt attempt, long unreadLimitNanos, long nowNanos) {
+    AnswerBuffer buffer = attempt.buffer();
+    if (buffer.hasReaders() || buffer.wasRead()) {
+      return buffer.isDelivered();
+    }
+    return attempt.hasEndedFor(unreadLimitNanos, nowNanos);
   }
 
   /** Returns whether unread answers take so much memory that no more work fits. */
--- a/src/main/java/io/snipeloom/coordination/EngineWatch.java
+++ b/src/main/java/io/snipeloom/coordination/EngineWatch.java
@@ -24,7 +24,7 @@
   private static final BackEndStatus UNREACHABLE = new BackEndStatus(false, 0, 0, 0, "");
 
   private final Incarnation self;
-  private final BackEnd backEnd;
+  private final BackEndClient backEnd;
   private final AttemptQueue queue;
   private final AttemptRunner runner;
   private final CrashWatch crashes;
@@ -42,7 +42,7 @@
 
   EngineWatch(
       Incarnation self,
-      BackEnd backEnd,
+      BackEndClient backEnd,
       AttemptQueue queue,
       AttemptRunner runner,
       CrashWatch crashes,
--- a/src/main/java/io/snipeloom/coordination/OrderQueue.java
+++ b/src/main/java/io/snipeloom/coordination/OrderQueue.java
@@ -20,7 +20,7 @@
 final class OrderQueue {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final BackEnd backEnd;
+  private final BackEndClient backEnd;
   private final Executor executor;
   private final MetricRegistry metrics;
   private final Deque<Order> waiting = new ArrayDeque<>();
@@ -28,7 +28,7 @@
   private boolean busy;
   private boolean fenced;
 
-  OrderQueue(BackEnd backEnd, Executor executor, MetricRegistry metrics) {
+  OrderQueue(BackEndClient backEnd, Executor executor, MetricRegistry metrics) {
     this.backEnd = backEnd;
     this.executor = executor;
     this.metrics = metrics;
--- a/src/main/java/io/snipeloom/coordination/TcpSidecarLink.java
+++ b/src/main/java/io/snipeloom/coordination/TcpSidecarLink.java
@@ -41,7 +41,7 @@
   private final LongSupplier nanoClock;
   private final MetricRegistry metrics;
   private final ScheduledExecutorService executor;
-  private final ReconnectDelay delay;
+  private final RandomGenerator random;
   private final Map<AttemptId, OpenAnswer> answers = new HashMap<>();
   private final PendingQueries queries;
 
@@ -51,6 +51,7 @@
   private volatile long loadNanos;
   private Incarnation lastIncarnation;
   private long losses;
+  private int failures;
   private boolean stopped;
 
   private TcpSidecarLink(
@@ -66,7 +67,7 @@
     this.nanoClock = nanoClock;
     this.metrics = metrics;
     this.executor = client.nextExecutor();
-    this.delay = new ReconnectDelay(settings.firstDelay(), settings.maxDelay(), random);
+    this.random = random;
     this.queries = new PendingQueries(instance.id().value());
     this.loadNanos = nanoClock.getAsLong();
   }
@@ -215,7 +216,8 @@
 
   private void scheduleConnect() {
     if (!stopped) {
-      var unused = executor.schedule(this::connect, delay.nextMillis(), TimeUnit.MILLISECONDS);
+      long delay = ReconnectPacing.reconnectDelay(failures++, random).toMillis();
+      var unused = executor.schedule(this::connect, delay, TimeUnit.MILLISECONDS);
     }
   }
 
@@ -248,7 +250,7 @@
     }
     lastIncarnation = opened.peer();
     connection = opened;
-    delay.reset();
+    failures = 0;
     answers.values().forEach(this::reattach);
   }
 
