--- a/src/main/java/io/snipeloom/state/Budget.java
+++ b/src/main/java/io/snipeloom/state/Budget.java
@@ -6,9 +6,19 @@
  * @param id the identifier
  * @param customer the customer that owns the budget
  */
-public record Budget(BudgetId id, CustomerId customer) {
+public record Budget(BudgetId id, CustomerId customer) implements ConfigurationEntry {
   /** Checks that the identifier is there. */
   public Budget {
     Entry.required("id", id);
   }
+
+  @Override
+  public ConfigurationSection section() {
+    return ConfigurationSection.BUDGETS;
+  }
+
+  @Override
+  public String entryId() {
+    return id.value();
+  }
 }
--- a/src/main/java/io/snipeloom/state/ConfigurationContent.java
+++ b/src/main/java/io/snipeloom/state/ConfigurationContent.java
@@ -112,7 +112,7 @@
   }
 
   private ConfigurationContent minus(ConfigurationEdit.Remove remove, long offset) {
-    Entry<?> entry = entry(remove.section(), remove.entryId());
+    Entry<? extends ConfigurationEntry> entry = entry(remove.section(), remove.entryId());
     if (entry == null) {
       return this;
     }
@@ -121,7 +121,7 @@
         removals.plus(new Removal(remove.section(), remove.entryId(), offset)));
   }
 
-  private ConfigurationContent minus(Object value) {
+  private ConfigurationContent minus(ConfigurationEntry value) {
     if (value instanceof Customer customer) {
       return withCustomers(customers.minus(customer.id()), indexes.minus(customer));
     }
@@ -139,7 +139,7 @@
   }
 
   /** Returns the entry with this identifier, or null if there is none. */
-  Entry<?> entry(ConfigurationSection section, String entryId) {
+  Entry<? extends ConfigurationEntry> entry(ConfigurationSection section, String entryId) {
     if (!Identifiers.isWellFormed(entryId)) {
       return null;
     }
--- a/src/main/java/io/snipeloom/state/ConfigurationDiff.java
+++ b/src/main/java/io/snipeloom/state/ConfigurationDiff.java
@@ -77,6 +77,25 @@
     return edits;
   }
 
+  /**
+   * Checks that the edits would be accepted on a document.
+   *
+   * @param current the document, to which the edits lead from
+   * @param operator the operator
+   * @throws SnipeloomException if the edits would be refused, with pointers into the target
+   */
+  public void check(ConfigurationDocument current, String operator) {
+    if (edits.isEmpty()) {
+      return;
+    }
+    try {
+      current.with(
+          current.offset() + 1, new ConfigurationChange(current.offset(), operator, edits));
+    } catch (SnipeloomException e) {
+      throw e.withViolations(relocated(e.violations()));
+    }
+  }
+
   /**
    * Returns the same violations with pointers into the target document instead of the change.
    *
--- a/src/main/java/io/snipeloom/state/ConfigurationDocument.java
+++ b/src/main/java/io/snipeloom/state/ConfigurationDocument.java
@@ -218,7 +218,8 @@
    * @param entryId the text form of the identifier
    * @return the entry; empty if there is none
    */
-  public Optional<Entry<?>> entry(ConfigurationSection section, String entryId) {
+  public Optional<Entry<? extends ConfigurationEntry>> entry(
+      ConfigurationSection section, String entryId) {
     return Optional.ofNullable(content.entry(section, entryId));
   }
 
@@ -232,7 +233,8 @@
    * @throws SnipeloomException with {@link ErrorCode#INVALID_IDENTIFIER} if the identifier is
    *     malformed
    */
-  public List<? extends Entry<?>> page(ConfigurationSection section, String after, int limit) {
+  public List<? extends Entry<? extends ConfigurationEntry>> page(
+      ConfigurationSection section, String after, int limit) {
     boolean fromStart = after.isEmpty();
     return switch (section) {
       case CUSTOMERS -> page(content.customers(), fromStart ? null : CustomerId.of(after), limit);
--- a/src/main/java/io/snipeloom/state/Customer.java
+++ b/src/main/java/io/snipeloom/state/Customer.java
@@ -16,7 +16,8 @@
     String name,
     List<String> apiKeyHashes,
     BudgetId defaultBudget,
-    SpendPolicy policy) {
+    SpendPolicy policy)
+    implements ConfigurationEntry {
 
   /** Copies the hashes and fills in the defaults. */
   public Customer {
@@ -25,4 +26,14 @@
     apiKeyHashes = apiKeyHashes == null ? List.of() : List.copyOf(apiKeyHashes);
     policy = policy == null ? SpendPolicy.AVAILABLE : policy;
   }
+
+  @Override
+  public ConfigurationSection section() {
+    return ConfigurationSection.CUSTOMERS;
+  }
+
+  @Override
+  public String entryId() {
+    return id.value();
+  }
 }
--- a/src/main/java/io/snipeloom/state/RequestClass.java
+++ b/src/main/java/io/snipeloom/state/RequestClass.java
@@ -20,10 +20,21 @@
     long maxOutputTokens,
     long fixedTokens,
     long deadlineMillis,
-    int queueLimit) {
+    int queueLimit)
+    implements ConfigurationEntry {
 
   /** Checks that the identifier is there. */
   public RequestClass {
     Entry.required("id", id);
   }
+
+  @Override
+  public ConfigurationSection section() {
+    return ConfigurationSection.REQUEST_CLASSES;
+  }
+
+  @Override
+  public String entryId() {
+    return id.value();
+  }
 }
--- a/src/main/java/io/snipeloom/state/TopUp.java
+++ b/src/main/java/io/snipeloom/state/TopUp.java
@@ -7,9 +7,19 @@
  * @param budget the budget
  * @param tokens the tokens added, at least 1
  */
-public record TopUp(TopUpId id, BudgetId budget, long tokens) {
+public record TopUp(TopUpId id, BudgetId budget, long tokens) implements ConfigurationEntry {
   /** Checks that the identifier is there. */
   public TopUp {
     Entry.required("id", id);
   }
+
+  @Override
+  public ConfigurationSection section() {
+    return ConfigurationSection.TOP_UPS;
+  }
+
+  @Override
+  public String entryId() {
+    return id.value();
+  }
 }
--- a/src/main/java/io/snipeloom/state/Upstream.java
+++ b/src/main/java/io/snipeloom/state/Upstream.java
@@ -11,11 +11,22 @@
  * @param checksFencing whether its engines refuse an order with an old fencing number themselves
  */
 public record Upstream(
-    UpstreamId id, UpstreamKind kind, List<ModelId> models, boolean checksFencing) {
+    UpstreamId id, UpstreamKind kind, List<ModelId> models, boolean checksFencing)
+    implements ConfigurationEntry {
 
   /** Copies the models. */
   public Upstream {
     Entry.required("id", id);
     models = models == null ? List.of() : List.copyOf(models);
   }
+
+  @Override
+  public ConfigurationSection section() {
+    return ConfigurationSection.UPSTREAMS;
+  }
+
+  @Override
+  public String entryId() {
+    return id.value();
+  }
 }
--- /dev/null
+++ b/src/main/java/io/snipeloom/transport/SnipeloomExceptionHandler.java
@@ -0,0 +1,24 @@
+package io.snipeloom.transport;
+
+import io.micronaut.context.annotation.Secondary;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.server.exceptions.ExceptionHandler;
+import io.snipeloom.state.SnipeloomException;
+import jakarta.inject.Singleton;
+
+/**
+ * Turns errors thrown by controllers and filters into answers. A surface may bring a handler of its
+ * own, which then goes first.
+ */
+@Singleton
+@Secondary
+public final class SnipeloomExceptionHandler
+    implements ExceptionHandler<SnipeloomException, HttpResponse<ErrorBody>> {
+
+  @Override
+  @SuppressWarnings("rawtypes")
+  public HttpResponse<ErrorBody> handle(HttpRequest request, SnipeloomException exception) {
+    return ErrorResponses.of(exception);
+  }
+}
