Stand-ins for engine, plain service and weight store, and their command

The engine batches continuously, caches prefixes, takes fenced orders and crashes on a marked prompt. Cause of a failing test on the way: the server does not cancel a single (not streamed) answer when its client goes away, only streams, so the engine went on generating (stopsAnAnswerThatIsNotStreamedWhenTheClientGoesAway did not hold within 20 s). Ruled out: the client, which had closed its socket.

--- /dev/null
+++ b/src/main/java/io/snipeloom/platform/EngineLoad.java
@@ -0,0 +1,10 @@
+package io.snipeloom.platform;
+
+/**
+ * The load that a model engine reports, with a lag.
+ *
+ * @param running requests in the batch
+ * @param queued requests that wait
+ * @param capacity requests that the batch takes
+ */
+public record EngineLoad(int running, int queued, int capacity) {}
--- /dev/null
+++ b/src/main/java/io/snipeloom/platform/HttpModelEngine.java
@@ -0,0 +1,68 @@
+package io.snipeloom.platform;
+
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.MediaType;
+import io.snipeloom.state.EngineOrder;
+import io.snipeloom.state.ErrorCode;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * The control interface of a model engine over HTTP.
+ *
+ * <p>Thread-safe; calls block within the time limits.
+ */
+public final class HttpModelEngine implements ModelEngine {
+  private final PlatformClient client;
+
+  private HttpModelEngine(PlatformClient client) {
+    this.client = client;
+  }
+
+  /**
+   * Returns a client of an engine.
+   *
+   * @param address the base address of the engine
+   * @param timeouts the time limits
+   * @return the client
+   * @throws io.snipeloom.state.SnipeloomException with {@link ErrorCode#INVALID_SETTINGS} if the
+   *     address is malformed
+   */
+  public static HttpModelEngine of(URI address, ClientTimeouts timeouts) {
+    return new HttpModelEngine(
+        PlatformClient.of(address, ErrorCode.CONNECTION_LOST, timeouts.connect(), timeouts.read()));
+  }
+
+  /** Closes all connections. */
+  public void stop() {
+    client.stop();
+  }
+
+  @Override
+  public EngineLoad load() {
+    return client.call("engine.load", HttpRequest.GET("/load"), EngineLoad.class);
+  }
+
+  @Override
+  public CachePage cacheEvents(long from) {
+    HttpRequest<?> request = HttpRequest.GET("/cache/events?from=" + from);
+    return client.call("engine.cache", request, CachePage.class);
+  }
+
+  @Override
+  public void order(long fencing, EngineOrder order) {
+    OrderRequest body = new OrderRequest(fencing, order.action(), order.subject());
+    client.call("engine.order", post("/orders", PlatformClient.json(body)));
+  }
+
+  @Override
+  public void cancel(String id) {
+    String path = "/cancel/" + URLEncoder.encode(id, StandardCharsets.UTF_8);
+    client.call("engine.cancel", post(path, new byte[0]));
+  }
+
+  private static HttpRequest<byte[]> post(String path, byte[] body) {
+    return HttpRequest.POST(path, body).contentType(MediaType.APPLICATION_JSON_TYPE);
+  }
+}
--- a/src/main/java/io/snipeloom/platform/PlatformClient.java
+++ b/src/main/java/io/snipeloom/platform/PlatformClient.java
@@ -113,6 +113,9 @@
       Duration delay = Duration.ofSeconds(retryAfterSeconds(e.getResponse()));
       return error(ErrorCode.OVERLOADED, message, step).withRetryAfter(delay);
     }
+    if (e.getStatus() == HttpStatus.CONFLICT) {
+      return error(ErrorCode.FENCED, message, step);
+    }
     return error(failure, message, step).withCause(e);
   }
 
--- /dev/null
+++ b/src/main/java/io/snipeloom/standin/ChatRequest.java
@@ -0,0 +1,81 @@
+package io.snipeloom.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.SnipeloomException;
+import java.util.StringJoiner;
+
+/**
+ * A chat completion request.
+ *
+ * @param model the model
+ * @param prompt the contents of all messages, joined by line feeds
+ * @param stream whether the answer is streamed
+ * @param includeUsage whether a stream ends with the usage
+ * @param maxTokens the most tokens of the answer; 0 if not limited
+ * @param priority the place in the queue, lower first
+ */
+record ChatRequest(
+    String model,
+    String prompt,
+    boolean stream,
+    boolean includeUsage,
+    int maxTokens,
+    int priority) {
+
+  /** Reads a request body. */
+  static ChatRequest parse(byte[] body) {
+    JsonNode root = StandinJson.read(body, JsonNode.class);
+    if (!root.path("model").isTextual()) {
+      throw invalid("/model must be a string");
+    }
+    return new ChatRequest(
+        root.path("model").asText(),
+        prompt(root.path("messages")),
+        root.path("stream").asBoolean(false),
+        root.path("stream_options").path("include_usage").asBoolean(false),
+        maxTokens(root),
+        root.path("priority").asInt(0));
+  }
+
+  private static String prompt(JsonNode messages) {
+    if (!messages.isArray() || messages.isEmpty()) {
+      throw invalid("/messages must be a list that is not empty");
+    }
+    StringJoiner prompt = new StringJoiner("\n");
+    for (int i = 0; i < messages.size(); i++) {
+      prompt.add(content(messages.get(i).path("content"), "/messages/" + i + "/content"));
+    }
+    return prompt.toString();
+  }
+
+  private static String content(JsonNode content, String place) {
+    if (content.isTextual()) {
+      return content.asText();
+    }
+    if (!content.isArray()) {
+      throw invalid(place + " must be a string or a list");
+    }
+    StringJoiner parts = new StringJoiner("\n");
+    for (JsonNode part : content) {
+      parts.add(part.path("text").asText(""));
+    }
+    return parts.toString();
+  }
+
+  private static int maxTokens(JsonNode root) {
+    String field = root.has("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
+    JsonNode value = root.path(field);
+    if (value.isMissingNode() || value.isNull()) {
+      return 0;
+    }
+    if (!value.canConvertToInt() || value.asInt() < 1) {
+      throw invalid("/" + field + " must be a positive integer");
+    }
+    return value.asInt();
+  }
+
+  private static SnipeloomException invalid(String message) {
+    return SnipeloomException.of(ErrorCode.INVALID_REQUEST, message);
+  }
+}
--- a/src/main/java/io/snipeloom/standin/ConnectionFaults.java
+++ b/src/main/java/io/snipeloom/standin/ConnectionFaults.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** Refuses or silences one connection of a stand-in. The first handler of its channel. */
 @SuppressWarnings("FutureReturnValueIgnored")
@@ -12,6 +14,8 @@
   private final Connections connections;
   private final Channel channel;
 
+  private final Set<Runnable> closeActions = ConcurrentHashMap.newKeySet();
+
   private volatile boolean silenced;
 
   ConnectionFaults(Connections connections, Channel channel) {
@@ -24,6 +28,25 @@
     silenced = true;
   }
 
+  /** Adds an action to run when the connection closes; it must bear a second run. */
+  void onClose(Runnable action) {
+    closeActions.add(action);
+    if (!channel.isOpen()) {
+      runCloseActions();
+    }
+  }
+
+  /** Removes an action that is no longer needed. */
+  void forget(Runnable action) {
+    closeActions.remove(action);
+  }
+
+  /** Runs the actions that wait for the close. */
+  void runCloseActions() {
+    closeActions.forEach(Runnable::run);
+    closeActions.clear();
+  }
+
   /** Closes the connection. */
   void close() {
     channel.close();
--- a/src/main/java/io/snipeloom/standin/Connections.java
+++ b/src/main/java/io/snipeloom/standin/Connections.java
@@ -21,7 +21,13 @@
     ConnectionFaults handler = new ConnectionFaults(this, channel);
     SocketAddress remote = channel.remoteAddress();
     open.put(remote, handler);
-    channel.closeFuture().addListener(future -> open.remove(remote, handler));
+    channel
+        .closeFuture()
+        .addListener(
+            future -> {
+              open.remove(remote, handler);
+              handler.runCloseActions();
+            });
     return handler;
   }
 
@@ -40,6 +46,24 @@
     return control.faults().silent();
   }
 
+  /** Runs an action when the connection from this address closes, or at once if it is closed. */
+  void onClose(SocketAddress remote, Runnable action) {
+    ConnectionFaults handler = open.get(remote);
+    if (handler == null) {
+      action.run();
+    } else {
+      handler.onClose(action);
+    }
+  }
+
+  /** Forgets an action added by {@link #onClose}. */
+  void forget(SocketAddress remote, Runnable action) {
+    ConnectionFaults handler = open.get(remote);
+    if (handler != null) {
+      handler.forget(action);
+    }
+  }
+
   /** Closes the connection from this address. */
   void close(SocketAddress remote) {
     ConnectionFaults handler = open.get(remote);
