Decision state: pure replay of the decision stream

Records check their parts, so a malformed one is refused at the decoder with a coded error.

Ruled out: a barrier over the live sidecars alone. A sidecar that died before the router did would be forgotten, and its unsettled consumption would be spent twice; lost sidecars are awaited too, unless the router reported itself that its work there is settled.

--- a/src/main/java/io/snipeloom/state/AttemptId.java
+++ b/src/main/java/io/snipeloom/state/AttemptId.java
@@ -9,6 +9,12 @@
  */
 public record AttemptId(Incarnation holder, long sequence) {
 
+  /** Checks the parts. */
+  public AttemptId {
+    RecordChecks.present("attempt", holder);
+    RecordChecks.require(sequence >= 1, "attempt", "sequence must be at least 1");
+  }
+
   /**
    * Returns the attempt with this number.
    *
--- a/src/main/java/io/snipeloom/state/ConfigurationDocument.java
+++ b/src/main/java/io/snipeloom/state/ConfigurationDocument.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Function;
 
 /**
  * The configuration document as of one log offset.
@@ -46,6 +47,39 @@
     return EMPTY;
   }
 
+  /**
+   * Returns the document with these entries, as read from a snapshot.
+   *
+   * @param offset the offset of the last accepted change
+   * @param customers the customers
+   * @param budgets the budgets
+   * @param topUps the top-ups
+   * @param upstreams the upstreams
+   * @param requestClasses the request classes
+   * @return the document
+   */
+  static ConfigurationDocument restore(
+      long offset,
+      Collection<Entry<Customer>> customers,
+      Collection<Entry<Budget>> budgets,
+      Collection<Entry<TopUp>> topUps,
+      Collection<Entry<Upstream>> upstreams,
+      Collection<Entry<RequestClass>> requestClasses) {
+    return new ConfigurationDocument(
+        offset,
+        byId(customers, Customer::id),
+        byId(budgets, Budget::id),
+        byId(topUps, TopUp::id),
+        byId(upstreams, Upstream::id),
+        byId(requestClasses, RequestClass::id));
+  }
+
+  private static <K, T> Map<K, Entry<T>> byId(Collection<Entry<T>> entries, Function<T, K> idOf) {
+    Map<K, Entry<T>> section = new TreeMap<>();
+    entries.forEach(entry -> section.put(idOf.apply(entry.value()), entry));
+    return section;
+  }
+
   /**
    * Returns the document after a change.
    *
--- a/src/main/java/io/snipeloom/state/ErrorCode.java
+++ b/src/main/java/io/snipeloom/state/ErrorCode.java
@@ -26,6 +26,7 @@
   LOG_UNAVAILABLE("log.unavailable", 503),
   NOT_READY("not.ready", 503),
   FENCED("fenced", 409),
+  MALFORMED_RECORD("malformed.record", 500),
   MALFORMED_FRAME("malformed.frame", 400),
   CONNECTION_LOST("connection.lost", 502),
   INVARIANT_VIOLATED("invariant.violated", 500),
--- a/src/main/java/io/snipeloom/state/Incarnation.java
+++ b/src/main/java/io/snipeloom/state/Incarnation.java
@@ -11,6 +11,7 @@
  * @param value the text form, 1 to 96 characters
  */
 public record Incarnation(@JsonValue String value) implements Comparable<Incarnation> {
+  private static final char SEPARATOR = '#';
 
   /** Checks the text form. */
   public Incarnation {
@@ -29,6 +30,28 @@
     return new Incarnation(value);
   }
 
+  /**
+   * Returns the incarnation of an instance with this nonce.
+   *
+   * @param instance the instance slot
+   * @param nonce a text that differs for each start of the instance
+   * @return the incarnation
+   * @throws SnipeloomException with {@link ErrorCode#INVALID_IDENTIFIER} if the text is malformed
+   */
+  public static Incarnation of(InstanceId instance, String nonce) {
+    return new Incarnation(instance.value() + SEPARATOR + nonce);
+  }
+
+  /**
+   * Returns the instance slot of this incarnation.
+   *
+   * @return the part of the text before the last hash sign, or all of it if there is none
+   */
+  public InstanceId instance() {
+    int end = value.lastIndexOf(SEPARATOR);
+    return InstanceId.of(end < 0 ? value : value.substring(0, end));
+  }
+
   @Override
   public int compareTo(Incarnation other) {
     return value.compareTo(other.value);
--- /dev/null
+++ b/src/main/java/io/snipeloom/state/RecordApplier.java
@@ -0,0 +1,179 @@
+package io.snipeloom.state;
+
+import java.util.List;
+import java.util.Map;
+
+/** Applies the records of one batch to the decision state and collects the events. */
+final class RecordApplier {
+  private final DecisionTables tables;
+  private final long offset;
+  private final Incarnation writer;
+  private final List<DecisionEvent> events;
+
+  RecordApplier(
+      DecisionTables tables, long offset, Incarnation writer, List<DecisionEvent> events) {
+    this.tables = tables;
+    this.offset = offset;
+    this.writer = writer;
+    this.events = events;
+  }
+
+  void apply(DecisionRecord record) {
+    if (record instanceof DecisionRecord.AttemptSettled settled) {
+      settle(settled);
+    } else if (record instanceof DecisionRecord.ClaimRequested claim) {
+      claim(claim);
+    } else if (record instanceof DecisionRecord.ClaimReturned returned) {
+      giveBack(returned);
+    } else if (record instanceof DecisionRecord.IntentRecorded intent) {
+      events.add(tables.calls().intend(offset, intent, blockerOf(intent)));
+    } else if (record instanceof DecisionRecord.OutcomeRecorded outcome) {
+      events.add(tables.calls().conclude(offset, outcome));
+    } else if (record instanceof DecisionRecord.ConfigurationChanged changed) {
+      change(changed.change());
+    } else if (record instanceof DecisionRecord.OrderIssued order) {
+      events.add(tables.orders().issue(offset, order));
+    } else if (record instanceof DecisionRecord.SnapshotChunk chunk) {
+      tables
+          .snapshots()
+          .accept(offset, writer, chunk)
+          .ifPresent(asOf -> events.add(new DecisionEvent.SnapshotCompleted(offset, asOf)));
+    } else {
+      applyMembership(record);
+    }
+  }
+
+  private void applyMembership(DecisionRecord record) {
+    if (record instanceof DecisionRecord.SidecarJoined joined) {
+      join(joined);
+    } else if (record instanceof DecisionRecord.SidecarLeft left) {
+      leave(left);
+    } else if (record instanceof DecisionRecord.HolderClosed closed) {
+      close(closed.holder());
+    } else if (record instanceof DecisionRecord.HolderDrained drained) {
+      tables
+          .holders()
+          .drained(drained.holder(), drained.sidecar(), writer)
+          .ifPresent(this::releaseIfDrained);
+    } else if (record instanceof DecisionRecord.HolderWrittenOff writtenOff) {
+      writeOff(writtenOff);
+    } else if (record instanceof DecisionRecord.CrashReported crash) {
+      tables.crashes().report(offset, crash, events);
+    } else if (record instanceof DecisionRecord.SuspectCleared cleared) {
+      tables.crashes().clear(offset, cleared, events);
+    } else if (record instanceof DecisionRecord.ConvictionLifted lifted) {
+      tables.crashes().lift(offset, lifted, events);
+    } else {
+      throw new IllegalStateException("unknown record " + record.getClass().getSimpleName());
+    }
+  }
+
+  private void change(ConfigurationChange change) {
+    List<TopUp> topUps =
+        change.edits().stream()
+            .filter(ConfigurationEdit.AddTopUp.class::isInstance)
+            .map(edit -> ((ConfigurationEdit.AddTopUp) edit).topUp())
+            .toList();
+    try {
+      ConfigurationDocument document = tables.configuration().with(offset, change);
+      tables.budgets().checkTopUps(topUps);
+      tables.replaceConfiguration(document);
+    } catch (SnipeloomException e) {
+      events.add(new DecisionEvent.ConfigurationRefused(offset, change, e.code(), e.getMessage()));
+      return;
+    }
+    events.add(new DecisionEvent.ConfigurationAccepted(offset, change));
+    topUps.forEach(topUp -> events.add(tables.budgets().topUp(offset, topUp)));
+  }
+
+  private void claim(DecisionRecord.ClaimRequested claim) {
+    Holder holder = tables.holders().openOrCreate(claim.holder()).orElse(null);
+    if (holder == null) {
+      tables.counters().add(DecisionCounter.CLAIMS_REFUSED, 1);
+      events.add(new DecisionEvent.ClaimRefused(offset, claim.holder(), claim.budget()));
+    } else {
+      events.add(tables.budgets().claim(offset, holder, claim));
+    }
+  }
+
+  private void giveBack(DecisionRecord.ClaimReturned returned) {
+    Holder holder = tables.holders().find(returned.holder()).orElse(null);
+    if (holder == null) {
+      tables.counters().add(DecisionCounter.TOKENS_RETURNED_UNHELD, returned.tokens());
+    } else {
+      events.add(tables.budgets().giveBack(offset, holder, returned));
+    }
+  }
+
+  private void settle(DecisionRecord.AttemptSettled settled) {
+    BudgetState budget = tables.budgets().get(settled.budget());
+    events.add(tables.settlements().settle(offset, settled, budget));
+    tables
+        .holders()
+        .find(settled.attempt().holder())
+        .ifPresent(holder -> tables.budgets().noteShare(holder, budget));
+  }
+
+  private ErrorCode blockerOf(DecisionRecord.IntentRecorded intent) {
+    if (tables.holders().isClosed(intent.attempt().holder())) {
+      return ErrorCode.FENCED;
+    }
+    return tables.sidecars().isLive(intent.sidecar()) ? null : ErrorCode.NO_UPSTREAM;
+  }
+
+  private void join(DecisionRecord.SidecarJoined joined) {
+    if (tables.sidecars().find(joined.sidecar()).isPresent()) {
+      return;
+    }
+    tables.sidecars().liveIn(joined.sidecar().instance()).ifPresent(this::lose);
+    tables.sidecars().add(joined.sidecar(), joined.upstream(), false);
+    events.add(new DecisionEvent.SidecarJoined(offset, joined.sidecar(), joined.upstream()));
+  }
+
+  private void lose(Sidecar sidecar) {
+    tables.sidecars().markLost(sidecar);
+    events.add(new DecisionEvent.SidecarLost(offset, sidecar.incarnation()));
+    tables.holders().awaitLost(sidecar);
+  }
+
+  private void leave(DecisionRecord.SidecarLeft left) {
+    Sidecar sidecar = tables.sidecars().find(left.sidecar()).orElse(null);
+    if (sidecar == null) {
+      return;
+    }
+    List<Holder> touched = tables.holders().allDrained(sidecar);
+    tables.sidecars().remove(sidecar);
+    events.add(new DecisionEvent.SidecarLeft(offset, left.sidecar()));
+    touched.forEach(this::releaseIfDrained);
+  }
+
+  private void close(Incarnation id) {
+    Holder holder = tables.holders().close(id).orElse(null);
+    if (holder == null) {
+      return;
+    }
+    tables.budgets().close(holder);
+    events.add(new DecisionEvent.HolderClosed(offset, id));
+    releaseIfDrained(holder);
+  }
+
+  private void releaseIfDrained(Holder holder) {
+    boolean closed = holder.phase() == Holder.Phase.CLOSED;
+    boolean nothingLeft = holder.budgets().isEmpty();
+    if (closed && (nothingLeft || tables.holders().isDrained(holder))) {
+      Map<BudgetId, Long> tokens = tables.budgets().release(holder);
+      tables.holders().noteReleased(holder);
+      events.add(new DecisionEvent.HolderReleased(offset, holder.id(), tokens));
+    }
+  }
+
+  private void writeOff(DecisionRecord.HolderWrittenOff record) {
+    Holder holder = tables.holders().find(record.holder()).orElse(null);
+    if (holder == null || holder.phase() != Holder.Phase.CLOSED) {
+      return;
+    }
+    Map<BudgetId, Long> tokens = tables.budgets().writeOff(holder);
+    tables.holders().noteReleased(holder);
+    events.add(new DecisionEvent.HolderWrittenOff(offset, holder.id(), record.operator(), tokens));
+  }
+}
--- a/src/main/java/io/snipeloom/state/RecordBatch.java
+++ b/src/main/java/io/snipeloom/state/RecordBatch.java
@@ -14,8 +14,10 @@
 public record RecordBatch(
     Incarnation writer, long sequence, long basedOn, List<DecisionRecord> records) {
 
-  /** Copies the records. */
+  /** Checks the parts and copies the records. */
   public RecordBatch {
+    RecordChecks.present("batch", writer, records);
+    RecordChecks.require(sequence >= 1, "batch", "sequence must be at least 1");
     records = List.copyOf(records);
   }
 }
