--- a/src/main/java/io/snipeloom/state/BudgetTable.java
+++ b/src/main/java/io/snipeloom/state/BudgetTable.java
@@ -1,5 +1,6 @@
 package io.snipeloom.state;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -30,7 +31,7 @@
   }
 
   /** Throws if the top-ups of a change cannot be taken as a whole. */
-  void checkTopUps(List<TopUp> topUps) {
+  void checkTopUps(Collection<TopUp> topUps) {
     Map<BudgetId, Long> sums = new HashMap<>();
     for (TopUp topUp : topUps) {
       boolean inRange = topUp.tokens() >= 1 && topUp.tokens() <= RecordChecks.MAX_TOKENS;
--- a/src/main/java/io/snipeloom/state/DecisionTables.java
+++ b/src/main/java/io/snipeloom/state/DecisionTables.java
@@ -73,7 +73,7 @@
   StateImage image(long appliedOffset) {
     return new StateImage(
         appliedOffset,
-        StateImage.ConfigurationImage.of(configuration),
+        configuration.toSnapshot(),
         writers.image(),
         sidecars.image(),
         holders.image(),
@@ -88,7 +88,7 @@
 
   /** Fills tables that are still empty. */
   void restore(StateImage image) {
-    configuration = image.configuration().document();
+    configuration = ConfigurationDocument.of(image.configuration());
     writers.restore(image.writers());
     sidecars.restore(image.sidecars());
     holders.restore(image.holders());
--- a/src/main/java/io/snipeloom/state/RecordApplier.java
+++ b/src/main/java/io/snipeloom/state/RecordApplier.java
@@ -1,5 +1,7 @@
 package io.snipeloom.state;
 
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -69,11 +71,7 @@
   }
 
   private void change(ConfigurationChange change) {
-    List<TopUp> topUps =
-        change.edits().stream()
-            .filter(ConfigurationEdit.AddTopUp.class::isInstance)
-            .map(edit -> ((ConfigurationEdit.AddTopUp) edit).topUp())
-            .toList();
+    Collection<TopUp> topUps = newTopUps(change);
     try {
       ConfigurationDocument document = tables.configuration().with(offset, change);
       tables.budgets().checkTopUps(topUps);
@@ -86,6 +84,18 @@
     topUps.forEach(topUp -> events.add(tables.budgets().topUp(offset, topUp)));
   }
 
+  /** Returns the top-ups of a change that are not yet in the document; a repeated one adds none. */
+  private Collection<TopUp> newTopUps(ConfigurationChange change) {
+    Map<TopUpId, TopUp> topUps = new LinkedHashMap<>();
+    for (ConfigurationEdit edit : change.edits()) {
+      if (edit instanceof ConfigurationEdit.AddTopUp add
+          && tables.configuration().topUp(add.topUp().id()).isEmpty()) {
+        topUps.putIfAbsent(add.topUp().id(), add.topUp());
+      }
+    }
+    return topUps.values();
+  }
+
   private void claim(DecisionRecord.ClaimRequested claim) {
     Holder holder = tables.holders().openOrCreate(claim.holder()).orElse(null);
     if (holder == null) {
--- a/src/main/java/io/snipeloom/state/StateImage.java
+++ b/src/main/java/io/snipeloom/state/StateImage.java
@@ -8,7 +8,7 @@
  */
 record StateImage(
     long appliedOffset,
-    ConfigurationImage configuration,
+    ConfigurationSnapshot configuration,
     List<WriterTable.LastBatch> writers,
     List<SidecarTable.Image> sidecars,
     List<Holder.Image> holders,
@@ -18,30 +18,4 @@
     CrashTable.Image crashes,
     List<IssuedOrder> orders,
     SnapshotProgress.Image snapshots,
-    List<Counters.Count> counters) {
-
-  /** The configuration document in a snapshot. */
-  record ConfigurationImage(
-      long offset,
-      List<Entry<Customer>> customers,
-      List<Entry<Budget>> budgets,
-      List<Entry<TopUp>> topUps,
-      List<Entry<Upstream>> upstreams,
-      List<Entry<RequestClass>> requestClasses) {
-
-    static ConfigurationImage of(ConfigurationDocument document) {
-      return new ConfigurationImage(
-          document.offset(),
-          List.copyOf(document.customers()),
-          List.copyOf(document.budgets()),
-          List.copyOf(document.topUps()),
-          List.copyOf(document.upstreams()),
-          List.copyOf(document.requestClasses()));
-    }
-
-    ConfigurationDocument document() {
-      return ConfigurationDocument.restore(
-          offset, customers, budgets, topUps, upstreams, requestClasses);
-    }
-  }
-}
+    List<Counters.Count> counters) {}
