--- /dev/null
+++ b/src/test/java/io/snipeloom/coordination/FakeBackEnd.java
@@ -0,0 +1,87 @@
+package io.snipeloom.coordination;
+
+import io.snipeloom.protocol.HttpCall;
+import io.snipeloom.state.EngineOrder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+/** A back end whose answers the test gives by hand. */
+final class FakeBackEnd implements BackEndClient {
+  final List<Call> calls = new ArrayList<>();
+  final List<Long> orders = new ArrayList<>();
+  BackEndStatus status = new BackEndStatus(true, 0, 0, 0, "start-1");
+  boolean reachable = true;
+  CompletableFuture<Void> orderAnswer = CompletableFuture.completedFuture(null);
+
+  @Override
+  public BackEndCall start(HttpCall call, BackEndListener listener) {
+    Call started = new Call(call, listener);
+    calls.add(started);
+    return started;
+  }
+
+  @Override
+  public CompletionStage<BackEndStatus> probe() {
+    return reachable
+        ? CompletableFuture.completedFuture(status)
+        : CompletableFuture.failedFuture(new IllegalStateException("down"));
+  }
+
+  @Override
+  public CompletionStage<Void> order(long fencingNumber, EngineOrder order) {
+    orders.add(fencingNumber);
+    return orderAnswer;
+  }
+
+  /** A call at the fake. */
+  static final class Call implements BackEndCall {
+    final HttpCall call;
+    final BackEndListener listener;
+    boolean cancelled;
+
+    Call(HttpCall call, BackEndListener listener) {
+      this.call = call;
+      this.listener = listener;
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+    }
+
+    void head() {
+      listener.onHead(200, List.of());
+    }
+
+    void token(String text) {
+      event("{\"choices\":[{\"delta\":{\"content\":\"" + text + "\"}}]}");
+    }
+
+    void usage(int prompt, int output) {
+      event(
+          "{\"choices\":[],\"usage\":{\"prompt_tokens\":"
+              + prompt
+              + ",\"completion_tokens\":"
+              + output
+              + "}}");
+    }
+
+    void event(String json) {
+      listener.onData(json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    void complete() {
+      head();
+      token("a");
+      usage(5, 1);
+      listener.onEnd();
+    }
+
+    void breakOff() {
+      listener.onFailure(BackEndFailure.BROKEN, "reset");
+    }
+  }
+}
--- a/src/test/java/io/snipeloom/protocol/Messages.java
+++ b/src/test/java/io/snipeloom/protocol/Messages.java
@@ -64,6 +64,42 @@
         "");
   }
 
+  /** Returns a copy for another sidecar. */
+  public static Message.Dispatch sentTo(Incarnation sidecar, Message.Dispatch d) {
+    return copy(d, sidecar, d.issuedAtMillis(), d.retained());
+  }
+
+  /** Returns a copy whose answer is not kept. */
+  public static Message.Dispatch notRetained(Message.Dispatch d) {
+    return copy(d, d.sidecar(), d.issuedAtMillis(), false);
+  }
+
+  /** Returns a copy with another issue time. */
+  public static Message.Dispatch issuedAt(long millis, Message.Dispatch d) {
+    return copy(d, d.sidecar(), millis, d.retained());
+  }
+
+  private static Message.Dispatch copy(
+      Message.Dispatch d, Incarnation sidecar, long issuedAtMillis, boolean retained) {
+    return new Message.Dispatch(
+        d.attempt(),
+        d.key(),
+        issuedAtMillis,
+        sidecar,
+        d.budget(),
+        d.requestClass(),
+        d.upstream(),
+        d.urgency(),
+        d.reservedTokens(),
+        d.maxOutputTokens(),
+        d.remainingMillis(),
+        retained,
+        d.fingerprint(),
+        d.alone(),
+        d.call(),
+        d.traceparent());
+  }
+
   /** Returns a message of each type and shape. */
   public static List<Message> oneOfEach() {
     byte[] data = "{\"choices\":[]}".getBytes(StandardCharsets.UTF_8);
