Engine publishes the prefix hashes that routers compute, and a start id

Cause: the stand-in hashed words while the router hashes 256-byte blocks of the messages, so no cache event would ever have matched a prompt. The function now stands once, in platform.PrefixHashes, and PrefixChain uses it. The load report names the start of the engine, not lagged, so that a sidecar tells a crash from a broken connection.

--- a/src/main/java/io/snipeloom/coordination/PrefixChain.java
+++ b/src/main/java/io/snipeloom/coordination/PrefixChain.java
@@ -1,5 +1,7 @@
 package io.snipeloom.coordination;
 
+import io.snipeloom.platform.PrefixHashes;
+
 /**
  * The hash chain of a prompt: hash {@code i} covers the first {@code i + 1} blocks, so that two
  * prompts share a hash exactly as far as they share a prefix.
@@ -8,14 +10,12 @@
  */
 public final class PrefixChain {
   /** The size of a block in bytes of prompt text. */
-  public static final int BLOCK_BYTES = 256;
+  public static final int BLOCK_BYTES = PrefixHashes.BLOCK_BYTES;
 
   /** The most blocks that a chain covers. */
   public static final int MAX_BLOCKS = 64;
 
   private static final PrefixChain EMPTY = new PrefixChain(new long[0]);
-  private static final long SEED = 0x9e3779b97f4a7c15L;
-  private static final long MULTIPLIER = 0x100000001b3L;
 
   private final long[] hashes;
 
@@ -39,14 +39,8 @@
    * @return the chain
    */
   public static PrefixChain of(byte[] prompt) {
-    int blocks = Math.min(prompt.length / BLOCK_BYTES, MAX_BLOCKS);
-    long[] hashes = new long[blocks];
-    long hash = SEED;
-    for (int i = 0; i < blocks; i++) {
-      hash = mixed(hash, prompt, i * BLOCK_BYTES);
-      hashes[i] = hash;
-    }
-    return blocks == 0 ? EMPTY : new PrefixChain(hashes);
+    long[] hashes = PrefixHashes.of(prompt, MAX_BLOCKS);
+    return hashes.length == 0 ? EMPTY : new PrefixChain(hashes);
   }
 
   /**
@@ -77,12 +71,4 @@
   public long hash(int index) {
     return hashes[index];
   }
-
-  private static long mixed(long seed, byte[] prompt, int from) {
-    long hash = seed;
-    for (int i = from; i < from + BLOCK_BYTES; i++) {
-      hash = (hash ^ prompt[i]) * MULTIPLIER;
-    }
-    return RendezvousHash.mix(hash);
-  }
 }
--- a/src/main/java/io/snipeloom/platform/EngineLoad.java
+++ b/src/main/java/io/snipeloom/platform/EngineLoad.java
@@ -6,5 +6,6 @@
  * @param running requests in the batch
  * @param queued requests that wait
  * @param capacity requests that the batch takes
+ * @param startId differs for each start of the engine
  */
-public record EngineLoad(int running, int queued, int capacity) {}
+public record EngineLoad(int running, int queued, int capacity, String startId) {}
--- a/src/main/java/io/snipeloom/platform/PrefixHashes.java
+++ b/src/main/java/io/snipeloom/platform/PrefixHashes.java
@@ -1,63 +1,71 @@
 package io.snipeloom.platform;
 
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Arrays;
 
 /**
  * Computes the hashes under which model engines publish the prefixes of prompts.
  *
- * <p>A prompt is cut into blocks of {@link #BLOCK_TOKENS} words; the hash of a block covers all
- * blocks before it (FNV-1a, 64 bits, in hex). An incomplete last block has no hash. Stateless.
+ * <p>A prompt is cut into blocks of {@link #BLOCK_BYTES}; the hash of a block covers all blocks
+ * before it, so that two prompts share a hash exactly as far as they share a prefix. Stateless.
  */
 public final class PrefixHashes {
-  /** The number of words in a block. */
-  public static final int BLOCK_TOKENS = 16;
+  /** The size of a block in bytes of prompt text. */
+  public static final int BLOCK_BYTES = 256;
 
-  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-  private static final long FNV_PRIME = 0x100000001b3L;
+  private static final long SEED = 0x9e3779b97f4a7c15L;
+  private static final long MULTIPLIER = 0x100000001b3L;
 
   private PrefixHashes() {}
 
   /**
-   * Returns the words of a prompt, which stand for its tokens.
+   * Returns the hashes of the prefixes of a prompt; a last block that is not full is left out.
    *
-   * @param prompt the contents of all messages, joined by line feeds
-   * @return the words
+   * @param prompt the messages of the request as compact JSON in UTF-8
+   * @param maxBlocks the most blocks covered
+   * @return a hash for each block, shortest prefix first
    */
-  public static List<String> words(String prompt) {
-    List<String> words = new ArrayList<>();
-    for (String word : prompt.split("\\s+", -1)) {
-      if (!word.isEmpty()) {
-        words.add(word);
-      }
+  public static long[] of(byte[] prompt, int maxBlocks) {
+    long[] hashes = new long[Math.min(prompt.length / BLOCK_BYTES, maxBlocks)];
+    long hash = SEED;
+    for (int i = 0; i < hashes.length; i++) {
+      hash = add(hash, prompt, i * BLOCK_BYTES);
+      hashes[i] = hash;
     }
-    return words;
+    return hashes;
   }
 
   /**
-   * Returns the hashes of the prefixes of a prompt.
+   * Returns the form of hashes in cache events.
    *
-   * @param words the words of the prompt
-   * @return a hash for each complete block, shortest prefix first
+   * @param hashes the hashes
+   * @return their hexadecimal digits
    */
-  public static List<String> of(List<String> words) {
-    List<String> hashes = new ArrayList<>();
-    long hash = FNV_OFFSET;
-    for (int i = 0; i < words.size(); i++) {
-      hash = add(hash, words.get(i));
-      if ((i + 1) % BLOCK_TOKENS == 0) {
-        hashes.add(Long.toHexString(hash));
-      }
-    }
-    return hashes;
+  public static String[] texts(long[] hashes) {
+    return Arrays.stream(hashes).mapToObj(Long::toHexString).toArray(String[]::new);
+  }
+
+  /**
+   * Reads the form of a hash in cache events.
+   *
+   * @param text the hexadecimal digits
+   * @return the hash
+   * @throws NumberFormatException if the text has another form
+   */
+  public static long parse(String text) {
+    return Long.parseUnsignedLong(text, 16);
   }
 
-  private static long add(long start, String word) {
+  private static long add(long start, byte[] prompt, int from) {
     long hash = start;
-    for (byte b : word.getBytes(StandardCharsets.UTF_8)) {
-      hash = (hash ^ (b & 0xff)) * FNV_PRIME;
+    for (int i = from; i < from + BLOCK_BYTES; i++) {
+      hash = (hash ^ prompt[i]) * MULTIPLIER;
     }
-    return (hash ^ ' ') * FNV_PRIME;
+    return mix(hash);
+  }
+
+  private static long mix(long value) {
+    long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+    return mixed ^ (mixed >>> 31);
   }
 }
--- a/src/main/java/io/snipeloom/standin/AnswerText.java
+++ b/src/main/java/io/snipeloom/standin/AnswerText.java
@@ -1,7 +1,7 @@
 package io.snipeloom.standin;
 
-import io.snipeloom.platform.PrefixHashes;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.zip.CRC32;
 
@@ -31,10 +31,15 @@
   public static AnswerText of(String prompt) {
     CRC32 crc = new CRC32();
     crc.update(prompt.getBytes(StandardCharsets.UTF_8));
-    List<String> words = PrefixHashes.words(prompt);
+    List<String> words = words(prompt);
     return new AnswerText(words.isEmpty() ? List.of("empty") : words, crc.getValue());
   }
 
+  /** Returns the words of a prompt, which stand for its tokens. */
+  static List<String> words(String prompt) {
+    return Arrays.stream(prompt.split("\\s+", -1)).filter(word -> !word.isEmpty()).toList();
+  }
+
   /**
    * Returns one token.
    *
--- a/src/main/java/io/snipeloom/standin/BatchEngine.java
+++ b/src/main/java/io/snipeloom/standin/BatchEngine.java
@@ -24,6 +24,7 @@
   private final EngineSettings settings;
   private final PrefixCache cache;
   private final LaggedLoad load;
+  private final String processId;
   private final PriorityQueue<Generation> queued =
       new PriorityQueue<>(
           Comparator.comparingInt((Generation g) -> g.request().priority())
@@ -39,10 +40,11 @@
   private long crashes;
   private long tokens;
 
-  BatchEngine(EngineSettings settings, PrefixCache cache, LaggedLoad load) {
+  BatchEngine(EngineSettings settings, PrefixCache cache, LaggedLoad load, String processId) {
     this.settings = settings;
     this.cache = cache;
     this.load = load;
+    this.processId = processId;
   }
 
   /** Queues a request. */
@@ -147,7 +149,9 @@
   }
 
   private int prefillSteps(Generation generation) {
-    int missing = generation.promptTokens() - cache.use(generation.prefixes());
+    List<String> prefixes = generation.request().prefixes();
+    int blocks = prefixes.size() + 1;
+    int missing = generation.promptTokens() * (blocks - cache.use(prefixes)) / blocks;
     if (settings.tokenMillis() == 0) {
       return 0;
     }
@@ -200,7 +204,12 @@
     }
   }
 
+  /** Returns a text that differs for each start, crashes included. */
+  synchronized String startId() {
+    return processId + "." + crashes;
+  }
+
   private void changed() {
-    load.update(new EngineLoad(running.size(), queued.size(), settings.batchSize()));
+    load.update(new EngineLoad(running.size(), queued.size(), settings.batchSize(), ""));
   }
 }
--- a/src/main/java/io/snipeloom/standin/ChatRequest.java
+++ b/src/main/java/io/snipeloom/standin/ChatRequest.java
@@ -1,8 +1,11 @@
 package io.snipeloom.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.snipeloom.platform.PrefixHashes;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.StringJoiner;
 
 /**
@@ -10,6 +13,7 @@
  *
  * @param model the model
  * @param prompt the contents of all messages, joined by line feeds
+ * @param prefixes the hashes of the prefixes of the messages
  * @param stream whether the answer is streamed
  * @param includeUsage whether a stream ends with the usage
  * @param maxTokens the most tokens of the answer; 0 if not limited
@@ -18,11 +22,14 @@
 record ChatRequest(
     String model,
     String prompt,
+    List<String> prefixes,
     boolean stream,
     boolean includeUsage,
     int maxTokens,
     int priority) {
 
+  private static final int MAX_BLOCKS = 1024;
+
   /** Reads a request body. */
   static ChatRequest parse(byte[] body) {
     JsonNode root = StandinJson.read(body, JsonNode.class);
@@ -32,6 +39,7 @@
     return new ChatRequest(
         root.path("model").asText(),
         prompt(root.path("messages")),
+        prefixes(root.path("messages")),
         root.path("stream").asBoolean(false),
         root.path("stream_options").path("include_usage").asBoolean(false),
         maxTokens(root),
@@ -49,6 +57,11 @@
     return prompt.toString();
   }
 
+  private static List<String> prefixes(JsonNode messages) {
+    byte[] text = messages.toString().getBytes(StandardCharsets.UTF_8);
+    return List.of(PrefixHashes.texts(PrefixHashes.of(text, MAX_BLOCKS)));
+  }
+
   private static String content(JsonNode content, String place) {
     if (content.isTextual()) {
       return content.asText();
--- a/src/main/java/io/snipeloom/standin/EngineController.java
+++ b/src/main/java/io/snipeloom/standin/EngineController.java
@@ -90,7 +90,7 @@
 
   @Get("/load")
   byte[] load() {
-    return StandinJson.write(parts.load().report(control.faults().lagMillis()));
+    return StandinJson.write(parts.report(control.faults().lagMillis()));
   }
 
   @Get("/cache/events")
--- a/src/main/java/io/snipeloom/standin/PrefixCache.java
+++ b/src/main/java/io/snipeloom/standin/PrefixCache.java
@@ -2,7 +2,6 @@
 
 import io.snipeloom.platform.CacheEvent;
 import io.snipeloom.platform.CachePage;
-import io.snipeloom.platform.PrefixHashes;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -31,14 +30,14 @@
     this.nanos = nanos;
   }
 
-  /** Returns the cached tokens of a prompt and caches all its blocks. */
+  /** Returns the number of cached blocks of a prompt and caches all its blocks. */
   synchronized int use(List<String> prefixes) {
     int cached = 0;
     while (cached < prefixes.size() && blocks.get(prefixes.get(cached)) != null) {
       cached++;
     }
     add(prefixes.subList(cached, prefixes.size()));
-    return cached * PrefixHashes.BLOCK_TOKENS;
+    return cached;
   }
 
   /** Caches blocks and evicts the ones that were not used for longest. */
--- a/src/test/java/io/snipeloom/standin/EngineStandinTest.java
+++ b/src/test/java/io/snipeloom/standin/EngineStandinTest.java
@@ -107,10 +107,12 @@
     CompletableFuture<Exception> neighbour =
         CompletableFuture.supplyAsync(() -> brokenBy(body("innocent", ",\"stream\":true")));
     await(() -> engine.counts().tokens() > 0);
+    final String startId = control.load().startId();
     assertThat(brokenBy(body("bad <<crash>> text", "")), is(brokenConnection()));
     assertThat(neighbour.get(20, TimeUnit.SECONDS), is(brokenConnection()));
     assertThat(engine.counts().crashes(), is(1L));
     await(() -> isUp());
+    assertThat(control.load().startId(), is(not(startId)));
   }
 
   @Test
