--- a/src/main/java/io/snipeloom/standin/ServiceController.java
+++ b/src/main/java/io/snipeloom/standin/ServiceController.java
@@ -3,6 +3,7 @@
 import io.micronaut.context.annotation.Requires;
 import io.micronaut.http.HttpMethod;
 import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
 import io.micronaut.http.MediaType;
 import io.micronaut.http.annotation.Consumes;
 import io.micronaut.http.annotation.Controller;
@@ -10,12 +11,14 @@
 import io.micronaut.http.annotation.Get;
 import io.micronaut.http.annotation.Patch;
 import io.micronaut.http.annotation.Post;
+import io.micronaut.http.annotation.Produces;
 import io.micronaut.http.annotation.Put;
 import io.snipeloom.transport.HttpHost;
 
 /** A plain service that takes any call; a call other than GET takes effect each time. */
 @Controller
 @Consumes(MediaType.ALL)
+@Produces(MediaType.ALL)
 @Requires(property = HttpHost.SURFACE, value = ServiceController.SURFACE)
 final class ServiceController {
   static final String SURFACE = "standin-service";
@@ -32,36 +35,37 @@
   }
 
   @Get(ANY_PATH)
-  byte[] get(HttpRequest<byte[]> request, String path) {
+  HttpResponse<byte[]> get(HttpRequest<byte[]> request, String path) {
     return call(request);
   }
 
   @Post(ANY_PATH)
-  byte[] post(HttpRequest<byte[]> request, String path) {
+  HttpResponse<byte[]> post(HttpRequest<byte[]> request, String path) {
     return call(request);
   }
 
   @Put(ANY_PATH)
-  byte[] put(HttpRequest<byte[]> request, String path) {
+  HttpResponse<byte[]> put(HttpRequest<byte[]> request, String path) {
     return call(request);
   }
 
   @Patch(ANY_PATH)
-  byte[] patch(HttpRequest<byte[]> request, String path) {
+  HttpResponse<byte[]> patch(HttpRequest<byte[]> request, String path) {
     return call(request);
   }
 
   @Delete(ANY_PATH)
-  byte[] delete(HttpRequest<byte[]> request, String path) {
+  HttpResponse<byte[]> delete(HttpRequest<byte[]> request, String path) {
     return call(request);
   }
 
-  private byte[] call(HttpRequest<byte[]> request) {
+  private HttpResponse<byte[]> call(HttpRequest<byte[]> request) {
     String key = request.getHeaders().get(KEY_HEADER, String.class, "");
     boolean hasEffect = request.getMethod() != HttpMethod.GET;
     byte[] body = request.getBody().orElse(new byte[0]);
     long effect = hasEffect ? effects.add(key, body) : 0;
-    return StandinJson.write(
-        new ServiceReply(name.value(), request.getMethodName(), request.getPath(), effect, key));
+    ServiceReply reply =
+        new ServiceReply(name.value(), request.getMethodName(), request.getPath(), effect, key);
+    return HttpResponse.ok(StandinJson.write(reply)).contentType(MediaType.APPLICATION_JSON_TYPE);
   }
 }
--- a/src/test/java/io/snipeloom/standin/EngineStandinTest.java
+++ b/src/test/java/io/snipeloom/standin/EngineStandinTest.java
@@ -197,7 +197,8 @@
   }
 
   private String post(String path, String body) {
-    return http.toBlocking().retrieve(HttpRequest.POST(path, body));
+    String accept = body.contains("\"stream\":true") ? "text/event-stream" : "application/json";
+    return http.toBlocking().retrieve(HttpRequest.POST(path, body).header("Accept", accept));
   }
 
   private String get(String path) {
