Calls that run once, crashes, re-attaching and the HTTP back end

Cause: the sidecar had no proof under failure and no back end over HTTP. A broken call is judged by a probe that begins after a tick, so that its neighbours break first and a crash is never blamed on one of several.

--- a/src/main/java/io/snipeloom/coordination/AttemptRunner.java
+++ b/src/main/java/io/snipeloom/coordination/AttemptRunner.java
@@ -249,11 +249,18 @@
 
   private void end(SidecarAttempt attempt) {
     if (attempt.ranAlone()) {
-      crashes.clear(attempt.dispatch().fingerprint());
+      clearSuspicion(attempt.dispatch().fingerprint());
     }
     finish(attempt, true, null, "", true);
   }
 
+  private void clearSuspicion(String fingerprint) {
+    crashes.clear(fingerprint);
+    if (crashes.isRecordedSuspect(fingerprint)) {
+      settlements.clearSuspect(fingerprint);
+    }
+  }
+
   private void failed(SidecarAttempt attempt, BackEndFailure failure, String message) {
     if (failure == BackEndFailure.NOT_SENT) {
       refuse(attempt, ErrorCode.UPSTREAM_FAILED, message, 0);
--- a/src/main/java/io/snipeloom/coordination/CrashWatch.java
+++ b/src/main/java/io/snipeloom/coordination/CrashWatch.java
@@ -25,6 +25,11 @@
     return decisions.isSuspect(fingerprint) || convictedByPrint.containsKey(fingerprint);
   }
 
+  /** Returns whether the log has the request as a suspect. */
+  boolean isRecordedSuspect(String fingerprint) {
+    return decisions.isSuspect(fingerprint);
+  }
+
   boolean isConvicted(String fingerprint) {
     return decisions.isConvicted(fingerprint) || convictedByPrint.getOrDefault(fingerprint, false);
   }
--- a/src/main/java/io/snipeloom/coordination/EngineRequest.java
+++ b/src/main/java/io/snipeloom/coordination/EngineRequest.java
@@ -3,12 +3,15 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.snipeloom.protocol.Header;
 import io.snipeloom.protocol.HttpCall;
 import io.snipeloom.protocol.Message;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.state.UpstreamKind;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * Prepares the call that a back end receives: a model engine always streams, states its usage and
@@ -20,15 +23,38 @@
   private static final String MAX_TOKENS = "max_tokens";
   private static final String MAX_COMPLETION_TOKENS = "max_completion_tokens";
 
+  /** The header that names the attempt at the back end, so that it can be stopped there. */
+  static final String REQUEST_ID = "X-Request-Id";
+
+  private static final String TRACE_CONTEXT = "traceparent";
+
   private final ObjectMapper json = new ObjectMapper();
 
   HttpCall of(Message.Dispatch dispatch, UpstreamKind kind) {
-    if (kind != UpstreamKind.MODEL_ENGINE) {
-      return dispatch.call();
-    }
     HttpCall call = dispatch.call();
-    byte[] body = bounded(parse(call.body()), dispatch.maxOutputTokens());
-    return new HttpCall(call.method(), call.path(), call.headers(), body);
+    byte[] body =
+        kind == UpstreamKind.MODEL_ENGINE
+            ? bounded(parse(call.body()), dispatch.maxOutputTokens())
+            : call.body();
+    return new HttpCall(call.method(), call.path(), headers(dispatch), body);
+  }
+
+  private static List<Header> headers(Message.Dispatch dispatch) {
+    List<Header> headers = new ArrayList<>();
+    for (Header header : dispatch.call().headers()) {
+      boolean replaced =
+          header.name().equalsIgnoreCase(REQUEST_ID)
+              || header.name().equalsIgnoreCase(TRACE_CONTEXT);
+      if (!replaced) {
+        headers.add(header);
+      }
+    }
+    String id = dispatch.attempt().holder() + "." + dispatch.attempt().sequence();
+    headers.add(new Header(REQUEST_ID, id));
+    if (!dispatch.traceparent().isEmpty()) {
+      headers.add(new Header(TRACE_CONTEXT, dispatch.traceparent()));
+    }
+    return headers;
   }
 
   private ObjectNode parse(byte[] body) {
--- a/src/main/java/io/snipeloom/coordination/EngineWatch.java
+++ b/src/main/java/io/snipeloom/coordination/EngineWatch.java
@@ -37,7 +37,8 @@
   private BackEndStatus status = UNREACHABLE;
   private int failedProbes;
   private boolean probing;
-  private boolean probeAgain;
+  private boolean conclusive;
+  private boolean ripe;
   private boolean investigating;
 
   EngineWatch(
@@ -77,6 +78,7 @@
       return;
     }
     probing = true;
+    conclusive = ripe;
     var unused =
         backEnd
             .probe()
@@ -96,34 +98,28 @@
       investigating = true;
       runner.setBlocked(true);
     }
-    probeAgain = probing;
-    probe();
   }
 
   private void probed(BackEndStatus answer) {
     probing = false;
-    if (probeAgain) {
-      probeAgain = false;
-      probe();
-      return;
-    }
     status = answer;
     failedProbes = answer.ready() ? 0 : failedProbes + 1;
     if (answer.ready()) {
       runner.setStartId(answer.startId());
       adoptCapacity(answer);
     }
-    if (investigating) {
+    if (investigating && conclusive) {
       investigate(answer);
     }
     if (failedProbes == MAX_FAILED_PROBES) {
       runner.refuseWaiting();
     }
-    runner.setBlocked(!answer.ready() || !pendingCrashes.isEmpty());
+    runner.setBlocked(!answer.ready() || investigating || !pendingCrashes.isEmpty());
   }
 
   private void investigate(BackEndStatus answer) {
     investigating = false;
+    ripe = false;
     if (isCrash(answer)) {
       crashed(inFlight(answer));
     } else {
@@ -201,8 +197,12 @@
     runner.setBlocked(!status.ready() || investigating || !pendingCrashes.isEmpty());
   }
 
-  /** Ends attempts whose crash report has waited for the log long enough. */
+  /**
+   * Ends attempts whose crash report has waited for the log long enough. A broken call is judged by
+   * a probe that begins after a tick, so that its neighbours had time to break too.
+   */
   void tick(long nowNanos) {
+    ripe = investigating;
     for (PendingCrash crash : List.copyOf(pendingCrashes)) {
       if (nowNanos - crash.sinceNanos() > reportLimitNanos) {
         metrics.meter("sidecar.crashreports.late").mark();
--- a/src/main/java/io/snipeloom/coordination/SettlementWriter.java
+++ b/src/main/java/io/snipeloom/coordination/SettlementWriter.java
@@ -91,6 +91,11 @@
     reportIfDrained(attempt.holder());
   }
 
+  /** Writes that a suspect ran alone to its end. */
+  void clearSuspect(String fingerprint) {
+    var unused = sink.append(List.of(new DecisionRecord.SuspectCleared(fingerprint, self)));
+  }
+
   void holderClosed(Incarnation holder) {
     closedHolders.add(holder);
     reportIfDrained(holder);
--- /dev/null
+++ b/src/main/java/io/snipeloom/daemon/HttpBackEnd.java
@@ -0,0 +1,199 @@
+package io.snipeloom.daemon;
+
+import io.micronaut.http.HttpMethod;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.MutableHttpRequest;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.HttpClient;
+import io.micronaut.http.client.HttpClientConfiguration;
+import io.micronaut.http.client.sse.SseClient;
+import io.snipeloom.coordination.BackEndCall;
+import io.snipeloom.coordination.BackEndClient;
+import io.snipeloom.coordination.BackEndListener;
+import io.snipeloom.coordination.BackEndStatus;
+import io.snipeloom.platform.ClientTimeouts;
+import io.snipeloom.platform.EngineLoad;
+import io.snipeloom.platform.HttpModelEngine;
+import io.snipeloom.protocol.Header;
+import io.snipeloom.protocol.HttpCall;
+import io.snipeloom.state.EngineOrder;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.state.UpstreamKind;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.MalformedURLException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.net.URL;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * The back end beside a sidecar over HTTP.
+ *
+ * <p>Thread-safe. Control calls run on a small pool of their own, so that they never block the
+ * caller.
+ */
+final class HttpBackEnd implements BackEndClient {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(30);
+  private static final int CONTROL_THREADS = 2;
+  private static final Set<String> OWN_HEADERS =
+      Set.of(
+          "host",
+          "connection",
+          "content-length",
+          "transfer-encoding",
+          "accept-encoding",
+          "keep-alive",
+          "te",
+          "upgrade",
+          "authorization");
+
+  private final UpstreamKind kind;
+  private final URI address;
+  private final HttpClient serviceClient;
+  private final SseClient engineClient;
+  private final HttpModelEngine engine;
+  private final ExecutorService control = Executors.newFixedThreadPool(CONTROL_THREADS);
+
+  private HttpBackEnd(UpstreamKind kind, URI address, int maxAnswerBytes) {
+    this.kind = kind;
+    this.address = address;
+    URL url = url(address);
+    HttpClientConfiguration configuration = configuration(maxAnswerBytes);
+    this.serviceClient = HttpClient.create(url, configuration);
+    this.engineClient = SseClient.create(url, configuration);
+    this.engine = HttpModelEngine.of(address, new ClientTimeouts(CONNECT_TIMEOUT, CONNECT_TIMEOUT));
+  }
+
+  /**
+   * Returns a client of a back end.
+   *
+   * @param kind the kind of back end
+   * @param address its base address
+   * @param maxAnswerBytes the largest body of a plain service
+   * @return the client
+   * @throws SnipeloomException with {@link ErrorCode#INVALID_SETTINGS} if the address is malformed
+   */
+  static HttpBackEnd of(UpstreamKind kind, URI address, int maxAnswerBytes) {
+    return new HttpBackEnd(kind, address, maxAnswerBytes);
+  }
+
+  /** Closes all connections. */
+  void stop() {
+    control.shutdownNow();
+    if (engineClient instanceof HttpClient closeable) {
+      closeable.close();
+    }
+    serviceClient.close();
+    engine.stop();
+  }
+
+  @Override
+  public BackEndCall start(HttpCall call, BackEndListener listener) {
+    if (kind == UpstreamKind.MODEL_ENGINE) {
+      EngineCall started = new EngineCall(listener, () -> cancelAtEngine(call));
+      engineClient.eventStream(request(call)).subscribe(started);
+      return started;
+    }
+    ServiceCall started = new ServiceCall(listener);
+    serviceClient.exchange(request(call), byte[].class).subscribe(started);
+    return started;
+  }
+
+  private void cancelAtEngine(HttpCall call) {
+    call.headers().stream()
+        .filter(header -> header.name().equals("X-Request-Id"))
+        .findFirst()
+        .ifPresent(header -> control.execute(() -> cancelQuietly(header.value())));
+  }
+
+  private void cancelQuietly(String id) {
+    try {
+      engine.cancel(id);
+    } catch (SnipeloomException e) {
+      // The closed connection stops the request as well.
+    }
+  }
+
+  @Override
+  public CompletionStage<BackEndStatus> probe() {
+    return kind == UpstreamKind.MODEL_ENGINE
+        ? CompletableFuture.supplyAsync(this::engineStatus, control)
+        : CompletableFuture.supplyAsync(this::serviceStatus, control);
+  }
+
+  private BackEndStatus engineStatus() {
+    EngineLoad load = engine.load();
+    return new BackEndStatus(true, load.running(), load.queued(), load.capacity(), "");
+  }
+
+  private BackEndStatus serviceStatus() {
+    try (Socket socket = new Socket()) {
+      socket.connect(
+          new InetSocketAddress(address.getHost(), address.getPort()),
+          (int) CONNECT_TIMEOUT.toMillis());
+      return new BackEndStatus(true, 0, 0, 0, "");
+    } catch (IOException e) {
+      return new BackEndStatus(false, 0, 0, 0, "");
+    }
+  }
+
+  @Override
+  public CompletionStage<Void> order(long fencingNumber, EngineOrder order) {
+    return CompletableFuture.runAsync(() -> engine.order(fencingNumber, order), control);
+  }
+
+  private static MutableHttpRequest<byte[]> request(HttpCall call) {
+    MutableHttpRequest<byte[]> request =
+        HttpRequest.create(HttpMethod.parse(call.method()), checkedPath(call.path()));
+    for (Header header : call.headers()) {
+      if (!OWN_HEADERS.contains(header.name().toLowerCase(Locale.ROOT))) {
+        request.header(header.name(), header.value());
+      }
+    }
+    return call.body().length == 0 ? request : request.body(call.body());
+  }
+
+  private static String checkedPath(String path) {
+    try {
+      URI parsed = new URI(path);
+      if (path.startsWith("/") && parsed.getHost() == null && parsed.getScheme() == null) {
+        return path;
+      }
+    } catch (URISyntaxException e) {
+      throw SnipeloomException.of(ErrorCode.INVALID_REQUEST, "the path is malformed").withCause(e);
+    }
+    throw SnipeloomException.of(ErrorCode.INVALID_REQUEST, "the path must start with one slash");
+  }
+
+  private static HttpClientConfiguration configuration(int maxAnswerBytes) {
+    DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
+    configuration.setConnectTimeout(CONNECT_TIMEOUT);
+    configuration.setReadTimeout(SILENCE_TIMEOUT);
+    configuration.setReadIdleTimeout(SILENCE_TIMEOUT);
+    configuration.setMaxContentLength(maxAnswerBytes);
+    configuration.setFollowRedirects(false);
+    configuration.setExceptionOnErrorStatus(false);
+    configuration.getConnectionPoolConfiguration().setEnabled(false);
+    return configuration;
+  }
+
+  private static URL url(URI address) {
+    try {
+      return address.toURL();
+    } catch (MalformedURLException | IllegalArgumentException e) {
+      throw SnipeloomException.of(
+              ErrorCode.INVALID_SETTINGS, "/backEnd is not an HTTP address: " + address)
+          .withCause(e);
+    }
+  }
+}
