Command line: config, budget, status, ledger, completion, and the stand-ins

Exit codes 0 done, 1 refused or invalid, 2 wrong command line, 3 no instance answered or it cannot reach the log.

--- /dev/null
+++ b/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
@@ -0,0 +1,76 @@
+package io.snipeloom.daemon;
+
+import io.snipeloom.standin.StandinCommand;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.state.Violation;
+import java.io.PrintWriter;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The {@code snipeloom} command, which runs the daemons and the tools of operators. */
+@Command(
+    name = "snipeloom",
+    description = "Routes language-model traffic that is paid from prepaid token budgets.",
+    mixinStandardHelpOptions = true,
+    versionProvider = SnipeloomVersion.class,
+    subcommands = {
+      ConfigCommand.class,
+      BudgetCommand.class,
+      StatusCommand.class,
+      LedgerCommand.class,
+      StandinCommand.class,
+      CompletionCommand.class,
+    },
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {
+      "0:done",
+      "1:invalid input, refused change, or a fault found by an audit",
+      "2:wrong command line",
+      "3:no instance answered, or it could not reach the log; try again"
+    })
+public final class SnipeloomCommand implements Runnable {
+  @Spec private CommandSpec spec;
+
+  /**
+   * Runs the command and exits with its code.
+   *
+   * @param args the arguments
+   */
+  public static void main(String[] args) {
+    System.exit(commandLine().execute(args));
+  }
+
+  /**
+   * Returns the command line, whose output can be redirected before it is executed.
+   *
+   * @return the command line
+   */
+  public static CommandLine commandLine() {
+    return new CommandLine(new SnipeloomCommand())
+        .setCaseInsensitiveEnumValuesAllowed(true)
+        .setExecutionExceptionHandler(SnipeloomCommand::report);
+  }
+
+  @Override
+  public void run() {
+    throw new ParameterException(spec.commandLine(), "a subcommand is required");
+  }
+
+  private static int report(
+      Exception exception, CommandLine commandLine, CommandLine.ParseResult result)
+      throws Exception {
+    if (!(exception instanceof SnipeloomException error)) {
+      throw exception;
+    }
+    PrintWriter err = commandLine.getErr();
+    err.println("error: code=%s message=\"%s\"".formatted(error.code().text(), error.getMessage()));
+    for (Violation violation : error.violations()) {
+      err.println("  %s: %s".formatted(violation.pointer(), violation.message()));
+    }
+    err.flush();
+    return ExitCode.of(error.code()).value();
+  }
+}
