--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/HolderShard.java
@@ -0,0 +1,340 @@
+package io.snipeloom.coordination;
+
+import io.snipeloom.state.AttemptId;
+import io.snipeloom.state.BudgetId;
+import io.snipeloom.state.DecisionEvent;
+import io.snipeloom.state.DecisionEvent.BudgetLevel;
+import io.snipeloom.state.DecisionEvent.SettlementEffect;
+import io.snipeloom.state.DecisionRecord;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.Incarnation;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.state.SpendPolicy;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+/**
+ * A shard of the budgets of a holder. Thread-safe: its lock guards the budgets; records are
+ * appended and waiters completed after the lock is released.
+ */
+final class HolderShard {
+  private static final long NEED_MEMORY_NANOS = Duration.ofSeconds(5).toNanos();
+  private static final long RECALL_RETRY_NANOS = Duration.ofSeconds(1).toNanos();
+  private static final long RETURN_INTERVAL_NANOS = Duration.ofSeconds(10).toNanos();
+
+  private final Incarnation self;
+  private final Function<BudgetId, SpendPolicy> policies;
+  private final RecordSink sink;
+  private final LongSupplier nanoClock;
+  private final SpendMetrics metrics;
+  private final Map<BudgetId, HeldBudget> budgets = new HashMap<>();
+  private boolean stopped;
+  private boolean closed;
+
+  HolderShard(
+      Incarnation self,
+      Function<BudgetId, SpendPolicy> policies,
+      RecordSink sink,
+      LongSupplier nanoClock,
+      SpendMetrics metrics) {
+    this.self = self;
+    this.policies = policies;
+    this.sink = sink;
+    this.nanoClock = nanoClock;
+    this.metrics = metrics;
+  }
+
+  Reservation reserve(BudgetId budget, AttemptId attempt, long tokens) {
+    Effects effects = new Effects();
+    SnipeloomException refusal = null;
+    synchronized (this) {
+      HeldBudget held = heldOrNew(budget);
+      if (!held.waiters().isEmpty() || !held.tryReserve(attempt, tokens, nanoClock.getAsLong())) {
+        refusal = refusal(held, tokens);
+        claimIfNeeded(held, effects);
+      }
+    }
+    effects.run();
+    if (refusal != null) {
+      metrics.refused(refusal.code());
+      throw refusal;
+    }
+    metrics.reserved().inc();
+    return new Reservation(budget, attempt, tokens);
+  }
+
+  CompletableFuture<Reservation> reserveBy(
+      BudgetId budget, AttemptId attempt, long tokens, long deadlineNanos) {
+    Effects effects = new Effects();
+    CompletableFuture<Reservation> result = new CompletableFuture<>();
+    synchronized (this) {
+      HeldBudget held = heldOrNew(budget);
+      held.waiters().add(new ReservationWaiter(attempt, tokens, deadlineNanos, result));
+      serve(held, effects);
+      claimIfNeeded(held, effects);
+    }
+    effects.run();
+    return result;
+  }
+
+  void settle(BudgetId budget, AttemptId attempt, long consumed) {
+    change(
+        budget,
+        (held, effects) -> {
+          long excessBefore = held.excess();
+          held.settle(attempt, consumed, nanoClock.getAsLong());
+          metrics.excessTokens().inc(held.excess() - excessBefore);
+        });
+  }
+
+  void onGranted(DecisionEvent.ClaimGranted grant) {
+    change(
+        grant.level().budget(),
+        (held, effects) -> {
+          if (grant.holder().equals(self)) {
+            held.addGranted(grant.asked(), grant.granted());
+          }
+          held.noteLevel(grant.level());
+          if (!grant.holder().equals(self) && grant.granted() < grant.asked()) {
+            metrics.recalls().inc();
+            giveBack(held, held.recalled(grant.asked() - grant.granted()), effects);
+          }
+        });
+  }
+
+  void onRefused(DecisionEvent.ClaimRefused refusal) {
+    if (refusal.holder().equals(self)) {
+      change(refusal.budget(), (held, effects) -> held.claimRefused());
+    }
+  }
+
+  void onReturned(DecisionEvent.ReturnApplied returned) {
+    change(
+        returned.level().budget(),
+        (held, effects) -> {
+          if (returned.holder().equals(self)) {
+            held.confirmReturned(returned.tokens());
+          }
+          held.noteLevel(returned.level());
+        });
+  }
+
+  void onLevel(BudgetLevel level) {
+    change(level.budget(), (held, effects) -> held.noteLevel(level));
+  }
+
+  void onReleased(BudgetId budget, long tokens) {
+    change(budget, (held, effects) -> held.addToPool(tokens));
+  }
+
+  void onSettled(DecisionEvent.SettlementApplied settlement) {
+    boolean counted =
+        settlement.effect() == SettlementEffect.COUNTED
+            || settlement.effect() == SettlementEffect.REPLACED;
+    change(
+        settlement.level().budget(),
+        (held, effects) -> {
+          if (counted && settlement.attempt().holder().equals(self)) {
+            held.confirm(settlement, nanoClock.getAsLong());
+          }
+          held.noteLevel(settlement.level());
+        });
+  }
+
+  /** Changes a budget that is held, then serves waiters and claims or returns as that allows. */
+  private void change(BudgetId budget, Change change) {
+    Effects effects = new Effects();
+    synchronized (this) {
+      HeldBudget held = budgets.get(budget);
+      if (held == null) {
+        return;
+      }
+      change.apply(held, effects);
+      settleDown(held, effects);
+    }
+    effects.run();
+  }
+
+  private void settleDown(HeldBudget held, Effects effects) {
+    if (closed) {
+      return;
+    }
+    serve(held, effects);
+    if (stopped) {
+      giveBack(held, held.remaining(), effects);
+    } else if (held.isInNeed()) {
+      claimIfNeeded(held, effects);
+    }
+  }
+
+  void step() {
+    Effects effects = new Effects();
+    synchronized (this) {
+      long now = nanoClock.getAsLong();
+      Iterator<HeldBudget> all = budgets.values().iterator();
+      while (all.hasNext()) {
+        HeldBudget held = all.next();
+        expireWaiters(held, now, effects);
+        step(held, now, effects);
+        if (held.isEmpty()) {
+          all.remove();
+        }
+      }
+    }
+    effects.run();
+  }
+
+  private void step(HeldBudget held, long now, Effects effects) {
+    SpendPolicy policy = policies.apply(held.id());
+    held.updateRate(policy, now);
+    settleDown(held, effects);
+    if (!stopped && !closed) {
+      long idleNanos = policy.horizon().toNanos();
+      giveBack(held, held.surplus(policy, now, idleNanos, RETURN_INTERVAL_NANOS), effects);
+      claimIfNeeded(held, effects);
+    }
+  }
+
+  private void serve(HeldBudget held, Effects effects) {
+    while (!held.waiters().isEmpty()) {
+      ReservationWaiter waiter = held.waiters().peek();
+      if (held.tryReserve(waiter.attempt(), waiter.tokens(), nanoClock.getAsLong())) {
+        metrics.reserved().inc();
+        Reservation granted = new Reservation(held.id(), waiter.attempt(), waiter.tokens());
+        effects.add(() -> waiter.result().complete(granted));
+      } else if (held.isExhaustedFor(waiter.tokens())) {
+        fail(waiter, refusal(held, waiter.tokens()), effects);
+      } else {
+        return;
+      }
+      held.waiters().remove();
+    }
+  }
+
+  private void expireWaiters(HeldBudget held, long now, Effects effects) {
+    Iterator<ReservationWaiter> waiters = held.waiters().iterator();
+    while (waiters.hasNext()) {
+      ReservationWaiter waiter = waiters.next();
+      if (now - waiter.deadlineNanos() >= 0) {
+        waiters.remove();
+        fail(waiter, refusal(held, waiter.tokens()), effects);
+      }
+    }
+  }
+
+  private void fail(ReservationWaiter waiter, SnipeloomException error, Effects effects) {
+    metrics.refused(error.code());
+    effects.add(() -> waiter.result().completeExceptionally(error));
+  }
+
+  private SnipeloomException refusal(HeldBudget held, long tokens) {
+    if (held.isExhaustedFor(tokens)) {
+      return SnipeloomException.of(
+              ErrorCode.BUDGET_EXHAUSTED, "budget " + held.id() + " has no tokens left for this")
+          .withPlace("reserve", self.value());
+    }
+    return SnipeloomException.of(
+            ErrorCode.BUDGET_UNAVAILABLE, "tokens of budget " + held.id() + " are being claimed")
+        .withPlace("reserve", self.value())
+        .withRetryAfter(BudgetHolder.RETRY_AFTER);
+  }
+
+  private void claimIfNeeded(HeldBudget held, Effects effects) {
+    long now = nanoClock.getAsLong();
+    SpendPolicy policy = policies.apply(held.id());
+    long tokens = held.claimNow(policy, now, NEED_MEMORY_NANOS, RECALL_RETRY_NANOS);
+    if (tokens > 0) {
+      metrics.claims().inc();
+      effects.add(new DecisionRecord.ClaimRequested(self, held.id(), tokens));
+    }
+  }
+
+  private void giveBack(HeldBudget held, long tokens, Effects effects) {
+    long taken = closed ? 0 : held.takeForReturn(tokens, nanoClock.getAsLong());
+    if (taken > 0) {
+      metrics.returns().inc();
+      effects.add(new DecisionRecord.ClaimReturned(self, held.id(), taken));
+    }
+  }
+
+  void stop(SnipeloomException reason) {
+    Effects effects = new Effects();
+    synchronized (this) {
+      stopped = true;
+      for (HeldBudget held : budgets.values()) {
+        failAll(held, reason, effects);
+        giveBack(held, held.remaining(), effects);
+      }
+    }
+    effects.run();
+  }
+
+  void close(SnipeloomException reason) {
+    Effects effects = new Effects();
+    synchronized (this) {
+      closed = true;
+      budgets.values().forEach(held -> failAll(held, reason, effects));
+    }
+    effects.run();
+  }
+
+  private void failAll(HeldBudget held, SnipeloomException reason, Effects effects) {
+    held.waiters().forEach(waiter -> fail(waiter, reason, effects));
+    held.waiters().clear();
+  }
+
+  synchronized boolean isDrained() {
+    return budgets.values().stream().allMatch(HeldBudget::isDrained);
+  }
+
+  synchronized long remaining(BudgetId budget) {
+    HeldBudget held = budgets.get(budget);
+    return held == null ? 0 : held.remaining();
+  }
+
+  synchronized long reserved(BudgetId budget) {
+    HeldBudget held = budgets.get(budget);
+    return held == null ? 0 : held.reserved();
+  }
+
+  private HeldBudget heldOrNew(BudgetId budget) {
+    if (closed || stopped) {
+      ErrorCode code = closed ? ErrorCode.FENCED : ErrorCode.LEAVING;
+      throw SnipeloomException.of(code, "this holder is closed").withPlace("reserve", self.value());
+    }
+    return budgets.computeIfAbsent(budget, id -> new HeldBudget(id, nanoClock.getAsLong()));
+  }
+
+  /** A change of one budget under the lock. */
+  private interface Change {
+    void apply(HeldBudget held, Effects effects);
+  }
+
+  /** What follows after the lock is released. */
+  private final class Effects {
+    private final List<DecisionRecord> records = new ArrayList<>(2);
+    private final List<Runnable> completions = new ArrayList<>(2);
+
+    private void add(DecisionRecord record) {
+      records.add(record);
+    }
+
+    private void add(Runnable completion) {
+      completions.add(completion);
+    }
+
+    private void run() {
+      if (!records.isEmpty()) {
+        var unused = sink.append(records);
+      }
+      completions.forEach(Runnable::run);
+    }
+  }
+}
--- a/src/main/java/io/snipeloom/state/DecisionEvent.java
+++ b/src/main/java/io/snipeloom/state/DecisionEvent.java
@@ -54,6 +54,7 @@
    *     changed nothing
    * @param change the change of the tokens consumed; negative if an estimate was replaced, 0 for a
    *     duplicate
+   * @param exact whether the record gave the true figure
    * @param effect how the record was taken
    * @param billed whether the record put the request on the bill
    * @param level the budget afterwards
@@ -64,6 +65,7 @@
       RequestKey key,
       long counted,
       long change,
+      boolean exact,
       SettlementEffect effect,
       boolean billed,
       BudgetLevel level)
--- a/src/main/java/io/snipeloom/state/Holder.java
+++ b/src/main/java/io/snipeloom/state/Holder.java
@@ -14,11 +14,14 @@
  * have unsettled work of it.
  */
 final class Holder {
+  private static final long NOT_RELEASED = -1;
+
   private final Incarnation id;
   private final BitSet awaited = new BitSet();
   private final Set<BudgetId> budgets = new TreeSet<>();
   private final SequenceRanges settled;
   private Phase phase = Phase.OPEN;
+  private long releasedAt = NOT_RELEASED;
 
   Holder(Incarnation id, SequenceRanges settled) {
     this.id = id;
@@ -49,8 +52,23 @@
     return phase == Phase.OPEN;
   }
 
-  void moveTo(Phase newPhase) {
-    phase = newPhase;
+  long releasedAt() {
+    return releasedAt;
+  }
+
+  void close() {
+    phase = Phase.CLOSED;
+  }
+
+  void release(long offset) {
+    phase = Phase.RELEASED;
+    releasedAt = offset;
+  }
+
+  void restore(Image image) {
+    phase = image.phase();
+    releasedAt = image.releasedAt();
+    budgets.addAll(image.budgets());
   }
 
   /** The life of a holder. */
@@ -68,6 +86,7 @@
   record Image(
       Incarnation id,
       Phase phase,
+      long releasedAt,
       List<Integer> awaited,
       List<BudgetId> budgets,
       SequenceRanges.Image settled) {}
--- a/src/main/java/io/snipeloom/state/HolderTable.java
+++ b/src/main/java/io/snipeloom/state/HolderTable.java
@@ -65,7 +65,7 @@
       return Optional.empty();
     }
     Holder holder = Optional.ofNullable(open.remove(id)).orElseGet(() -> create(id));
-    holder.moveTo(Holder.Phase.CLOSED);
+    holder.close();
     closed.put(id, holder);
     BitSet added = sidecars.liveIndexes();
     added.andNot(holder.awaited());
@@ -79,15 +79,20 @@
     return holder.awaited().isEmpty() || !limits.isEnabled(Guard.DRAIN_BARRIER);
   }
 
-  void noteReleased(Holder holder) {
+  /**
+   * Notes that a closed holder has no remainder any more. It is forgotten only when its own batches
+   * from before its closing would be stale, so that none can open it again.
+   */
+  void noteReleased(Holder holder, long offset) {
     holder.awaited().stream().boxed().toList().forEach(index -> removeAwaited(holder, index));
     closed.remove(holder.id());
-    holder.moveTo(Holder.Phase.RELEASED);
+    holder.release(offset);
     released.put(holder.id(), holder);
     if (released.size() > limits.closedMemory()) {
       Iterator<Holder> oldest = released.values().iterator();
-      oldest.next();
-      oldest.remove();
+      if (oldest.next().releasedAt() < offset - limits.writerMemoryOffsets()) {
+        oldest.remove();
+      }
     }
   }
 
@@ -158,6 +163,7 @@
     return new Holder.Image(
         holder.id(),
         holder.phase(),
+        holder.releasedAt(),
         holder.awaited().stream().mapToObj(positions::get).sorted().toList(),
         List.copyOf(holder.budgets()),
         holder.settled().image());
@@ -167,8 +173,7 @@
     for (Holder.Image entry : image) {
       SequenceRanges settled = SequenceRanges.restore(limits.settledRanges(), entry.settled());
       Holder holder = new Holder(entry.id(), settled);
-      holder.moveTo(entry.phase());
-      holder.budgets().addAll(entry.budgets());
+      holder.restore(entry);
       entry.awaited().forEach(index -> restoreAwaited(holder, index));
       mapOf(entry.phase()).put(holder.id(), holder);
     }
--- a/src/main/java/io/snipeloom/state/RecordApplier.java
+++ b/src/main/java/io/snipeloom/state/RecordApplier.java
@@ -172,7 +172,7 @@
     boolean nothingLeft = holder.budgets().isEmpty();
     if (closed && (nothingLeft || tables.holders().isDrained(holder))) {
       Map<BudgetId, Long> tokens = tables.budgets().release(holder);
-      tables.holders().noteReleased(holder);
+      tables.holders().noteReleased(holder, offset);
       events.add(new DecisionEvent.HolderReleased(offset, holder.id(), tokens));
     }
   }
@@ -183,7 +183,7 @@
       return;
     }
     Map<BudgetId, Long> tokens = tables.budgets().writeOff(holder);
-    tables.holders().noteReleased(holder);
+    tables.holders().noteReleased(holder, offset);
     events.add(new DecisionEvent.HolderWrittenOff(offset, holder.id(), record.operator(), tokens));
   }
 }
--- a/src/main/java/io/snipeloom/state/SettlementTable.java
+++ b/src/main/java/io/snipeloom/state/SettlementTable.java
@@ -43,7 +43,15 @@
     boolean billed = effect != SettlementEffect.UNCOUNTED && bill(record, budget);
     long counted = isCounted(effect) ? record.consumedTokens() : 0;
     return new DecisionEvent.SettlementApplied(
-        offset, record.attempt(), record.key(), counted, change, effect, billed, budget.level());
+        offset,
+        record.attempt(),
+        record.key(),
+        counted,
+        change,
+        record.exact(),
+        effect,
+        billed,
+        budget.level());
   }
 
   private SettlementEffect effectOf(AttemptSettled record, Holder holder, Estimate estimate) {
