--- a/src/test/java/io/snipeloom/coordination/TcpSidecarLinkTest.java
+++ b/src/test/java/io/snipeloom/coordination/TcpSidecarLinkTest.java
@@ -151,7 +151,7 @@
     Received received = new Received();
     link.dispatch(Messages.dispatch(1, Urgency.PROMPT), received);
     Eventually.await("started", () -> process.backEnd.calls.size() == 1);
-    var left = process.sidecar.leave().toCompletableFuture();
+    final var left = process.sidecar.leave().toCompletableFuture();
     Eventually.await("not usable", () -> !link.isUsable());
     Received late = new Received();
     link.dispatch(Messages.dispatch(2, Urgency.PROMPT), late);
