Router: log writer and replica, request flow, surface for callers

Cause: nothing joined the parts. Ruled out: one claim a request as the way to reserve (tried as ClaimPerRequest, one append before every dispatch); BudgetHolder replaces it.

--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/CallerRequest.java
@@ -0,0 +1,49 @@
+package io.snipeloom.coordination;
+
+import io.snipeloom.protocol.HttpCall;
+import io.snipeloom.state.BudgetId;
+import io.snipeloom.state.ModelId;
+import io.snipeloom.state.RequestClass;
+import io.snipeloom.state.RequestKey;
+
+/**
+ * A checked request of a caller, ready to be routed.
+ *
+ * @param key the request key
+ * @param issuedAtMillis the issue time of the key, in milliseconds since the epoch
+ * @param keyed whether the caller chose the key and may repeat the request
+ * @param budget the budget that pays
+ * @param requestClass the request class
+ * @param model the model wanted; null for a plain call
+ * @param call the HTTP call to make at the back end
+ * @param upperBoundTokens the most tokens that one attempt may consume
+ * @param maxOutputTokens the most tokens that the answer may have
+ * @param prefix the hash chain of the prompt
+ * @param fingerprint a digest of the request, equal for repeats under other keys
+ * @param traceparent the W3C trace context; empty if none
+ * @param deadlineNanos the deadline on the router's monotonic clock, in nanoseconds
+ */
+public record CallerRequest(
+    RequestKey key,
+    long issuedAtMillis,
+    boolean keyed,
+    BudgetId budget,
+    RequestClass requestClass,
+    ModelId model,
+    HttpCall call,
+    long upperBoundTokens,
+    long maxOutputTokens,
+    PrefixChain prefix,
+    String fingerprint,
+    String traceparent,
+    long deadlineNanos) {
+
+  /**
+   * Returns whether a second run of the request is harmless.
+   *
+   * @return true if it may run more than once
+   */
+  public boolean isRepeatable() {
+    return requestClass.urgency().isRepeatable();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/LogConfigurationAuthority.java
@@ -0,0 +1,79 @@
+package io.snipeloom.coordination;
+
+import io.snipeloom.state.ConfigurationChange;
+import io.snipeloom.state.ConfigurationDocument;
+import io.snipeloom.state.DecisionEvent;
+import io.snipeloom.state.DecisionRecord;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.PublishResult;
+import io.snipeloom.state.SnipeloomException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Publishes changes of configuration through the decision stream.
+ *
+ * <p>Thread-safe. Add it to the replica as a listener before the replica starts.
+ */
+public final class LogConfigurationAuthority implements ConfigurationAuthority, DecisionListener {
+  private final LogReplica replica;
+  private final RecordSink records;
+  private final Map<ConfigurationChange, CompletableFuture<PublishResult>> waiting =
+      new ConcurrentHashMap<>();
+
+  /**
+   * Creates an authority.
+   *
+   * @param replica the replica of the decision state
+   * @param records takes the changes
+   */
+  public LogConfigurationAuthority(LogReplica replica, RecordSink records) {
+    this.replica = replica;
+    this.records = records;
+  }
+
+  @Override
+  public ConfigurationDocument current() {
+    return replica.read(state -> state.configuration());
+  }
+
+  @Override
+  public CompletionStage<PublishResult> publish(ConfigurationChange change) {
+    CompletableFuture<PublishResult> result = new CompletableFuture<>();
+    if (waiting.putIfAbsent(change, result) != null) {
+      return CompletableFuture.failedStage(
+          SnipeloomException.of(
+              ErrorCode.CONFIGURATION_CONFLICT, "the same change is being published"));
+    }
+    records
+        .appendNow(List.of(new DecisionRecord.ConfigurationChanged(change)))
+        .whenComplete(
+            (offset, error) -> {
+              if (error != null) {
+                waiting.remove(change);
+                result.completeExceptionally(error);
+              }
+            });
+    return result;
+  }
+
+  @Override
+  public void onEvent(DecisionEvent event) {
+    if (event instanceof DecisionEvent.ConfigurationAccepted accepted) {
+      complete(accepted.change(), new PublishResult.Accepted(accepted.offset()));
+    } else if (event instanceof DecisionEvent.ConfigurationRefused refused) {
+      SnipeloomException error = SnipeloomException.of(refused.code(), refused.message());
+      complete(refused.change(), PublishResult.Refused.of(error));
+    }
+  }
+
+  private void complete(ConfigurationChange change, PublishResult result) {
+    CompletableFuture<PublishResult> future = waiting.remove(change);
+    if (future != null) {
+      future.complete(result);
+    }
+  }
+}
--- a/src/main/java/io/snipeloom/coordination/RecordSink.java
+++ b/src/main/java/io/snipeloom/coordination/RecordSink.java
@@ -8,10 +8,21 @@
 public interface RecordSink {
 
   /**
-   * Appends records together, in order. A lost answer is retried until the records are in the log.
+   * Appends records together, in order, within the usual linger time. A lost answer is retried
+   * until the records are in the log.
    *
    * @param records the records
    * @return the offset of their batch, once this process has applied it
    */
   CompletionStage<Long> append(List<DecisionRecord> records);
+
+  /**
+   * Appends records together without lingering, for a request that waits for them.
+   *
+   * @param records the records
+   * @return the offset of their batch, once this process has applied it
+   */
+  default CompletionStage<Long> appendNow(List<DecisionRecord> records) {
+    return append(records);
+  }
 }
--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/RequestRouter.java
@@ -0,0 +1,126 @@
+package io.snipeloom.coordination;
+
+import com.codahale.metrics.Gauge;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.SnipeloomException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * Routes the requests of one router and knows how many are open.
+ *
+ * <p>Thread-safe. {@link #drain} refuses new requests and waits for the open ones.
+ */
+public final class RequestRouter {
+  private static final Duration LEAVING_RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final RouterContext context;
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Condition idle = lock.newCondition();
+  private int open;
+  private boolean draining;
+
+  /**
+   * Creates a router.
+   *
+   * @param context the collaborators
+   */
+  public RequestRouter(RouterContext context) {
+    this.context = context;
+    context.metrics().register("router.open_requests", (Gauge<Integer>) this::openRequests);
+  }
+
+  /**
+   * Takes a request to its final answer.
+   *
+   * @param request the request
+   * @param sink receives the answer
+   * @return to be run when the caller has gone
+   */
+  public Runnable submit(CallerRequest request, AnswerSink sink) {
+    if (!tryOpen()) {
+      sink.onError(
+          SnipeloomException.of(ErrorCode.LEAVING, "the router is leaving")
+              .withPlace("admit", context.self().value())
+              .withRetryAfter(LEAVING_RETRY_AFTER));
+      return () -> {};
+    }
+    RequestFlow flow = new RequestFlow(context, request, sink, this::close);
+    flow.start();
+    return flow::cancel;
+  }
+
+  /**
+   * Refuses new requests and waits for the open ones.
+   *
+   * @param patience how long to wait
+   * @return true if no request is open any more
+   */
+  public boolean drain(Duration patience) {
+    lock.lock();
+    try {
+      draining = true;
+      long left = patience.toNanos();
+      while (open > 0 && left > 0) {
+        left = idle.awaitNanos(left);
+      }
+      return open == 0;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /**
+   * Returns the number of open requests.
+   *
+   * @return the number of requests
+   */
+  public int openRequests() {
+    lock.lock();
+    try {
+      return open;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /**
+   * Returns the deadline of a request that arrives now.
+   *
+   * @param patience the patience
+   * @return the deadline on the monotonic clock, in nanoseconds
+   */
+  public long deadlineNanos(Duration patience) {
+    return context.nowNanos() + TimeUnit.MILLISECONDS.toNanos(patience.toMillis());
+  }
+
+  private boolean tryOpen() {
+    lock.lock();
+    try {
+      if (draining) {
+        return false;
+      }
+      open++;
+      return true;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void close() {
+    lock.lock();
+    try {
+      open--;
+      if (open == 0) {
+        idle.signalAll();
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/RouterContext.java
@@ -0,0 +1,60 @@
+package io.snipeloom.coordination;
+
+import com.codahale.metrics.MetricRegistry;
+import io.snipeloom.state.AttemptId;
+import io.snipeloom.state.Incarnation;
+import io.snipeloom.state.Zone;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * The collaborators that the requests of one router share.
+ *
+ * @param self the incarnation of the router
+ * @param zone the zone of the router
+ * @param replica the replica of the decision state
+ * @param records takes records for the log
+ * @param reservations reserves tokens
+ * @param resolver finds earlier attempts
+ * @param pools finds the pool of a request
+ * @param scheduler runs delayed steps
+ * @param nanoClock a monotonic clock in nanoseconds
+ * @param random a thread-safe source of randomness
+ * @param metrics the registry for metrics
+ * @param attemptNumbers the numbers of the attempts of this incarnation
+ */
+public record RouterContext(
+    Incarnation self,
+    Zone zone,
+    LogReplica replica,
+    RecordSink records,
+    BudgetHolder reservations,
+    CallResolver resolver,
+    Function<CallerRequest, UpstreamPool> pools,
+    ScheduledExecutorService scheduler,
+    LongSupplier nanoClock,
+    RandomGenerator random,
+    MetricRegistry metrics,
+    AtomicLong attemptNumbers) {
+
+  /**
+   * Returns an attempt with a number that was not used before.
+   *
+   * @return the attempt
+   */
+  AttemptId nextAttempt() {
+    return AttemptId.of(self, attemptNumbers.incrementAndGet());
+  }
+
+  /**
+   * Returns the present time on the monotonic clock.
+   *
+   * @return nanoseconds
+   */
+  long nowNanos() {
+    return nanoClock.getAsLong();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/UpstreamPool.java
@@ -0,0 +1,140 @@
+package io.snipeloom.coordination;
+
+import com.codahale.metrics.MetricRegistry;
+import io.snipeloom.state.InstanceId;
+import io.snipeloom.state.UpstreamId;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+/**
+ * What a router keeps for one upstream: its back ends, admission, retries and choice of back end.
+ *
+ * <p>Thread-safe.
+ */
+public final class UpstreamPool {
+  private static final int INITIAL_LIMIT = 0;
+  private static final int TOTAL_QUEUE_LIMIT = 10_000;
+
+  private final UpstreamId upstream;
+  private final AdmissionQueue admission;
+  private final RetryBudget retryBudget;
+  private final RetryPolicy retryPolicy;
+  private final BackEndPicker picker;
+  private volatile BackEnds backEnds = BackEnds.empty();
+
+  private UpstreamPool(
+      UpstreamId upstream,
+      RoutingPolicy policy,
+      PrefixIndex prefixes,
+      LongSupplier nanoClock,
+      MetricRegistry metrics) {
+    this.upstream = upstream;
+    this.admission =
+        AdmissionQueue.of(upstream, INITIAL_LIMIT, TOTAL_QUEUE_LIMIT, nanoClock, metrics);
+    this.retryBudget = RetryBudget.of(nanoClock);
+    this.retryPolicy = RetryPolicy.of(retryBudget);
+    this.picker = BackEndPicker.of(policy, prefixes, nanoClock);
+  }
+
+  /**
+   * Returns a pool without back ends.
+   *
+   * @param upstream the upstream
+   * @param policy how back ends are chosen
+   * @param prefixes the index of cached prefixes
+   * @param nanoClock a monotonic clock in nanoseconds
+   * @param metrics the registry for the metrics of the pool
+   * @return the pool
+   */
+  public static UpstreamPool of(
+      UpstreamId upstream,
+      RoutingPolicy policy,
+      PrefixIndex prefixes,
+      LongSupplier nanoClock,
+      MetricRegistry metrics) {
+    return new UpstreamPool(upstream, policy, prefixes, nanoClock, metrics);
+  }
+
+  /**
+   * Replaces the back ends after a change of membership.
+   *
+   * @param newBackEnds the back ends
+   */
+  public void replaceBackEnds(BackEnds newBackEnds) {
+    backEnds = newBackEnds;
+  }
+
+  /**
+   * Adapts the admission limit to the load reports and drops requests that waited too long.
+   *
+   * @param routers the routers that share the upstream, at least 1
+   */
+  public void refresh(int routers) {
+    admission.setLimit(ConcurrencyLimit.of(backEnds, routers));
+    admission.sweep();
+  }
+
+  /**
+   * Returns the upstream.
+   *
+   * @return the upstream
+   */
+  public UpstreamId upstream() {
+    return upstream;
+  }
+
+  /**
+   * Returns the admission queue.
+   *
+   * @return the queue
+   */
+  public AdmissionQueue admission() {
+    return admission;
+  }
+
+  /**
+   * Returns the budget of retries.
+   *
+   * @return the budget
+   */
+  public RetryBudget retryBudget() {
+    return retryBudget;
+  }
+
+  /**
+   * Returns the retry policy.
+   *
+   * @return the policy
+   */
+  public RetryPolicy retryPolicy() {
+    return retryPolicy;
+  }
+
+  /**
+   * Returns the choice of back ends.
+   *
+   * @return the picker
+   */
+  public BackEndPicker picker() {
+    return picker;
+  }
+
+  /**
+   * Returns the back ends.
+   *
+   * @return the back ends
+   */
+  public BackEnds backEnds() {
+    return backEnds;
+  }
+
+  /**
+   * Returns the back end in a slot.
+   *
+   * @param slot the slot
+   * @return the back end; empty if it is not connected to
+   */
+  public Optional<BackEnd> backEnd(InstanceId slot) {
+    return backEnds.backEnd(slot);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/UpstreamPools.java
@@ -0,0 +1,82 @@
+package io.snipeloom.coordination;
+
+import com.codahale.metrics.MetricRegistry;
+import io.snipeloom.state.UpstreamId;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * The pools of all upstreams of a router, kept up to date with the membership.
+ *
+ * <p>Thread-safe; started once.
+ */
+public final class UpstreamPools {
+  private final RoutingPolicy policy;
+  private final PrefixIndex prefixes;
+  private final FleetMembership membership;
+  private final LongSupplier nanoClock;
+  private final MetricRegistry metrics;
+  private final Map<UpstreamId, UpstreamPool> pools = new ConcurrentHashMap<>();
+
+  /**
+   * Creates the pools.
+   *
+   * @param policy how back ends are chosen
+   * @param prefixes the index of cached prefixes
+   * @param membership the back ends of each upstream
+   * @param nanoClock a monotonic clock in nanoseconds
+   * @param metrics the registry for metrics
+   */
+  public UpstreamPools(
+      RoutingPolicy policy,
+      PrefixIndex prefixes,
+      FleetMembership membership,
+      LongSupplier nanoClock,
+      MetricRegistry metrics) {
+    this.policy = policy;
+    this.prefixes = prefixes;
+    this.membership = membership;
+    this.nanoClock = nanoClock;
+    this.metrics = metrics;
+  }
+
+  /**
+   * Starts to follow the membership and the load reports.
+   *
+   * @param scheduler runs the refreshes
+   */
+  public void start(ScheduledExecutorService scheduler) {
+    ScheduledFuture<?> unused =
+        scheduler.scheduleWithFixedDelay(
+            this::refresh, 0, AdmissionQueue.SWEEP_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Returns the pool of an upstream.
+   *
+   * @param upstream the upstream
+   * @return the pool
+   */
+  public UpstreamPool pool(UpstreamId upstream) {
+    return pools.computeIfAbsent(upstream, this::newPool);
+  }
+
+  private UpstreamPool newPool(UpstreamId upstream) {
+    UpstreamPool pool = UpstreamPool.of(upstream, policy, prefixes, nanoClock, metrics);
+    refresh(pool);
+    return pool;
+  }
+
+  private void refresh() {
+    pools.values().forEach(this::refresh);
+  }
+
+  private void refresh(UpstreamPool pool) {
+    pool.replaceBackEnds(membership.backEnds(pool.upstream()));
+    pool.refresh(membership.sharers(pool.upstream()));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/daemon/ErrorJson.java
@@ -0,0 +1,28 @@
+package io.snipeloom.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.transport.ErrorBody;
+
+/** Renders errors as JSON for streams that have begun. Thread-safe, without state. */
+final class ErrorJson {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private ErrorJson() {}
+
+  /**
+   * Renders an error.
+   *
+   * @param error the error
+   * @return the JSON of its {@link ErrorBody}
+   */
+  static String of(SnipeloomException error) {
+    try {
+      return MAPPER.writeValueAsString(ErrorBody.of(error));
+    } catch (JsonProcessingException e) {
+      throw SnipeloomException.of(ErrorCode.INTERNAL, "cannot write an error").withCause(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/daemon/RequestReader.java
@@ -0,0 +1,258 @@
+package io.snipeloom.daemon;
+
+import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.HttpRequest;
+import io.snipeloom.coordination.CallerRequest;
+import io.snipeloom.coordination.PrefixChain;
+import io.snipeloom.protocol.Header;
+import io.snipeloom.protocol.HttpCall;
+import io.snipeloom.state.Budget;
+import io.snipeloom.state.BudgetId;
+import io.snipeloom.state.ConfigurationDocument;
+import io.snipeloom.state.Customer;
+import io.snipeloom.state.CustomerId;
+import io.snipeloom.state.Entry;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.ModelId;
+import io.snipeloom.state.RequestClass;
+import io.snipeloom.state.RequestKey;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.state.UpstreamKind;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Turns HTTP requests of callers into checked requests, by the configuration in force.
+ *
+ * <p>Thread-safe.
+ */
+final class RequestReader {
+  static final String KEY_HEADER = "Idempotency-Key";
+  static final String CLASS_HEADER = "Snipeloom-Class";
+  static final String BUDGET_HEADER = "Snipeloom-Budget";
+  static final String TRACE_HEADER = "traceparent";
+
+  private static final Duration MAX_KEY_LEAD = Duration.ofMinutes(5);
+  private static final long CALL_WITHOUT_PRICE_TOKENS = 0;
+  private static final List<String> PASSED_ON =
+      List.of(
+          HttpHeaders.CONTENT_TYPE, HttpHeaders.ACCEPT, KEY_HEADER, HttpHeaders.ACCEPT_LANGUAGE);
+
+  private final Supplier<ConfigurationDocument> configuration;
+  private final InstantSource clock;
+  private final LongSupplier nanoClock;
+
+  RequestReader(
+      Supplier<ConfigurationDocument> configuration, InstantSource clock, LongSupplier nanoClock) {
+    this.configuration = configuration;
+    this.clock = clock;
+    this.nanoClock = nanoClock;
+  }
+
+  /**
+   * Returns the customer of a request.
+   *
+   * @param http the HTTP request
+   * @return the customer
+   * @throws SnipeloomException with {@link ErrorCode#UNAUTHENTICATED}
+   */
+  Customer customer(HttpRequest<?> http) {
+    return CallerAuthenticator.authenticate(
+        configuration.get(), http.getHeaders().get(HttpHeaders.AUTHORIZATION));
+  }
+
+  /**
+   * Reads a chat completions request.
+   *
+   * @param http the HTTP request
+   * @param chat the parsed body
+   * @param body the body
+   * @return the request
+   */
+  CallerRequest readChat(HttpRequest<?> http, ChatRequest chat, byte[] body) {
+    ConfigurationDocument document = configuration.get();
+    Customer customer = customer(http);
+    RequestClass requestClass = chatClass(document, http, chat.model());
+    long output = chat.maxOutputTokens(requestClass.maxOutputTokens());
+    return request(
+        http,
+        document,
+        customer,
+        requestClass,
+        chat.model(),
+        new HttpCall("POST", "/v1/chat/completions", passedOn(http), body),
+        Math.addExact(chat.promptUpperBoundTokens(), output),
+        output,
+        PrefixChain.of(chat.promptBytes()));
+  }
+
+  /**
+   * Reads a plain call.
+   *
+   * @param http the HTTP request
+   * @param body the body
+   * @return the request
+   */
+  CallerRequest readPlain(HttpRequest<?> http, byte[] body) {
+    ConfigurationDocument document = configuration.get();
+    Customer customer = customer(http);
+    RequestClass requestClass = plainClass(document, http);
+    return request(
+        http,
+        document,
+        customer,
+        requestClass,
+        null,
+        new HttpCall(http.getMethodName(), http.getUri().toString(), passedOn(http), body),
+        Math.max(CALL_WITHOUT_PRICE_TOKENS, requestClass.fixedTokens()),
+        0,
+        PrefixChain.empty());
+  }
+
+  private CallerRequest request(
+      HttpRequest<?> http,
+      ConfigurationDocument document,
+      Customer customer,
+      RequestClass requestClass,
+      ModelId model,
+      HttpCall call,
+      long upperBound,
+      long maxOutput,
+      PrefixChain prefix) {
+    String token = http.getHeaders().get(KEY_HEADER);
+    RequestKey key = key(customer.id(), requestClass, token);
+    long issuedAt = key.issuedAtMillis().orElse(clock.millis());
+    return new CallerRequest(
+        key,
+        issuedAt,
+        token != null,
+        budget(document, customer, http),
+        requestClass,
+        model,
+        call,
+        upperBound,
+        maxOutput,
+        prefix,
+        fingerprint(customer, call),
+        http.getHeaders().get(TRACE_HEADER, String.class).orElse(""),
+        nanoClock.getAsLong() + Duration.ofMillis(requestClass.deadlineMillis()).toNanos());
+  }
+
+  private RequestKey key(CustomerId customer, RequestClass requestClass, String token) {
+    if (token == null) {
+      if (!requestClass.urgency().isRepeatable()) {
+        throw SnipeloomException.of(
+                ErrorCode.KEY_REQUIRED,
+                "class " + requestClass.id() + " needs an Idempotency-Key: a version 7 UUID")
+            .withPlace("parse", "");
+      }
+      return RequestKey.mint(customer, clock.millis(), UUID.randomUUID());
+    }
+    RequestKey key = RequestKey.of(customer, token);
+    boolean timed = key.issuedAtMillis().isPresent();
+    if (!timed && !requestClass.urgency().isRepeatable()) {
+      throw SnipeloomException.of(
+              ErrorCode.KEY_REQUIRED,
+              "the Idempotency-Key of class " + requestClass.id() + " must be a version 7 UUID")
+          .withPlace("parse", "");
+    }
+    if (timed && key.issuedAtMillis().getAsLong() > clock.millis() + MAX_KEY_LEAD.toMillis()) {
+      throw SnipeloomException.of(
+              ErrorCode.INVALID_REQUEST, "the Idempotency-Key was issued in the future")
+          .withPlace("parse", "");
+    }
+    return key;
+  }
+
+  private static BudgetId budget(
+      ConfigurationDocument document, Customer customer, HttpRequest<?> http) {
+    String named = http.getHeaders().get(BUDGET_HEADER);
+    BudgetId id = named == null ? customer.defaultBudget() : BudgetId.of(named);
+    if (id == null) {
+      throw SnipeloomException.of(
+              ErrorCode.INVALID_REQUEST, "name a budget in the header " + BUDGET_HEADER)
+          .withPlace("parse", "");
+    }
+    Optional<Budget> budget = document.budget(id);
+    if (budget.filter(found -> found.customer().equals(customer.id())).isEmpty()) {
+      throw SnipeloomException.of(ErrorCode.NOT_FOUND, "no budget " + id).withPlace("parse", "");
+    }
+    return id;
+  }
+
+  private static RequestClass chatClass(
+      ConfigurationDocument document, HttpRequest<?> http, ModelId model) {
+    String named = http.getHeaders().get(CLASS_HEADER);
+    return document.requestClasses().stream()
+        .map(Entry::value)
+        .filter(candidate -> candidate.route() == null)
+        .filter(candidate -> named == null || candidate.id().value().equals(named))
+        .filter(candidate -> serves(document, candidate, model))
+        .min(
+            Comparator.comparing((RequestClass candidate) -> !candidate.urgency().isRepeatable())
+                .thenComparing(candidate -> candidate.urgency().rank())
+                .thenComparing(RequestClass::id))
+        .orElseThrow(() -> unknownModel(named, model));
+  }
+
+  private static SnipeloomException unknownModel(String named, ModelId model) {
+    String message =
+        named == null ? "no model " + model : "class " + named + " does not serve model " + model;
+    return SnipeloomException.of(ErrorCode.NOT_FOUND, message).withPlace("parse", "");
+  }
+
+  private static boolean serves(
+      ConfigurationDocument document, RequestClass candidate, ModelId model) {
+    return document
+        .upstream(candidate.upstream())
+        .filter(upstream -> upstream.kind() == UpstreamKind.MODEL_ENGINE)
+        .filter(upstream -> upstream.models().contains(model))
+        .isPresent();
+  }
+
+  private static RequestClass plainClass(ConfigurationDocument document, HttpRequest<?> http) {
+    String path = http.getPath();
+    return document.requestClasses().stream()
+        .map(Entry::value)
+        .filter(candidate -> candidate.route() != null)
+        .filter(candidate -> candidate.route().method().equals(http.getMethodName()))
+        .filter(candidate -> isUnder(path, candidate.route().pathPrefix()))
+        .max(Comparator.comparingInt(candidate -> candidate.route().pathPrefix().length()))
+        .orElseThrow(
+            () ->
+                SnipeloomException.of(
+                        ErrorCode.NOT_FOUND, "no route for " + http.getMethodName() + " " + path)
+                    .withPlace("parse", ""));
+  }
+
+  private static boolean isUnder(String path, String prefix) {
+    return path.startsWith(prefix)
+        && (path.length() == prefix.length()
+            || prefix.endsWith("/")
+            || path.charAt(prefix.length()) == '/');
+  }
+
+  private static List<Header> passedOn(HttpRequest<?> http) {
+    return PASSED_ON.stream()
+        .filter(name -> http.getHeaders().contains(name))
+        .map(name -> new Header(name, http.getHeaders().get(name)))
+        .toList();
+  }
+
+  private static String fingerprint(Customer customer, HttpCall call) {
+    byte[] head =
+        (customer.id() + " " + call.method() + " " + call.path() + "\n")
+            .getBytes(StandardCharsets.UTF_8);
+    byte[] all = new byte[head.length + call.body().length];
+    System.arraycopy(head, 0, all, 0, head.length);
+    System.arraycopy(call.body(), 0, all, head.length, call.body().length);
+    return CallerAuthenticator.sha256Hex(all);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/daemon/RouterDaemon.java
@@ -0,0 +1,234 @@
+package io.snipeloom.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.snipeloom.coordination.BudgetHolder;
+import io.snipeloom.coordination.CallResolver;
+import io.snipeloom.coordination.CallerRequest;
+import io.snipeloom.coordination.FleetMembership;
+import io.snipeloom.coordination.LogConfigurationAuthority;
+import io.snipeloom.coordination.LogReplica;
+import io.snipeloom.coordination.LogWriter;
+import io.snipeloom.coordination.LogWriterSettings;
+import io.snipeloom.coordination.PrefixIndex;
+import io.snipeloom.coordination.RequestRouter;
+import io.snipeloom.coordination.RouterContext;
+import io.snipeloom.coordination.RoutingPolicy;
+import io.snipeloom.coordination.UpstreamPool;
+import io.snipeloom.coordination.UpstreamPools;
+import io.snipeloom.platform.ClientTimeouts;
+import io.snipeloom.platform.HttpInstanceList;
+import io.snipeloom.platform.HttpLogService;
+import io.snipeloom.platform.Instance;
+import io.snipeloom.state.BudgetId;
+import io.snipeloom.state.ConfigurationDocument;
+import io.snipeloom.state.Customer;
+import io.snipeloom.state.Incarnation;
+import io.snipeloom.state.ModelId;
+import io.snipeloom.state.SpendPolicy;
+import io.snipeloom.state.UpstreamId;
+import io.snipeloom.transport.FrameClient;
+import io.snipeloom.transport.FrameSettings;
+import io.snipeloom.transport.HttpHost;
+import io.snipeloom.transport.HttpLimits;
+import io.snipeloom.transport.SharedKey;
+import java.net.URI;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * An entry instance: takes requests of callers and hands them to sidecars.
+ *
+ * <p>Started and stopped once. A stop refuses new requests, lets the open ones finish, gives
+ * unspent claims back and only then closes connections.
+ */
+public final class RouterDaemon {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final int TCP_THREADS = 2;
+  private static final int SCHEDULER_THREADS = 2;
+  private static final Duration CLAIM_PERIOD = Duration.ofMillis(200);
+  private static final int PREFIX_ENTRIES = 100_000;
+
+  private final RouterSettings settings;
+  private final Incarnation self;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final LongSupplier nanoClock = System::nanoTime;
+  private final InstantSource clock = InstantSource.system();
+  private final RandomGenerator random = new ThreadSafeRandom();
+  private final ScheduledExecutorService scheduler =
+      Executors.newScheduledThreadPool(SCHEDULER_THREADS);
+  private final HttpLogService log;
+  private final HttpInstanceList instanceList;
+  private final LogReplica replica;
+  private final LogWriter writer;
+  private final LogConfigurationAuthority authority;
+  private final BudgetHolder holder;
+  private final FrameClient frames;
+  private final FleetMembership membership;
+  private final UpstreamPools pools;
+  private final RequestRouter router;
+  private final HttpHost callers;
+
+  private RouterDaemon(RouterSettings settings) {
+    this.settings = settings;
+    this.self = Incarnations.fresh(settings.instance());
+    this.log = settings.log().open();
+    this.instanceList =
+        HttpInstanceList.of(URI.create(settings.instanceList()), ClientTimeouts.standard());
+    this.replica = new LogReplica(settings.log().stream(), log, metrics);
+    this.writer =
+        new LogWriter(
+            settings.log().stream(),
+            self,
+            log,
+            replica,
+            LogWriterSettings.standard(),
+            nanoClock,
+            metrics);
+    this.authority = new LogConfigurationAuthority(replica, writer);
+    this.holder = BudgetHolder.create(self, this::policy, writer, nanoClock, metrics);
+    this.frames =
+        FrameClient.of(
+            self, FrameSettings.of(SharedKey.of(settings.sharedKey())), TCP_THREADS, metrics);
+    this.membership = openMembership();
+    this.pools =
+        new UpstreamPools(
+            RoutingPolicy.SCORED,
+            PrefixIndex.of(PREFIX_ENTRIES, nanoClock),
+            membership,
+            nanoClock,
+            metrics);
+    this.router = openRouter();
+    this.callers = openCallers();
+  }
+
+  /**
+   * Returns a router that is not started yet.
+   *
+   * @param settings the settings
+   * @return the router
+   */
+  public static RouterDaemon of(RouterSettings settings) {
+    return new RouterDaemon(settings);
+  }
+
+  /** Starts to follow the log, connects to the sidecars and listens. */
+  public void start() {
+    replica.addListener(authority);
+    replica.addListener(holder::onEvent);
+    replica.addWriter(writer);
+    replica.start();
+    writer.start();
+    membership.start();
+    pools.start(scheduler);
+    ScheduledFuture<?> unused =
+        scheduler.scheduleWithFixedDelay(
+            holder::step, 0, CLAIM_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+    callers.start();
+    LOG.atInfo().log(
+        "event=router_started instance=%s incarnation=%s zone=%s port=%d",
+        settings.instance(), self, settings.zone(), callers.port());
+  }
+
+  /** Stops without cutting off an open request. */
+  public void stop() {
+    Duration patience = Duration.ofSeconds(settings.drainSeconds());
+    boolean drained = router.drain(patience);
+    holder.stop();
+    boolean written = writer.stop(patience);
+    LOG.atInfo().log(
+        "event=router_stopped incarnation=%s drained=%b written=%b", self, drained, written);
+    callers.stop();
+    membership.stop();
+    frames.stop();
+    replica.stop();
+    scheduler.shutdownNow();
+    log.stop();
+    instanceList.stop();
+  }
+
+  /**
+   * Returns the port for callers.
+   *
+   * @return the TCP port
+   */
+  public int callerPort() {
+    return callers.port();
+  }
+
+  private FleetMembership openMembership() {
+    Instance own =
+        new Instance(
+            settings.instance(),
+            Instance.Role.ROUTER,
+            settings.zone(),
+            null,
+            settings.callers().address(),
+            settings.callers().port(),
+            false);
+    return FleetMembership.of(
+        own,
+        instanceList,
+        new TcpLinkFactory(frames, nanoClock, random, metrics),
+        this::models,
+        nanoClock,
+        random,
+        metrics);
+  }
+
+  private SpendPolicy policy(BudgetId budget) {
+    ConfigurationDocument document = authority.current();
+    return document
+        .budget(budget)
+        .flatMap(found -> document.customer(found.customer()))
+        .map(Customer::policy)
+        .orElse(SpendPolicy.TIGHT);
+  }
+
+  private Set<ModelId> models(UpstreamId upstream) {
+    return authority
+        .current()
+        .upstream(upstream)
+        .map(found -> Set.copyOf(found.models()))
+        .orElse(Set.of());
+  }
+
+  private RequestRouter openRouter() {
+    Function<CallerRequest, UpstreamPool> find =
+        request -> pools.pool(request.requestClass().upstream());
+    return new RequestRouter(
+        new RouterContext(
+            self,
+            settings.zone(),
+            replica,
+            writer,
+            holder,
+            new CallResolver(replica, writer, find),
+            find,
+            scheduler,
+            nanoClock,
+            random,
+            metrics,
+            new AtomicLong()));
+  }
+
+  private HttpHost openCallers() {
+    return HttpHost.of(
+        CallerController.SURFACE,
+        settings.callers().address(),
+        settings.callers().port(),
+        HttpLimits.standard(),
+        router,
+        new RequestReader(authority::current, clock, nanoClock),
+        new CallerDirectory(replica, clock));
+  }
+}
