--- a/src/main/java/io/snipeloom/daemon/OperatorTokens.java
+++ b/src/main/java/io/snipeloom/daemon/OperatorTokens.java
@@ -62,6 +62,16 @@
     return found;
   }
 
+  /**
+   * Returns whether somebody is an operator.
+   *
+   * @param operator the name of the operator
+   * @return true if the operator is known
+   */
+  public boolean isOperator(String operator) {
+    return credentials.stream().anyMatch(credential -> credential.operator().equals(operator));
+  }
+
   private static byte[] digest(String secret) {
     try {
       return MessageDigest.getInstance("SHA-256").digest(secret.getBytes(UTF_8));
