--- a/src/main/java/io/snipeloom/coordination/LogReplica.java
+++ b/src/main/java/io/snipeloom/coordination/LogReplica.java
@@ -13,13 +13,17 @@
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.RecordBatch;
 import io.snipeloom.state.RecordCodec;
+import io.snipeloom.state.SnapshotAssembler;
 import io.snipeloom.state.SnipeloomException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantReadWriteLock;
+import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 /**
  * Follows the decision stream and keeps this process's replica of the decision state.
@@ -36,6 +40,7 @@
 
   private final String stream;
   private final LogService log;
+  private final LongSupplier nanoClock;
   private final ReentrantReadWriteLock lock = new ReentrantReadWriteLock();
   private final List<DecisionListener> listeners = new CopyOnWriteArrayList<>();
   private final List<BatchListener> batchListeners = new CopyOnWriteArrayList<>();
@@ -44,9 +49,13 @@
   private final RecentRecords recent = new RecentRecords();
   private DecisionState state = DecisionState.empty();
   private volatile long appliedOffset = -1;
+  private long nextOffset;
+  private SnapshotAssembler assembler;
+  private Consumer<SnipeloomException> failureListener = error -> {};
   private volatile long logEnd;
   private volatile boolean caughtUp;
   private volatile boolean reachable;
+  private volatile long answeredNanos;
   private volatile boolean stopping;
   private Thread thread;
 
@@ -55,11 +64,14 @@
    *
    * @param stream the name of the decision stream
    * @param log the log service
+   * @param nanoClock a monotonic clock in nanoseconds
    * @param metrics the registry for the metrics of the replica
    */
-  public LogReplica(String stream, LogService log, MetricRegistry metrics) {
+  public LogReplica(String stream, LogService log, LongSupplier nanoClock, MetricRegistry metrics) {
     this.stream = stream;
     this.log = log;
+    this.nanoClock = nanoClock;
+    this.answeredNanos = nanoClock.getAsLong();
     this.malformed = metrics.counter("log.malformed_records");
     this.readFailures = metrics.counter("log.read_failures");
     metrics.register("log.applied_offset", (Gauge<Long>) () -> appliedOffset);
@@ -93,6 +105,16 @@
     listeners.add(listener);
   }
 
+  /**
+   * Sets what to do when the replica can't go on: an invariant broke, or the log dropped records
+   * that the replica had not read. The process must then start anew under another incarnation.
+   *
+   * @param listener learns of the failure, once
+   */
+  public void onFailure(Consumer<SnipeloomException> listener) {
+    failureListener = listener;
+  }
+
   /**
    * Tells a writer which of its batches were read back.
    *
@@ -100,13 +122,23 @@
    */
   public void addWriter(LogWriter writer) {
     batchListeners.add(
-        (batch, offset, refused) -> {
+        (batch, offset, events) -> {
           if (batch.writer().equals(writer.incarnation())) {
+            boolean refused = events.stream().anyMatch(LogReplica::isRefusal);
             writer.onReadBack(batch.sequence(), offset, refused);
           }
         });
   }
 
+  /**
+   * Adds a listener for batches that were read back.
+   *
+   * @param listener the listener
+   */
+  void addBatchListener(BatchListener listener) {
+    batchListeners.add(listener);
+  }
+
   /**
    * Reads from the state under its lock.
    *
@@ -150,6 +182,15 @@
     return reachable;
   }
 
+  /**
+   * Returns when the log last answered.
+   *
+   * @return the time on the monotonic clock, in nanoseconds
+   */
+  public long answeredNanos() {
+    return answeredNanos;
+  }
+
   /**
    * Returns how many records the replica is behind the end of the log that it last saw.
    *
@@ -173,46 +214,104 @@
   private void run() {
     while (!stopping) {
       try {
-        apply(log.read(stream, appliedOffset + 1, PAGE_RECORDS, POLL_WAIT));
+        apply(log.read(stream, nextOffset, PAGE_RECORDS, POLL_WAIT));
         reachable = true;
+        answeredNanos = nanoClock.getAsLong();
       } catch (SnipeloomException e) {
-        reachable = false;
-        readFailures.inc();
-        LOG.atWarning().atMostEvery(5, TimeUnit.SECONDS).log(
-            "event=log_read_failed stream=%s code=%s", stream, e.code().text());
-        pause();
+        onFailedRead(e);
       }
     }
   }
 
+  private void onFailedRead(SnipeloomException error) {
+    if (isFinal(error)) {
+      stopping = true;
+      caughtUp = false;
+      LOG.atSevere().log("event=replica_failed stream=%s error=%s", stream, error.getMessage());
+      failureListener.accept(error);
+      return;
+    }
+    reachable = false;
+    readFailures.inc();
+    LOG.atWarning().atMostEvery(5, TimeUnit.SECONDS).log(
+        "event=log_read_failed stream=%s code=%s", stream, error.code().text());
+    pause();
+  }
+
+  private static boolean isFinal(SnipeloomException error) {
+    return error.code() == ErrorCode.INVARIANT_VIOLATED || error.code() == ErrorCode.NOT_READY;
+  }
+
   private void apply(LogPage page) {
-    if (page.firstRetained() > appliedOffset + 1) {
-      throw SnipeloomException.of(
-          ErrorCode.NOT_READY, "the log no longer keeps offset " + (appliedOffset + 1));
+    if (page.firstRetained() > nextOffset) {
+      startLoading(page.firstRetained());
     }
     logEnd = page.next();
+    if (assembler != null) {
+      load(page.records());
+      return;
+    }
     page.records().forEach(this::applyRecord);
-    if (appliedOffset + 1 >= page.next()) {
+    if (nextOffset >= page.next()) {
       caughtUp = true;
     }
   }
 
+  private void startLoading(long firstRetained) {
+    if (appliedOffset >= 0) {
+      throw SnipeloomException.of(
+          ErrorCode.NOT_READY, "the log no longer keeps offset " + nextOffset);
+    }
+    assembler = SnapshotAssembler.startingAt(firstRetained);
+    nextOffset = firstRetained;
+  }
+
+  /** Looks for a whole snapshot; reading then goes on behind it, with records read before. */
+  private void load(List<LogRecord> records) {
+    for (LogRecord record : records) {
+      nextOffset = record.offset() + 1;
+      RecordBatch batch = decode(record);
+      Optional<DecisionState> loaded = batch == null ? Optional.empty() : assembler.offer(batch);
+      if (loaded.isPresent()) {
+        install(loaded.get());
+        return;
+      }
+    }
+  }
+
+  private void install(DecisionState loaded) {
+    lock.writeLock().lock();
+    try {
+      state = loaded;
+    } finally {
+      lock.writeLock().unlock();
+    }
+    assembler = null;
+    appliedOffset = loaded.appliedOffset();
+    nextOffset = appliedOffset + 1;
+    LOG.atInfo().log("event=snapshot_loaded stream=%s offset=%d", stream, appliedOffset);
+  }
+
   private void applyRecord(LogRecord record) {
-    if (record.offset() <= appliedOffset) {
+    if (record.offset() < nextOffset) {
       return;
     }
     RecordBatch batch = decode(record);
     List<DecisionEvent> events = applyBatch(record.offset(), batch);
-    recent.add(record);
-    appliedOffset = record.offset();
+    noteApplied(record);
     events.forEach(event -> listeners.forEach(listener -> listener.onEvent(event)));
     if (batch != null) {
-      boolean stale = events.stream().anyMatch(LogReplica::isStaleDrop);
-      batchListeners.forEach(listener -> listener.onBatch(batch, record.offset(), stale));
+      batchListeners.forEach(listener -> listener.onBatch(batch, record.offset(), events));
     }
   }
 
-  private static boolean isStaleDrop(DecisionEvent event) {
+  private void noteApplied(LogRecord record) {
+    recent.add(record);
+    appliedOffset = record.offset();
+    nextOffset = appliedOffset + 1;
+  }
+
+  private static boolean isRefusal(DecisionEvent event) {
     return event instanceof DecisionEvent.BatchDropped dropped
         && dropped.reason() != DecisionEvent.DropReason.DUPLICATE;
   }
@@ -260,8 +359,8 @@
      *
      * @param batch the batch
      * @param offset its offset
-     * @param refused whether it was refused and had no effect
+     * @param events what followed from it
      */
-    void onBatch(RecordBatch batch, long offset, boolean refused);
+    void onBatch(RecordBatch batch, long offset, List<DecisionEvent> events);
   }
 }
--- a/src/main/java/io/snipeloom/daemon/LedgerAudit.java
+++ b/src/main/java/io/snipeloom/daemon/LedgerAudit.java
@@ -27,7 +27,11 @@
 
   void add(BudgetBalance balance) {
     balances.put(balance.budget(), balance);
-    long held = balance.holders().stream().mapToLong(holder -> holder.heldTokens()).sum();
+    long held =
+        balance.holders().stream()
+            .filter(holder -> !holder.closed())
+            .mapToLong(holder -> holder.heldTokens())
+            .sum();
     long placed = balance.poolTokens() + held + balance.consumedTokens() + balance.strandedTokens();
     if (placed != balance.toppedUpTokens()) {
       faults.add(
--- a/src/main/java/io/snipeloom/daemon/RouterDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/RouterDaemon.java
@@ -5,7 +5,9 @@
 import io.snipeloom.coordination.BudgetHolder;
 import io.snipeloom.coordination.CallResolver;
 import io.snipeloom.coordination.CallerRequest;
+import io.snipeloom.coordination.FleetAdministration;
 import io.snipeloom.coordination.FleetMembership;
+import io.snipeloom.coordination.LedgerTail;
 import io.snipeloom.coordination.LogConfigurationAuthority;
 import io.snipeloom.coordination.LogReplica;
 import io.snipeloom.coordination.LogWriter;
@@ -13,7 +15,10 @@
 import io.snipeloom.coordination.PrefixIndex;
 import io.snipeloom.coordination.RequestRouter;
 import io.snipeloom.coordination.RouterContext;
+import io.snipeloom.coordination.RouterStatus;
 import io.snipeloom.coordination.RoutingPolicy;
+import io.snipeloom.coordination.SnapshotSchedule;
+import io.snipeloom.coordination.SnapshotWriter;
 import io.snipeloom.coordination.UpstreamPool;
 import io.snipeloom.coordination.UpstreamPools;
 import io.snipeloom.platform.ClientTimeouts;
@@ -56,6 +61,7 @@
   private static final int TCP_THREADS = 2;
   private static final int SCHEDULER_THREADS = 2;
   private static final Duration CLAIM_PERIOD = Duration.ofMillis(200);
+  private static final Duration SNAPSHOT_PERIOD = Duration.ofSeconds(1);
   private static final int PREFIX_ENTRIES = 100_000;
 
   private final RouterSettings settings;
@@ -72,11 +78,13 @@
   private final LogWriter writer;
   private final LogConfigurationAuthority authority;
   private final BudgetHolder holder;
+  private final SnapshotWriter snapshots;
   private final FrameClient frames;
   private final FleetMembership membership;
   private final UpstreamPools pools;
   private final RequestRouter router;
   private final HttpHost callers;
+  private final HttpHost admin;
 
   private RouterDaemon(RouterSettings settings) {
     this.settings = settings;
@@ -84,7 +92,7 @@
     this.log = settings.log().open();
     this.instanceList =
         HttpInstanceList.of(URI.create(settings.instanceList()), ClientTimeouts.standard());
-    this.replica = new LogReplica(settings.log().stream(), log, metrics);
+    this.replica = new LogReplica(settings.log().stream(), log, nanoClock, metrics);
     this.writer =
         new LogWriter(
             settings.log().stream(),
@@ -96,6 +104,8 @@
             metrics);
     this.authority = new LogConfigurationAuthority(replica, writer);
     this.holder = BudgetHolder.create(self, this::policy, writer, nanoClock, metrics);
+    this.snapshots =
+        new SnapshotWriter(replica, writer, SnapshotSchedule.standard(), nanoClock, random);
     this.frames =
         FrameClient.of(
             self, FrameSettings.of(SharedKey.of(settings.sharedKey())), TCP_THREADS, metrics);
@@ -109,6 +119,7 @@
             metrics);
     this.router = openRouter();
     this.callers = openCallers();
+    this.admin = openAdmin();
   }
 
   /**
@@ -130,15 +141,30 @@
     writer.start();
     membership.start();
     pools.start(scheduler);
-    ScheduledFuture<?> unused =
-        scheduler.scheduleWithFixedDelay(
-            holder::step, 0, CLAIM_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+    repeat(holder::step, CLAIM_PERIOD);
+    repeat(snapshots::step, SNAPSHOT_PERIOD);
     callers.start();
+    admin.start();
     LOG.atInfo().log(
         "event=router_started instance=%s incarnation=%s zone=%s port=%d",
         settings.instance(), self, settings.zone(), callers.port());
   }
 
+  private void repeat(Runnable step, Duration period) {
+    ScheduledFuture<?> unused =
+        scheduler.scheduleWithFixedDelay(
+            step, period.toMillis(), period.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Sets what to do when the router can't go on and must start anew.
+   *
+   * @param listener learns of it, once
+   */
+  public void onFailure(Runnable listener) {
+    replica.onFailure(error -> listener.run());
+  }
+
   /** Stops without cutting off an open request. */
   public void stop() {
     Duration patience = Duration.ofSeconds(settings.drainSeconds());
@@ -148,6 +174,7 @@
     LOG.atInfo().log(
         "event=router_stopped incarnation=%s drained=%b written=%b", self, drained, written);
     callers.stop();
+    admin.stop();
     membership.stop();
     frames.stop();
     replica.stop();
@@ -231,4 +258,21 @@
         new RequestReader(authority::current, clock, nanoClock),
         new CallerDirectory(replica, clock));
   }
+
+  private HttpHost openAdmin() {
+    FleetAdministration administration = new FleetAdministration(replica, writer);
+    return HttpHost.of(
+        Administration.SURFACE,
+        settings.admin().address(),
+        settings.admin().port(),
+        HttpLimits.standard(),
+        new Administration(
+            authority,
+            administration,
+            LedgerTail.following(replica),
+            new RouterStatus(self, settings.zone(), replica, membership, nanoClock),
+            administration,
+            settings.operatorTokens()),
+        settings.consoleSecurity(clock));
+  }
 }
--- a/src/main/java/io/snipeloom/daemon/RouterSettings.java
+++ b/src/main/java/io/snipeloom/daemon/RouterSettings.java
@@ -2,7 +2,10 @@
 
 import io.snipeloom.state.InstanceId;
 import io.snipeloom.state.Zone;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.InstantSource;
 import java.util.List;
 
 /**
@@ -18,6 +21,7 @@
  * @param sharedKey the secret that proves membership of the fleet
  * @param operators the operators
  * @param consoleKey the secret that signs console sessions, equal at all routers
+ * @param secureCookies whether operators reach the console over HTTPS
  * @param drainSeconds how long open requests are waited for at a stop
  */
 public record RouterSettings(
@@ -31,6 +35,7 @@
     String sharedKey,
     List<OperatorSettings> operators,
     String consoleKey,
+    boolean secureCookies,
     int drainSeconds) {
   private static final String SCHEMA = "/schemas/router-settings.json";
 
@@ -50,4 +55,27 @@
   public static RouterSettings parse(Path file) {
     return SettingsLoader.load(file, RouterSettings.class, SCHEMA);
   }
+
+  /**
+   * Returns the operators with the hashes of their tokens.
+   *
+   * @return the operators
+   */
+  OperatorTokens operatorTokens() {
+    return OperatorTokens.of(
+        operators.stream()
+            .map(found -> new OperatorTokens.Credential(found.name(), found.tokenHash()))
+            .toList());
+  }
+
+  /**
+   * Returns the security of the console.
+   *
+   * @param clock tells the time
+   * @return the security
+   */
+  ConsoleSecurity consoleSecurity(InstantSource clock) {
+    return ConsoleSecurity.of(
+        consoleKey.getBytes(StandardCharsets.UTF_8), secureCookies, clock, new SecureRandom());
+  }
 }
--- a/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
+++ b/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
@@ -17,6 +17,7 @@
     mixinStandardHelpOptions = true,
     versionProvider = SnipeloomVersion.class,
     subcommands = {
+      RouterCommand.class,
       ConfigCommand.class,
       BudgetCommand.class,
       StatusCommand.class,
--- a/src/main/java/io/snipeloom/state/DecisionCounter.java
+++ b/src/main/java/io/snipeloom/state/DecisionCounter.java
@@ -23,5 +23,7 @@
   /** Tokens that a holder returned without having them. */
   TOKENS_RETURNED_UNHELD,
   /** Claims of closed holders. */
-  CLAIMS_REFUSED
+  CLAIMS_REFUSED,
+  /** Requests put on the bill. */
+  REQUESTS_BILLED
 }
--- a/src/main/java/io/snipeloom/state/SettlementTable.java
+++ b/src/main/java/io/snipeloom/state/SettlementTable.java
@@ -141,6 +141,7 @@
       return false;
     }
     billedKeys.put(record.key(), issuedAt, Boolean.TRUE);
+    counters.add(DecisionCounter.REQUESTS_BILLED, 1);
     long billedTokens = budget.bill(record.consumedTokens());
     estimates.computeIfPresent(
         record.attempt(), (attempt, estimate) -> estimate.withBilled(billedTokens));
