Random schedules over decision state and budget holders; fence on reload

Ruled out: remembering closed holders longer, which only moves the limit. A router now ends its incarnation when its replica is reloaded (BudgetHolder.fence).

--- a/src/main/java/io/snipeloom/coordination/BudgetHolder.java
+++ b/src/main/java/io/snipeloom/coordination/BudgetHolder.java
@@ -122,7 +122,7 @@
 
   private void checkOpen() {
     if (phase == Phase.FENCED) {
-      throw refused(ErrorCode.FENCED, "the log closed this holder");
+      throw refused(ErrorCode.FENCED, "this holder was closed");
     }
     if (phase == Phase.STOPPED) {
       throw refused(ErrorCode.LEAVING, "this router takes no new work");
@@ -172,10 +172,16 @@
     }
   }
 
-  private void fence() {
+  /**
+   * Ends this holder for good: it reserves, claims and returns nothing more. A router calls it when
+   * its replica was reloaded from a snapshot, since the closing of this holder may be among the
+   * events that were passed over. It then writes {@code HolderClosed} and goes on with a new
+   * incarnation; attempts under way are still settled under the old one.
+   */
+  public void fence() {
     phase = Phase.FENCED;
     for (HolderShard shard : shards) {
-      shard.close(refused(ErrorCode.FENCED, "the log closed this holder"));
+      shard.close(refused(ErrorCode.FENCED, "this holder was closed"));
     }
   }
 
--- a/src/main/java/io/snipeloom/state/HolderTable.java
+++ b/src/main/java/io/snipeloom/state/HolderTable.java
@@ -88,11 +88,14 @@
     closed.remove(holder.id());
     holder.release(offset);
     released.put(holder.id(), holder);
-    if (released.size() > limits.closedMemory()) {
-      Iterator<Holder> oldest = released.values().iterator();
-      if (oldest.next().releasedAt() < offset - limits.writerMemoryOffsets()) {
-        oldest.remove();
-      }
+    forgetReleased(offset);
+  }
+
+  private void forgetReleased(long offset) {
+    Iterator<Holder> oldest = released.values().iterator();
+    while (released.size() > limits.closedMemory()
+        && oldest.next().releasedAt() < offset - limits.writerMemoryOffsets()) {
+      oldest.remove();
     }
   }
 
--- /dev/null
+++ b/src/test/java/io/snipeloom/state/ScheduleLimits.java
@@ -0,0 +1,31 @@
+package io.snipeloom.state;
+
+import io.snipeloom.state.DecisionLimits.Guard;
+import java.util.EnumSet;
+import java.util.Set;
+
+/** Makes decision states with small bounds and, if asked, without a guard. */
+public final class ScheduleLimits {
+  private final DecisionLimits limits;
+
+  private ScheduleLimits(DecisionLimits limits) {
+    this.limits = limits;
+  }
+
+  /** Returns small bounds; the name of a guard leaves it out, an empty name leaves none out. */
+  public static ScheduleLimits without(String guard) {
+    Set<Guard> disabled =
+        guard.isEmpty() ? EnumSet.noneOf(Guard.class) : EnumSet.of(Guard.valueOf(guard));
+    return new ScheduleLimits(new DecisionLimits(25, 6, 6, 4, 64, 64, 8, 200, disabled));
+  }
+
+  /** Returns an empty state. */
+  public DecisionState empty() {
+    return DecisionState.empty(limits);
+  }
+
+  /** Returns an assembler for a reader that starts at an offset. */
+  public SnapshotAssembler assembler(long firstOffset) {
+    return SnapshotAssembler.startingAt(firstOffset, limits);
+  }
+}
