--- a/src/main/java/io/snipeloom/transport/Tracing.java
+++ b/src/main/java/io/snipeloom/transport/Tracing.java
@@ -15,8 +15,8 @@
 /**
  * Starts the spans of one process and exports them as its settings say.
  *
- * <p>Trace contexts travel as W3C {@code traceparent} texts. Without an exporter
- * contexts are passed on but no trace is started. Holds no global state. Thread-safe; stopped once.
+ * <p>Trace contexts travel as W3C {@code traceparent} texts. Without an exporter contexts are
+ * passed on but no trace is started. Holds no global state. Thread-safe; stopped once.
  */
 public final class Tracing {
   private static final AttributeKey<String> SERVICE_NAME = AttributeKey.stringKey("service.name");
