Sidecar daemon, settings, command and HTTP back end on the stand-ins

Cause: the sidecar core ran only on fakes. The daemon follows the log, announces its incarnation, maps decisions to the core and calls engines by server-sent events and plain services by whole exchanges.

--- a/src/main/java/io/snipeloom/daemon/HttpBackEnd.java
+++ b/src/main/java/io/snipeloom/daemon/HttpBackEnd.java
@@ -133,7 +133,7 @@
 
   private BackEndStatus engineStatus() {
     EngineLoad load = engine.load();
-    return new BackEndStatus(true, load.running(), load.queued(), load.capacity(), "");
+    return new BackEndStatus(true, load.running(), load.queued(), load.capacity(), load.startId());
   }
 
   private BackEndStatus serviceStatus() {
--- /dev/null
+++ b/src/main/java/io/snipeloom/daemon/ReplicaDecisions.java
@@ -0,0 +1,29 @@
+package io.snipeloom.daemon;
+
+import io.snipeloom.coordination.Decisions;
+import io.snipeloom.coordination.LogReplica;
+import io.snipeloom.state.Incarnation;
+
+/** Answers from the replica of this process. Thread-safe. */
+final class ReplicaDecisions implements Decisions {
+  private final LogReplica replica;
+
+  ReplicaDecisions(LogReplica replica) {
+    this.replica = replica;
+  }
+
+  @Override
+  public boolean isClosed(Incarnation holder) {
+    return replica.read(state -> state.isClosed(holder));
+  }
+
+  @Override
+  public boolean isConvicted(String fingerprint) {
+    return replica.read(state -> state.isConvicted(fingerprint));
+  }
+
+  @Override
+  public boolean isSuspect(String fingerprint) {
+    return replica.read(state -> state.isSuspect(fingerprint));
+  }
+}
--- a/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
+++ b/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
@@ -21,6 +21,7 @@
       BudgetCommand.class,
       StatusCommand.class,
       LedgerCommand.class,
+      SidecarCommand.class,
       StandinCommand.class,
       CompletionCommand.class,
     },
--- a/src/main/java/io/snipeloom/standin/EngineController.java
+++ b/src/main/java/io/snipeloom/standin/EngineController.java
@@ -13,6 +13,7 @@
 import io.micronaut.http.annotation.Get;
 import io.micronaut.http.annotation.Header;
 import io.micronaut.http.annotation.Post;
+import io.micronaut.http.annotation.Produces;
 import io.micronaut.http.annotation.QueryValue;
 import io.snipeloom.platform.OrderRequest;
 import io.snipeloom.state.ErrorCode;
@@ -42,6 +43,7 @@
   }
 
   @Post("/v1/chat/completions")
+  @Produces({MediaType.APPLICATION_JSON, MediaType.TEXT_EVENT_STREAM})
   Mono<MutableHttpResponse<?>> complete(
       HttpRequest<?> http,
       @Header(name = "X-Request-Id", defaultValue = "") String id,
--- a/src/test/java/io/snipeloom/protocol/Messages.java
+++ b/src/test/java/io/snipeloom/protocol/Messages.java
@@ -79,6 +79,27 @@
     return copy(d, d.sidecar(), millis, d.retained());
   }
 
+  /** Returns a copy that makes another call. */
+  public static Message.Dispatch calling(HttpCall call, Message.Dispatch d) {
+    return new Message.Dispatch(
+        d.attempt(),
+        d.key(),
+        d.issuedAtMillis(),
+        d.sidecar(),
+        d.budget(),
+        d.requestClass(),
+        d.upstream(),
+        d.urgency(),
+        d.reservedTokens(),
+        d.maxOutputTokens(),
+        d.remainingMillis(),
+        d.retained(),
+        d.fingerprint(),
+        d.alone(),
+        call,
+        d.traceparent());
+  }
+
   private static Message.Dispatch copy(
       Message.Dispatch d, Incarnation sidecar, long issuedAtMillis, boolean retained) {
     return new Message.Dispatch(
