--- a/src/main/java/io/snipeloom/coordination/RequestFlow.java
+++ b/src/main/java/io/snipeloom/coordination/RequestFlow.java
@@ -508,6 +508,7 @@
     private final BackEnd backEnd;
     private final SidecarLink link;
     private boolean sent;
+    private long sentNanos;
     private boolean concluded;
     private long sentNanos;
 
--- a/src/main/java/io/snipeloom/standin/EngineController.java
+++ b/src/main/java/io/snipeloom/standin/EngineController.java
@@ -62,6 +62,7 @@
   }
 
   @Post("/v1/requests/{id}/resume")
+  @Produces({MediaType.APPLICATION_JSON, MediaType.TEXT_EVENT_STREAM})
   MutableHttpResponse<?> resume(String id, @QueryValue(defaultValue = "0") int from) {
     Generation generation = parts.engine().resumable(id);
     if (from < 0 || from > generation.generated()) {
