--- a/src/main/java/io/snipeloom/coordination/RequestFlow.java
+++ b/src/main/java/io/snipeloom/coordination/RequestFlow.java
@@ -510,6 +510,7 @@
     private boolean sent;
     private long sentNanos;
     private boolean concluded;
+    private long sentNanos;
 
     /**
      * Creates an attempt.
