--- a/src/main/java/io/snipeloom/coordination/LogConfigurationAuthority.java
+++ b/src/main/java/io/snipeloom/coordination/LogConfigurationAuthority.java
@@ -65,8 +65,9 @@
     if (event instanceof DecisionEvent.ConfigurationAccepted accepted) {
       complete(accepted.change(), new PublishResult.Accepted(accepted.offset()));
     } else if (event instanceof DecisionEvent.ConfigurationRefused refused) {
-      SnipeloomException error = SnipeloomException.of(refused.code(), refused.message());
-      complete(refused.change(), PublishResult.Refused.of(error));
+      complete(
+          refused.change(),
+          new PublishResult.Refused(refused.code(), refused.message(), refused.violations()));
     }
   }
 
--- a/src/main/java/io/snipeloom/coordination/RequestFlow.java
+++ b/src/main/java/io/snipeloom/coordination/RequestFlow.java
@@ -285,6 +285,7 @@
       return;
     }
     attempt.sent = true;
+    attempt.sentNanos = context.nowNanos();
     tried.add(attempt.backEnd.id());
     pool.picker().prefixes().recordSend(attempt.backEnd, request.prefix());
     attempt.link.dispatch(dispatchOf(attempt, sidecar), new Listener(attempt));
@@ -489,7 +490,7 @@
   private void conclude(Attempt attempt, long consumed, BackEnd.Outcome outcome) {
     attempt.concluded = true;
     if (attempt.backEnd != null) {
-      attempt.backEnd.end(outcome, context.nowNanos(), context.random());
+      attempt.backEnd.end(outcome, attempt.sentNanos, context.nowNanos(), context.random());
       context.reservations().settle(attempt.id, consumed);
     }
     if (current == attempt) {
@@ -507,6 +508,7 @@
     private final BackEnd backEnd;
     private final SidecarLink link;
     private boolean sent;
+    private long sentNanos;
     private boolean concluded;
 
     /**
--- a/src/main/java/io/snipeloom/state/ConfigurationContent.java
+++ b/src/main/java/io/snipeloom/state/ConfigurationContent.java
@@ -79,7 +79,7 @@
     Entry<Budget> old = budgets.get(budget.id());
     ConfigurationIndexes without = old == null ? indexes : indexes.minus(old.value());
     return withBudgets(
-        budgets.plus(budget.id(), new Entry<>(budget, offset)), without.plus(budget));
+        budgets.plus(budget.id(), new Entry<>(shared(budget), offset)), without.plus(budget));
   }
 
   private ConfigurationContent plus(TopUp topUp, long offset) {
@@ -89,10 +89,10 @@
     return new ConfigurationContent(
         customers,
         budgets,
-        topUps.plus(topUp.id(), new Entry<>(topUp, offset)),
+        topUps.plus(topUp.id(), new Entry<>(shared(topUp), offset)),
         upstreams,
         requestClasses,
-        indexes.plus(topUp),
+        indexes.plus(shared(topUp)),
         removals);
   }
 
@@ -111,6 +111,18 @@
         without.plus(requestClass));
   }
 
+  /** Returns an equal budget that shares the identifier object of its customer. */
+  private Budget shared(Budget budget) {
+    Entry<Customer> owner = budget.customer() == null ? null : customers.get(budget.customer());
+    return owner == null ? budget : new Budget(budget.id(), owner.value().id());
+  }
+
+  /** Returns an equal top-up that shares the identifier object of its budget. */
+  private TopUp shared(TopUp topUp) {
+    Entry<Budget> budget = budgets.get(topUp.budget());
+    return budget == null ? topUp : new TopUp(topUp.id(), budget.value().id(), topUp.tokens());
+  }
+
   private ConfigurationContent minus(ConfigurationEdit.Remove remove, long offset) {
     Entry<? extends ConfigurationEntry> entry = entry(remove.section(), remove.entryId());
     if (entry == null) {
--- a/src/main/java/io/snipeloom/state/DecisionEvent.java
+++ b/src/main/java/io/snipeloom/state/DecisionEvent.java
@@ -1,5 +1,6 @@
 package io.snipeloom.state;
 
+import java.util.List;
 import java.util.Map;
 
 /** An event that follows from a record of the decision stream, equal at every reader. */
@@ -27,7 +28,11 @@
 
   /** A change of configuration lost or broke a rule. */
   record ConfigurationRefused(
-      long offset, ConfigurationChange change, ErrorCode code, String message)
+      long offset,
+      ConfigurationChange change,
+      ErrorCode code,
+      String message,
+      List<Violation> violations)
       implements DecisionEvent {}
 
   /** A top-up entered the pool. */
--- a/src/main/java/io/snipeloom/state/RecordApplier.java
+++ b/src/main/java/io/snipeloom/state/RecordApplier.java
@@ -77,7 +77,9 @@
       tables.budgets().checkTopUps(topUps);
       tables.replaceConfiguration(document);
     } catch (SnipeloomException e) {
-      events.add(new DecisionEvent.ConfigurationRefused(offset, change, e.code(), e.getMessage()));
+      events.add(
+          new DecisionEvent.ConfigurationRefused(
+              offset, change, e.code(), e.getMessage(), e.violations()));
       return;
     }
     events.add(new DecisionEvent.ConfigurationAccepted(offset, change));
--- a/src/test/java/io/snipeloom/state/ConfigurationRaceTest.java
+++ b/src/test/java/io/snipeloom/state/ConfigurationRaceTest.java
@@ -32,6 +32,20 @@
     }
   }
 
+  @Test
+  void changesOfDifferentEntriesBothLand() {
+    ConfigurationDocument both =
+        ConfigurationSamples.document()
+            .with(1, ConfigurationSamples.change(0, ConfigurationSamples.put(named("acme", "A"))))
+            .with(2, ConfigurationSamples.change(0, ConfigurationSamples.put(named("new", "B"))));
+    assertThat(both.customer(CustomerId.of("acme")).orElseThrow().name(), is("A"));
+    assertThat(both.customer(CustomerId.of("new")).orElseThrow().name(), is("B"));
+  }
+
+  private static Customer named(String id, String name) {
+    return new Customer(CustomerId.of(id), name, List.of(), null, SpendPolicy.TIGHT);
+  }
+
   /** One random run. */
   private static final class Schedule {
     private final String place;
