--- a/src/main/java/io/snipeloom/coordination/ClaimPolicy.java
+++ b/src/main/java/io/snipeloom/coordination/ClaimPolicy.java
@@ -15,7 +15,8 @@
   private static final double MIN_RATE_WINDOW_SECONDS = 30;
   private static final double RATE_WINDOW_PER_HORIZON = 0.1;
   private static final double RECALL_KEEP_SECONDS = 1;
-  private static final double REFILL_BELOW_SHARE = 0.5;
+  private static final double TARGET_PER_HORIZON = 1.3;
+  private static final double REFILL_BELOW_SHARE = 1 / TARGET_PER_HORIZON;
   private static final double RETURN_ABOVE_SHARE = 2;
   private static final long FIRST_CLAIM_FACTOR = 4;
   private static final long MAX_CLAIM_TOKENS = 1L << 52;
@@ -64,12 +65,13 @@
    */
   static long recalled(double rate, long remaining, long usualReservation, long missing) {
     long unit = Math.max(1, usualReservation);
-    long keep = (long) (rate * RECALL_KEEP_SECONDS) / unit * unit;
-    long surplus = Math.max(0, remaining - keep);
+    long atOnce = Math.min(remaining, (long) (rate * RECALL_KEEP_SECONDS));
+    long surplus = remaining - atOnce / unit * unit;
     return Math.min(surplus, Math.max(missing, surplus / 2));
   }
 
   private static long byHorizon(SpendPolicy policy, double rate) {
-    return (long) Math.min(MAX_CLAIM_TOKENS, rate * policy.horizon().toSeconds());
+    return (long)
+        Math.min(MAX_CLAIM_TOKENS, rate * policy.horizon().toSeconds() * TARGET_PER_HORIZON);
   }
 }
--- a/src/main/java/io/snipeloom/coordination/HeldBudget.java
+++ b/src/main/java/io/snipeloom/coordination/HeldBudget.java
@@ -177,12 +177,13 @@
     check();
   }
 
-  void addGranted(long asked, long tokens) {
+  void addGranted(DecisionEvent.ClaimGranted grant) {
+    long tokens = grant.granted();
     granted += tokens;
     remaining += tokens;
     ownInLog += tokens;
     claimAsked = 0;
-    pooledSinceShortGrant = tokens >= asked;
+    pooledSinceShortGrant = grant.missing() == 0;
     check();
   }
 
@@ -219,8 +220,7 @@
     if (satisfied || nowNanos - neededAtNanos > needMemoryNanos) {
       needed = 0;
     }
-    long wanted = Math.max(needed, waiters.stream().mapToLong(ReservationWaiter::tokens).sum());
-    long missing = Math.max(0, wanted - remaining);
+    long missing = missing();
     boolean worthAsking = pooledSinceShortGrant || nowNanos - movedAtNanos > recallRetryNanos;
     long knownPool = Math.max(0, pool);
     long tokens = ClaimPolicy.claim(policy, rate, knownPool, remaining, missing);
@@ -233,6 +233,12 @@
     return tokens;
   }
 
+  /** Returns the tokens that waiting or recently refused reservations lack. */
+  long missing() {
+    long wanted = Math.max(needed, waiters.stream().mapToLong(ReservationWaiter::tokens).sum());
+    return Math.max(0, wanted - remaining);
+  }
+
   /** Takes tokens out to return them to the pool. */
   long takeForReturn(long tokens, long nowNanos) {
     long taken = Math.min(tokens, remaining);
--- a/src/main/java/io/snipeloom/coordination/HolderShard.java
+++ b/src/main/java/io/snipeloom/coordination/HolderShard.java
@@ -99,12 +99,12 @@
         grant.level().budget(),
         (held, effects) -> {
           if (grant.holder().equals(self)) {
-            held.addGranted(grant.asked(), grant.granted());
+            held.addGranted(grant);
           }
           held.noteLevel(grant.level());
-          if (!grant.holder().equals(self) && grant.granted() < grant.asked()) {
+          if (!grant.holder().equals(self) && grant.missing() > 0) {
             metrics.recalls().inc();
-            giveBack(held, held.recalled(grant.asked() - grant.granted()), effects);
+            giveBack(held, held.recalled(grant.missing()), effects);
           }
         });
   }
@@ -252,7 +252,8 @@
     long tokens = held.claimNow(policy, now, NEED_MEMORY_NANOS, RECALL_RETRY_NANOS);
     if (tokens > 0) {
       metrics.claims().inc();
-      effects.add(new DecisionRecord.ClaimRequested(self, held.id(), tokens));
+      long missing = Math.min(tokens, held.missing());
+      effects.add(new DecisionRecord.ClaimRequested(self, held.id(), tokens, missing));
     }
   }
 
--- a/src/main/java/io/snipeloom/state/BudgetAccount.java
+++ b/src/main/java/io/snipeloom/state/BudgetAccount.java
@@ -14,7 +14,7 @@
  * @param stranded the part of {@code remaining} that belongs to closed holders
  * @param writtenOff the part of {@code consumed} that was written off
  * @param overdrawn tokens consumed beyond every claim and not yet covered by the pool
- * @param unmetDemand whether the last claim was granted less than it asked
+ * @param unmetDemand whether the last claim was granted less than it needed
  */
 public record BudgetAccount(
     long toppedUp,
--- a/src/main/java/io/snipeloom/state/BudgetState.java
+++ b/src/main/java/io/snipeloom/state/BudgetState.java
@@ -14,6 +14,8 @@
  * them.
  */
 final class BudgetState {
+  private static final long WISH_DIVISOR = 4;
+
   private final BudgetId id;
   private final Map<Incarnation, Long> remaining = new HashMap<>(4);
   private long toppedUp;
@@ -69,12 +71,13 @@
     check();
   }
 
-  /** Grants the lesser of the tokens asked and the pool. */
-  long claim(Incarnation holder, long asked) {
-    long granted = Math.min(asked, pool);
+  /** Grants the need as far as the pool goes, and the wish beyond it from a share of the pool. */
+  long claim(Incarnation holder, long asked, long needed) {
+    long wished = Math.min(asked, pool / WISH_DIVISOR);
+    long granted = Math.min(pool, Math.max(needed, wished));
     pool -= granted;
     addRemaining(holder, granted);
-    unmetDemand = granted < asked;
+    unmetDemand = granted < needed;
     check();
     return granted;
   }
--- a/src/main/java/io/snipeloom/state/BudgetTable.java
+++ b/src/main/java/io/snipeloom/state/BudgetTable.java
@@ -56,10 +56,10 @@
 
   DecisionEvent claim(long offset, Holder holder, DecisionRecord.ClaimRequested claim) {
     BudgetState budget = get(claim.budget());
-    long granted = budget.claim(holder.id(), claim.askedTokens());
+    long granted = budget.claim(holder.id(), claim.askedTokens(), claim.neededTokens());
     noteShare(holder, budget);
     return new DecisionEvent.ClaimGranted(
-        offset, holder.id(), claim.askedTokens(), granted, budget.level());
+        offset, holder.id(), claim.askedTokens(), claim.neededTokens(), granted, budget.level());
   }
 
   DecisionEvent giveBack(long offset, Holder holder, DecisionRecord.ClaimReturned record) {
--- a/src/main/java/io/snipeloom/state/DecisionEvent.java
+++ b/src/main/java/io/snipeloom/state/DecisionEvent.java
@@ -34,8 +34,19 @@
   record ToppedUp(long offset, TopUp topUp, BudgetLevel level) implements DecisionEvent {}
 
   /** A claim was granted, possibly in part or with no tokens. */
-  record ClaimGranted(long offset, Incarnation holder, long asked, long granted, BudgetLevel level)
-      implements DecisionEvent {}
+  record ClaimGranted(
+      long offset, Incarnation holder, long asked, long needed, long granted, BudgetLevel level)
+      implements DecisionEvent {
+
+    /**
+     * Returns the tokens that the holder needs and did not get.
+     *
+     * @return the tokens; 0 if its need is met
+     */
+    public long missing() {
+      return Math.max(0, needed - granted);
+    }
+  }
 
   /** A claim was refused since its holder is closed. */
   record ClaimRefused(long offset, Incarnation holder, BudgetId budget) implements DecisionEvent {}
--- a/src/main/java/io/snipeloom/state/DecisionRecord.java
+++ b/src/main/java/io/snipeloom/state/DecisionRecord.java
@@ -37,14 +37,36 @@
     }
   }
 
-  /** A holder asks for tokens; readers grant the lesser of the tokens asked and the pool. */
-  record ClaimRequested(Incarnation holder, BudgetId budget, long askedTokens)
+  /**
+   * A holder asks for tokens; readers grant the lesser of the tokens asked and the pool, but for
+   * what goes beyond its need at most a fraction of the pool, so that no wish drains it.
+   *
+   * @param holder the holder
+   * @param budget the budget
+   * @param askedTokens the tokens wished for, its need included
+   * @param neededTokens the tokens without which a request must wait
+   */
+  record ClaimRequested(Incarnation holder, BudgetId budget, long askedTokens, long neededTokens)
       implements DecisionRecord {
 
     /** Checks the parts. */
     public ClaimRequested {
       RecordChecks.present("claim", holder, budget);
       RecordChecks.tokens("claim", askedTokens);
+      RecordChecks.tokens("claim", neededTokens);
+      RecordChecks.require(neededTokens <= askedTokens, "claim", "needs more than it asks");
+    }
+
+    /**
+     * Returns a claim that needs all tokens that it asks.
+     *
+     * @param holder the holder
+     * @param budget the budget
+     * @param tokens the tokens
+     * @return the claim
+     */
+    public static ClaimRequested ofNeed(Incarnation holder, BudgetId budget, long tokens) {
+      return new ClaimRequested(holder, budget, tokens, tokens);
     }
   }
 
--- a/src/main/java/io/snipeloom/state/WriterTable.java
+++ b/src/main/java/io/snipeloom/state/WriterTable.java
@@ -1,5 +1,6 @@
 package io.snipeloom.state;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import io.snipeloom.state.DecisionEvent.DropReason;
 import io.snipeloom.state.DecisionLimits.Guard;
 import java.util.Iterator;
@@ -10,6 +11,8 @@
 
 /** Remembers the last batch of each writer, in the order of their last batches. */
 final class WriterTable {
+  private static final long NEVER = -1;
+
   private final DecisionLimits limits;
   private final Map<Incarnation, LastBatch> writers = new LinkedHashMap<>();
 
@@ -22,6 +25,9 @@
    *
    * <p>A batch that is sent again was built before its first copy entered the log. A writer is
    * forgotten only when that first copy lies before the window, and then the second copy is stale.
+   *
+   * <p>After a stale batch, every batch that its writer built before it could see this is stale
+   * too, so that the records of a writer have their effect in the order in which it wrote them.
    */
   Optional<DropReason> admit(long offset, RecordBatch batch) {
     forgetIdle(offset);
@@ -34,13 +40,15 @@
         && limits.isEnabled(Guard.DEDUPLICATION)) {
       return Optional.of(DropReason.DUPLICATE);
     }
-    if (batch.basedOn() < offset - limits.writerMemoryOffsets()
-        && limits.isEnabled(Guard.STALE_WINDOW)) {
-      return Optional.of(DropReason.STALE);
-    }
+    long staleAt = last == null ? NEVER : last.staleAt();
+    boolean stale =
+        batch.basedOn() < offset - limits.writerMemoryOffsets() || batch.basedOn() < staleAt;
+    boolean dropped = stale && limits.isEnabled(Guard.STALE_WINDOW);
     writers.remove(batch.writer());
-    writers.put(batch.writer(), new LastBatch(batch.writer(), batch.sequence(), offset));
-    return Optional.empty();
+    writers.put(
+        batch.writer(),
+        new LastBatch(batch.writer(), batch.sequence(), offset, dropped ? offset : staleAt));
+    return dropped ? Optional.of(DropReason.STALE) : Optional.empty();
   }
 
   private void forgetIdle(long offset) {
@@ -62,6 +70,7 @@
     return writers.size();
   }
 
-  /** The last batch of a writer that had an effect. */
-  record LastBatch(Incarnation writer, long sequence, long offset) {}
+  /** The last batch of a writer, and the offset of its last stale one. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record LastBatch(Incarnation writer, long sequence, long offset, long staleAt) {}
 }
--- a/src/test/java/io/snipeloom/coordination/BudgetHolderTest.java
+++ b/src/test/java/io/snipeloom/coordination/BudgetHolderTest.java
@@ -50,7 +50,7 @@
   private void grant(long asked, long granted, long pool, long held) {
     holder.onEvent(
         new DecisionEvent.ClaimGranted(
-            1, SELF, asked, granted, new BudgetLevel(BUDGET, pool, held, 0)));
+            1, SELF, asked, asked, granted, new BudgetLevel(BUDGET, pool, held, 0)));
   }
 
   private ErrorCode refusalOf(long sequence, long tokens) {
@@ -116,7 +116,7 @@
     grant(400, 400, 0, 400);
     appended.clear();
     holder.onEvent(
-        new DecisionEvent.ClaimGranted(2, OTHER, 300, 0, new BudgetLevel(BUDGET, 0, 400, 0)));
+        new DecisionEvent.ClaimGranted(2, OTHER, 300, 300, 0, new BudgetLevel(BUDGET, 0, 400, 0)));
     assertThat(appended, is(List.of(new DecisionRecord.ClaimReturned(SELF, BUDGET, 300))));
   }
 
--- a/src/test/java/io/snipeloom/coordination/ScheduleNode.java
+++ b/src/test/java/io/snipeloom/coordination/ScheduleNode.java
@@ -23,7 +23,8 @@
   final ScheduleWorld world;
   final Incarnation id;
   private final List<DecisionRecord> queue = new ArrayList<>();
-  private final Map<Long, List<DecisionRecord>> sent = new HashMap<>();
+  private final List<DecisionRecord> resend = new ArrayList<>();
+  private final Map<Long, List<DecisionRecord>> unresolved = new HashMap<>();
   private DecisionState state;
   private SnapshotAssembler assembler;
   private long assemblerNext;
@@ -126,38 +127,59 @@
   }
 
   private void apply(long offset) {
-    for (DecisionEvent event : state.apply(offset, world.log.at(offset)).events()) {
-      if (event instanceof DecisionEvent.BatchDropped dropped && dropped.writer().equals(id)) {
-        onDropped(dropped);
-      }
-      onEvent(event);
+    RecordBatch batch = world.log.at(offset);
+    List<DecisionEvent> events = state.apply(offset, batch).events();
+    if (batch.writer().equals(id)) {
+      resolve(batch, events);
     }
+    events.forEach(this::onEvent);
     world.oracle.compare(this);
     world.oracle.require(
         state.configuration().offset() >= configurationOffset, "configuration went back");
     configurationOffset = state.configuration().offset();
   }
 
-  private void onDropped(DecisionEvent.BatchDropped dropped) {
-    List<DecisionRecord> records = sent.get(dropped.sequence());
-    if (dropped.reason() == DropReason.STALE && records != null) {
-      sent.remove(dropped.sequence());
-      queue.addAll(records);
+  /** Learns that a batch of this node had its effect, or must be sent again in order. */
+  private void resolve(RecordBatch batch, List<DecisionEvent> events) {
+    List<DecisionRecord> records = unresolved.remove(batch.sequence());
+    boolean stale =
+        !events.isEmpty()
+            && events.get(events.size() - 1) instanceof DecisionEvent.BatchDropped dropped
+            && dropped.reason() == DropReason.STALE;
+    if (stale && records != null) {
+      resend.addAll(records);
     }
   }
 
+  /** Forgets what was sent; the caller makes sure that nothing depends on it. */
+  final void dropUnresolved(Class<? extends DecisionRecord> dependent) {
+    unresolved.clear();
+    resend.clear();
+    queue.removeIf(dependent::isInstance);
+  }
+
   private void pump() {
-    if (inFlight == null && !queue.isEmpty() && isReady()) {
-      sequence++;
-      inFlight = new RecordBatch(id, sequence, state.appliedOffset(), queue);
-      sent.put(sequence, List.copyOf(queue));
-      queue.clear();
+    boolean mayBuild = resend.isEmpty() || unresolved.isEmpty();
+    if (inFlight == null && mayBuild && isReady()) {
+      build();
     }
     if (inFlight != null) {
       send(RecordCodec.encode(inFlight));
     }
   }
 
+  private void build() {
+    List<DecisionRecord> records = new ArrayList<>(resend);
+    records.addAll(queue);
+    resend.clear();
+    queue.clear();
+    if (!records.isEmpty()) {
+      sequence++;
+      inFlight = new RecordBatch(id, sequence, state.appliedOffset(), records);
+      unresolved.put(sequence, inFlight.records());
+    }
+  }
+
   private void send(byte[] bytes) {
     int fate = world.random.nextInt(20);
     if (fate == 0) {
--- a/src/test/java/io/snipeloom/coordination/ScheduleRouter.java
+++ b/src/test/java/io/snipeloom/coordination/ScheduleRouter.java
@@ -29,6 +29,7 @@
   private final Set<Incarnation> lostSidecars = new LinkedHashSet<>();
   private long attempts;
   private boolean closed;
+  private boolean reloadedOnce;
   private boolean stopping;
   private boolean closeWritten;
 
@@ -50,6 +51,9 @@
 
   @Override
   void onReloaded() {
+    reloadedOnce = true;
+    lostSidecars.clear();
+    dropUnresolved(DecisionRecord.HolderDrained.class);
     if (!closed) {
       closed = true;
       outbox.clear();
@@ -194,7 +198,7 @@
       if (refused.existing() != null && !refused.existing().hasOutcome()) {
         queries.put(refused.key(), refused.existing());
       }
-    } else if (event instanceof DecisionEvent.SidecarLost lost) {
+    } else if (event instanceof DecisionEvent.SidecarLost lost && !reloadedOnce) {
       lostSidecars.add(lost.sidecar());
     } else if (event instanceof DecisionEvent.HolderClosed own && own.holder().equals(id)) {
       closed = true;
--- a/src/test/java/io/snipeloom/coordination/ScheduleSidecar.java
+++ b/src/test/java/io/snipeloom/coordination/ScheduleSidecar.java
@@ -94,6 +94,8 @@
 
   @Override
   void onReloaded() {
+    dropUnresolved(DecisionRecord.HolderDrained.class);
+    leftWritten = false;
     draining.addAll(state().strandedHolders());
   }
 
--- /dev/null
+++ b/src/test/java/io/snipeloom/coordination/TrialHolder.java
@@ -0,0 +1,216 @@
+package io.snipeloom.coordination;
+
+import com.codahale.metrics.MetricRegistry;
+import io.snipeloom.state.AttemptId;
+import io.snipeloom.state.BudgetId;
+import io.snipeloom.state.DecisionEvent;
+import io.snipeloom.state.DecisionEvent.ClaimGranted;
+import io.snipeloom.state.DecisionRecord;
+import io.snipeloom.state.Incarnation;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.state.SpendPolicy;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+/** A way to hold tokens at one router, as the trial drives it. */
+interface TrialHolder {
+
+  /** Returns whether tokens were reserved; the trial tries again until its deadline. */
+  boolean reserve(AttemptId attempt, long tokens);
+
+  /** Ends a reservation. */
+  void settle(AttemptId attempt, long consumed);
+
+  /** Takes an event of the log. */
+  void onEvent(DecisionEvent event);
+
+  /** Lets time pass. */
+  void step();
+
+  /** The ways that the trial compares. */
+  enum Way {
+    TIGHT,
+    AVAILABLE,
+    STATIC_SPLIT,
+    CLAIM_PER_REQUEST,
+    NO_RETURNS;
+
+    TrialHolder create(
+        Incarnation id, BudgetId budget, int holders, RecordSink sink, LongSupplier clock) {
+      return switch (this) {
+        case TIGHT -> new Adaptive(id, budget, SpendPolicy.TIGHT, sink, clock);
+        case AVAILABLE -> new Adaptive(id, budget, SpendPolicy.AVAILABLE, sink, clock);
+        case STATIC_SPLIT -> new StaticSplit(id, budget, holders, sink);
+        case CLAIM_PER_REQUEST -> new ClaimPerRequest(id, budget, sink);
+        case NO_RETURNS -> new NoReturns(id, budget, sink);
+      };
+    }
+  }
+
+  /** The budget holder of the product. */
+  final class Adaptive implements TrialHolder {
+    private final BudgetId budget;
+    private final BudgetHolder holder;
+
+    Adaptive(
+        Incarnation id, BudgetId budget, SpendPolicy policy, RecordSink sink, LongSupplier clock) {
+      this.budget = budget;
+      this.holder = BudgetHolder.create(id, any -> policy, sink, clock, new MetricRegistry());
+    }
+
+    @Override
+    public boolean reserve(AttemptId attempt, long tokens) {
+      try {
+        holder.reserve(budget, attempt, tokens);
+        return true;
+      } catch (SnipeloomException e) {
+        return false;
+      }
+    }
+
+    @Override
+    public void settle(AttemptId attempt, long consumed) {
+      holder.settle(attempt, consumed);
+    }
+
+    @Override
+    public void onEvent(DecisionEvent event) {
+      holder.onEvent(event);
+    }
+
+    @Override
+    public void step() {
+      holder.step();
+    }
+  }
+
+  /** What the baselines share: tokens granted by the log and a claim under way. */
+  abstract class Baseline implements TrialHolder {
+    final Incarnation id;
+    final BudgetId budget;
+    final RecordSink sink;
+    final Map<AttemptId, Long> reserved = new HashMap<>();
+    long remaining;
+    boolean claiming;
+
+    Baseline(Incarnation id, BudgetId budget, RecordSink sink) {
+      this.id = id;
+      this.budget = budget;
+      this.sink = sink;
+    }
+
+    final void claim(long tokens) {
+      if (!claiming) {
+        claiming = true;
+        var unused = sink.append(List.of(DecisionRecord.ClaimRequested.ofNeed(id, budget, tokens)));
+      }
+    }
+
+    @Override
+    public boolean reserve(AttemptId attempt, long tokens) {
+      if (remaining < tokens) {
+        return false;
+      }
+      remaining -= tokens;
+      reserved.put(attempt, tokens);
+      return true;
+    }
+
+    @Override
+    public void settle(AttemptId attempt, long consumed) {
+      remaining += reserved.remove(attempt) - consumed;
+    }
+
+    @Override
+    public void onEvent(DecisionEvent event) {
+      if (event instanceof ClaimGranted granted && granted.holder().equals(id)) {
+        remaining += granted.granted();
+        claiming = false;
+      }
+    }
+
+    @Override
+    public void step() {}
+  }
+
+  /** Each holder claims an equal share of every top-up and keeps it. */
+  final class StaticSplit extends Baseline {
+    private final int holders;
+
+    StaticSplit(Incarnation id, BudgetId budget, int holders, RecordSink sink) {
+      super(id, budget, sink);
+      this.holders = holders;
+    }
+
+    @Override
+    public void onEvent(DecisionEvent event) {
+      super.onEvent(event);
+      if (event instanceof DecisionEvent.ToppedUp toppedUp) {
+        claiming = false;
+        claim(toppedUp.topUp().tokens() / holders);
+      }
+    }
+  }
+
+  /** Each request claims its upper bound and returns what it did not consume. */
+  final class ClaimPerRequest extends Baseline {
+    private long wanted;
+
+    ClaimPerRequest(Incarnation id, BudgetId budget, RecordSink sink) {
+      super(id, budget, sink);
+    }
+
+    @Override
+    public boolean reserve(AttemptId attempt, long tokens) {
+      boolean served = super.reserve(attempt, tokens);
+      if (!served) {
+        wanted += tokens;
+      }
+      return served;
+    }
+
+    @Override
+    public void settle(AttemptId attempt, long consumed) {
+      long rest = reserved.remove(attempt) - consumed;
+      var unused = sink.append(List.of(new DecisionRecord.ClaimReturned(id, budget, rest)));
+    }
+
+    @Override
+    public void step() {
+      if (wanted > remaining) {
+        claim(wanted - remaining);
+      }
+      wanted = 0;
+    }
+  }
+
+  /** Claims as the tight policy does, but never returns anything. */
+  final class NoReturns extends Baseline {
+    private long pool;
+
+    NoReturns(Incarnation id, BudgetId budget, RecordSink sink) {
+      super(id, budget, sink);
+    }
+
+    @Override
+    public boolean reserve(AttemptId attempt, long tokens) {
+      boolean served = super.reserve(attempt, tokens);
+      if (!served) {
+        claim(Math.max(tokens, pool / SpendPolicy.TIGHT.poolDivisor()));
+      }
+      return served;
+    }
+
+    @Override
+    public void onEvent(DecisionEvent event) {
+      super.onEvent(event);
+      if (event instanceof ClaimGranted granted) {
+        pool = granted.level().pool();
+      } else if (event instanceof DecisionEvent.ToppedUp toppedUp) {
+        pool = toppedUp.level().pool();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/coordination/TrialResult.java
@@ -0,0 +1,24 @@
+package io.snipeloom.coordination;
+
+/** What a trial counted. */
+final class TrialResult {
+  long requests;
+  long refused;
+  long falselyRefused;
+  long appends;
+  long unspent;
+  long overspent;
+  long pool;
+  double usableShare = 1;
+
+  /** Notes a refusal; it is false if one account for all routers would have had the tokens. */
+  void refuse(long free, long used, long toppedUp) {
+    if (refused == 0) {
+      usableShare = (double) used / toppedUp;
+    }
+    refused++;
+    if (free >= TrialWorld.UPPER_BOUND) {
+      falselyRefused++;
+    }
+  }
+}
--- a/src/test/java/io/snipeloom/state/GuardTest.java
+++ b/src/test/java/io/snipeloom/state/GuardTest.java
@@ -58,7 +58,7 @@
             ROUTER,
             1,
             log.next() - 1,
-            List.of(new DecisionRecord.ClaimRequested(ROUTER, BUDGET, 100)));
+            List.of(DecisionRecord.ClaimRequested.ofNeed(ROUTER, BUDGET, 100)));
     log.write(claim);
     for (int i = 0; i < recordsBetween; i++) {
       log.claim(OTHER, 1);
--- a/src/test/java/io/snipeloom/state/RecordCodecTest.java
+++ b/src/test/java/io/snipeloom/state/RecordCodecTest.java
@@ -16,7 +16,7 @@
           7,
           3,
           List.of(
-              new DecisionRecord.ClaimRequested(DecisionLog.ROUTER, DecisionLog.BUDGET, 12),
+              DecisionRecord.ClaimRequested.ofNeed(DecisionLog.ROUTER, DecisionLog.BUDGET, 12),
               DecisionLog.settled(DecisionLog.ROUTER, 1, "key", 5, true, false),
               new DecisionRecord.SidecarLeft(DecisionLog.SIDECAR)));
 
@@ -51,6 +51,6 @@
   void negativeTokensAreMalformed() {
     assertThrows(
         SnipeloomException.class,
-        () -> new DecisionRecord.ClaimRequested(DecisionLog.ROUTER, DecisionLog.BUDGET, -1));
+        () -> DecisionRecord.ClaimRequested.ofNeed(DecisionLog.ROUTER, DecisionLog.BUDGET, -1));
   }
 }
