--- a/src/main/java/io/snipeloom/daemon/CallerController.java
+++ b/src/main/java/io/snipeloom/daemon/CallerController.java
@@ -10,6 +10,7 @@
 import io.micronaut.http.annotation.Get;
 import io.micronaut.http.annotation.Patch;
 import io.micronaut.http.annotation.Post;
+import io.micronaut.http.annotation.Produces;
 import io.micronaut.http.annotation.Put;
 import io.snipeloom.coordination.CallerRequest;
 import io.snipeloom.coordination.RequestRouter;
@@ -24,6 +25,7 @@
  */
 @Controller
 @Consumes(MediaType.ALL)
+@Produces(MediaType.ALL)
 @Requires(property = HttpHost.SURFACE, value = CallerController.SURFACE)
 public class CallerController {
   /** The name of the surface. */
@@ -74,7 +76,7 @@
    * @param http the HTTP request
    * @return the models in the form of the chat completions protocol
    */
-  @Get("/v1/models")
+  @Get(value = "/v1/models", produces = MediaType.APPLICATION_JSON)
   public ModelList models(HttpRequest<?> http) {
     reader.customer(http);
     return directory.models();
@@ -86,7 +88,7 @@
    * @param http the HTTP request
    * @return the key
    */
-  @Post("/v1/request-keys")
+  @Post(value = "/v1/request-keys", produces = MediaType.APPLICATION_JSON)
   public IssuedKey issueKey(HttpRequest<?> http) {
     return directory.issueKey(reader.customer(http));
   }
@@ -98,7 +100,7 @@
    * @param key the request key
    * @return the status
    */
-  @Get("/v1/requests/{key}")
+  @Get(value = "/v1/requests/{key}", produces = MediaType.APPLICATION_JSON)
   public CallStatusBody status(HttpRequest<?> http, String key) {
     return directory.status(reader.customer(http), key);
   }
--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -49,7 +49,7 @@
     this.settings = settings;
     this.self = Incarnations.fresh(settings.instance());
     this.log = settings.log().open();
-    this.replica = new LogReplica(settings.log().stream(), log, metrics);
+    this.replica = new LogReplica(settings.log().stream(), log, System::nanoTime, metrics);
     this.writer =
         new LogWriter(
             settings.log().stream(),
