Whole path as separate processes: bodies of forms, and no crash verdict without evidence

Cause: a plain call with a form body failed to encode and counted as a crash of the service; one broken connection to a back end that does not tell its starts convicted the request. Now a form goes out as it came, a call that could not be encoded is not run, and such a back end counts as crashed only while it is down. Ruled out: the content type of the caller; JSON bodies worked before and after.

--- a/src/main/java/io/snipeloom/coordination/EngineWatch.java
+++ b/src/main/java/io/snipeloom/coordination/EngineWatch.java
@@ -133,14 +133,20 @@
     }
   }
 
+  /**
+   * Returns whether the back end crashed: it is down, or it was started anew since a broken call. A
+   * back end that does not tell its starts, such as a plain service, is believed to be up if it
+   * answers; one broken connection must not convict a request.
+   */
   private boolean isCrash(BackEndStatus answer) {
     if (!answer.ready()) {
       return true;
     }
-    List<SidecarAttempt> running = queue.running();
-    return answer.startId().isEmpty()
-        ? running.stream().allMatch(SidecarAttempt::isBroken)
-        : running.stream().anyMatch(a -> a.isBroken() && !a.startId().equals(answer.startId()));
+    if (answer.startId().isEmpty()) {
+      return false;
+    }
+    return queue.running().stream()
+        .anyMatch(a -> a.isBroken() && !a.startId().equals(answer.startId()));
   }
 
   private List<SidecarAttempt> inFlight(BackEndStatus answer) {
--- a/src/main/java/io/snipeloom/coordination/RequestRouter.java
+++ b/src/main/java/io/snipeloom/coordination/RequestRouter.java
@@ -75,6 +75,20 @@
     }
   }
 
+  /**
+   * Returns whether new requests are refused.
+   *
+   * @return true once {@link #drain} was called
+   */
+  public boolean isDraining() {
+    lock.lock();
+    try {
+      return draining;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   /**
    * Returns the number of open requests.
    *
--- a/src/main/java/io/snipeloom/daemon/CallFailures.java
+++ b/src/main/java/io/snipeloom/daemon/CallFailures.java
@@ -1,5 +1,6 @@
 package io.snipeloom.daemon;
 
+import io.micronaut.core.beans.exceptions.IntrospectionException;
 import io.snipeloom.coordination.BackEndFailure;
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
@@ -12,11 +13,14 @@
    * Returns how a call failed.
    *
    * @param error the error of the HTTP client
-   * @return {@link BackEndFailure#NOT_SENT} only if no connection was opened
+   * @return {@link BackEndFailure#NOT_SENT} only if no connection was opened or the call could not
+   *     be encoded
    */
   static BackEndFailure of(Throwable error) {
     for (Throwable cause = error; cause != null; cause = cause.getCause()) {
-      if (cause instanceof ConnectException || cause instanceof NoRouteToHostException) {
+      if (cause instanceof ConnectException
+          || cause instanceof NoRouteToHostException
+          || cause instanceof IntrospectionException) {
         return BackEndFailure.NOT_SENT;
       }
     }
--- a/src/main/java/io/snipeloom/daemon/HttpBackEnd.java
+++ b/src/main/java/io/snipeloom/daemon/HttpBackEnd.java
@@ -2,6 +2,7 @@
 
 import io.micronaut.http.HttpMethod;
 import io.micronaut.http.HttpRequest;
+import io.micronaut.http.MediaType;
 import io.micronaut.http.MutableHttpRequest;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.HttpClient;
@@ -27,7 +28,9 @@
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.net.URL;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -152,15 +155,32 @@
     return CompletableFuture.runAsync(() -> engine.order(fencingNumber, order), control);
   }
 
-  private static MutableHttpRequest<byte[]> request(HttpCall call) {
-    MutableHttpRequest<byte[]> request =
+  private static MutableHttpRequest<Object> request(HttpCall call) {
+    MutableHttpRequest<Object> request =
         HttpRequest.create(HttpMethod.parse(call.method()), checkedPath(call.path()));
     for (Header header : call.headers()) {
       if (!OWN_HEADERS.contains(header.name().toLowerCase(Locale.ROOT))) {
         request.header(header.name(), header.value());
       }
     }
-    return call.body().length == 0 ? request : request.body(call.body());
+    return call.body().length == 0 ? request : request.body(body(call, request));
+  }
+
+  /** Returns the body as it is; the client would take the bytes of a form for its fields. */
+  private static Object body(HttpCall call, MutableHttpRequest<Object> request) {
+    boolean form =
+        request
+            .getContentType()
+            .filter(type -> type.matches(MediaType.APPLICATION_FORM_URLENCODED_TYPE))
+            .isPresent();
+    if (!form) {
+      return call.body();
+    }
+    String text = new String(call.body(), StandardCharsets.US_ASCII);
+    if (!Arrays.equals(text.getBytes(StandardCharsets.US_ASCII), call.body())) {
+      throw SnipeloomException.of(ErrorCode.INVALID_REQUEST, "a form must be in ASCII");
+    }
+    return text;
   }
 
   private static String checkedPath(String path) {
--- a/src/main/java/io/snipeloom/daemon/RouterDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/RouterDaemon.java
@@ -36,6 +36,7 @@
 import io.snipeloom.transport.FrameSettings;
 import io.snipeloom.transport.HttpHost;
 import io.snipeloom.transport.HttpLimits;
+import io.snipeloom.transport.OperationsController;
 import io.snipeloom.transport.SharedKey;
 import java.net.URI;
 import java.time.Duration;
@@ -85,6 +86,7 @@
   private final RequestRouter router;
   private final HttpHost callers;
   private final HttpHost admin;
+  private final HttpHost operations;
 
   private RouterDaemon(RouterSettings settings) {
     this.settings = settings;
@@ -120,6 +122,7 @@
     this.router = openRouter();
     this.callers = openCallers();
     this.admin = openAdmin();
+    this.operations = openOperations();
   }
 
   /**
@@ -145,6 +148,7 @@
     repeat(snapshots::step, SNAPSHOT_PERIOD);
     callers.start();
     admin.start();
+    operations.start();
     LOG.atInfo().log(
         "event=router_started instance=%s incarnation=%s zone=%s port=%d",
         settings.instance(), self, settings.zone(), callers.port());
@@ -175,6 +179,7 @@
         "event=router_stopped incarnation=%s drained=%b written=%b", self, drained, written);
     callers.stop();
     admin.stop();
+    operations.stop();
     membership.stop();
     frames.stop();
     replica.stop();
@@ -275,4 +280,14 @@
             settings.operatorTokens()),
         settings.consoleSecurity(clock));
   }
+
+  private HttpHost openOperations() {
+    return HttpHost.of(
+        OperationsController.SURFACE,
+        settings.operations().address(),
+        settings.operations().port(),
+        HttpLimits.standard(),
+        metrics,
+        new RouterReadiness(replica, router::isDraining));
+  }
 }
--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -12,6 +12,9 @@
 import io.snipeloom.state.LogLine;
 import io.snipeloom.transport.FrameServer;
 import io.snipeloom.transport.FrameSettings;
+import io.snipeloom.transport.HttpHost;
+import io.snipeloom.transport.HttpLimits;
+import io.snipeloom.transport.OperationsController;
 import io.snipeloom.transport.SharedKey;
 import java.net.URI;
 import java.time.Duration;
@@ -43,6 +46,7 @@
   private final HttpBackEnd backEnd;
   private final Sidecar sidecar;
   private final FrameServer server;
+  private final HttpHost operations;
   private boolean announced;
 
   private SidecarDaemon(SidecarSettings settings) {
@@ -83,6 +87,14 @@
             sidecar,
             sidecar::load,
             metrics);
+    this.operations =
+        HttpHost.of(
+            OperationsController.SURFACE,
+            settings.operations().address(),
+            settings.operations().port(),
+            HttpLimits.standard(),
+            metrics,
+            new SidecarReadiness(this::isReady));
   }
 
   /**
@@ -102,6 +114,7 @@
     replica.start();
     writer.start();
     server.start(settings.listen().address(), settings.listen().port());
+    operations.start();
     var unused =
         executor.scheduleWithFixedDelay(this::tick, 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
     logger.atInfo().log(
@@ -124,9 +137,10 @@
   /** Stops without cutting off open work. */
   public void stop() {
     Duration patience = Duration.ofSeconds(settings.drainSeconds());
-    boolean drained = awaitLeft(patience);
-    boolean written = writer.stop(patience);
+    final boolean drained = awaitLeft(patience);
+    final boolean written = writer.stop(patience);
     server.stop();
+    operations.stop();
     executor.shutdownNow();
     replica.stop();
     backEnd.stop();
