Sidecar: holder of a dispatch is its sender, failed tasks are counted, documents

Cause: a router could have sent an attempt of another holder and so spent its claim; an unexpected error in a task of the sidecar was swallowed.

--- a/src/main/java/io/snipeloom/coordination/AttemptRunner.java
+++ b/src/main/java/io/snipeloom/coordination/AttemptRunner.java
@@ -114,6 +114,9 @@
       attempt.setCall(backEnd.start(call, new Answer(attempt)));
     } catch (SnipeloomException e) {
       refuse(attempt, e.code(), e.getMessage(), 0);
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("%s", LogLine.of("call.failed"));
+      fail(attempt, ErrorCode.INTERNAL, "the call could not be made");
     }
   }
 
--- a/src/main/java/io/snipeloom/coordination/RequestFlow.java
+++ b/src/main/java/io/snipeloom/coordination/RequestFlow.java
@@ -510,7 +510,6 @@
     private boolean sent;
     private long sentNanos;
     private boolean concluded;
-    private long sentNanos;
 
     /**
      * Creates an attempt.
--- a/src/main/java/io/snipeloom/coordination/RouterRequests.java
+++ b/src/main/java/io/snipeloom/coordination/RouterRequests.java
@@ -81,6 +81,11 @@
   }
 
   private void dispatch(FrameConnection connection, Message.Dispatch dispatch) {
+    if (!dispatch.attempt().holder().equals(connection.peer())) {
+      metrics.meter("sidecar.dispatches.foreign").mark();
+      connection.close("a dispatch of another holder");
+      return;
+    }
     if (memory.stateOf(dispatch.attempt()) != CallState.NEVER_RECEIVED) {
       metrics.meter("sidecar.dispatches.repeated").mark();
       follow(connection, dispatch.attempt(), 0);
--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -31,6 +31,7 @@
 public final class SidecarDaemon {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration TICK = Duration.ofMillis(100);
+  private static final int TICKS_PER_HOLDER_CHECK = 100;
 
   private final SidecarSettings settings;
   private final Incarnation self;
@@ -44,12 +45,13 @@
   private final Sidecar sidecar;
   private final FrameServer server;
   private boolean announced;
+  private long ticks;
 
   private SidecarDaemon(SidecarSettings settings) {
     this.settings = settings;
     this.self = Incarnations.fresh(settings.instance());
     this.log = settings.log().open();
-    this.replica = new LogReplica(settings.log().stream(), log, metrics);
+    this.replica = new LogReplica(settings.log().stream(), log, System::nanoTime, metrics);
     this.writer =
         new LogWriter(
             settings.log().stream(),
@@ -72,7 +74,7 @@
             new ReplicaDecisions(replica),
             writer,
             backEnd,
-            executor,
+            this::execute,
             InstantSource.system(),
             System::nanoTime,
             metrics);
@@ -103,7 +105,7 @@
     writer.start();
     server.start(settings.listen().address(), settings.listen().port());
     var unused =
-        executor.scheduleWithFixedDelay(this::tick, 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(() -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
     logger.atInfo().log(
         "%s",
         LogLine.of("sidecar.started")
@@ -113,30 +115,57 @@
             .with("port", server.port()));
   }
 
+  private void execute(Runnable task) {
+    executor.execute(() -> runLogged(task));
+  }
+
+  private void runLogged(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      metrics.meter("sidecar.tasks.failed").mark();
+      logger.atSevere().withCause(e).log("%s", LogLine.of("sidecar.task.failed"));
+    }
+  }
+
   private void tick() {
     if (!announced && replica.isCaughtUp()) {
       announced = true;
       sidecar.start();
     }
+    if (ticks++ % TICKS_PER_HOLDER_CHECK == 0) {
+      closeAwaitedHolders();
+    }
     sidecar.tick();
   }
 
+  /** Catches up on closed holders whose event a snapshot may have skipped. */
+  private void closeAwaitedHolders() {
+    replica
+        .read(
+            state ->
+                state.strandedHolders().stream()
+                    .filter(holder -> state.awaitedSidecars(holder).contains(self))
+                    .toList())
+        .forEach(sidecar::onHolderClosed);
+  }
+
   /** Stops without cutting off open work. */
   public void stop() {
     Duration patience = Duration.ofSeconds(settings.drainSeconds());
     boolean drained = awaitLeft(patience);
     boolean written = writer.stop(patience);
-    server.stop();
-    executor.shutdownNow();
-    replica.stop();
-    backEnd.stop();
-    log.stop();
     logger.atInfo().log(
         "%s",
         LogLine.of("sidecar.stopped")
             .with("incarnation", self)
             .with("drained", drained)
             .with("written", written));
+    server.stop();
+    executor.shutdownNow();
+    replica.stop();
+    backEnd.stop();
+    log.stop();
   }
 
   private boolean awaitLeft(Duration patience) {
--- a/src/test/java/io/snipeloom/coordination/SidecarTest.java
+++ b/src/test/java/io/snipeloom/coordination/SidecarTest.java
@@ -9,9 +9,11 @@
 
 import io.snipeloom.protocol.Message;
 import io.snipeloom.protocol.Messages;
+import io.snipeloom.state.AttemptId;
 import io.snipeloom.state.DecisionRecord;
 import io.snipeloom.state.EngineOrder;
 import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.Incarnation;
 import io.snipeloom.state.RunState;
 import io.snipeloom.state.UpstreamKind;
 import io.snipeloom.state.Urgency;
@@ -45,6 +47,14 @@
     assertThat(fixture.backEnd.calls, hasSize(1));
   }
 
+  @Test
+  void dispatchOfAnotherHolderClosesTheConnection() {
+    AttemptId other = AttemptId.of(Incarnation.of("router-2#b1"), 1);
+    fixture.send(Messages.dispatch(other, Messages.key("k"), Urgency.PROMPT, "print"));
+    assertThat(fixture.router.closed, is(true));
+    assertThat(fixture.backEnd.calls, is(empty()));
+  }
+
   @Test
   void refusesBeforeJoiningIsInTheLog() {
     SidecarFixture starting =
@@ -63,7 +73,7 @@
   void refusesAttemptMeantForAnotherIncarnation() {
     SidecarFixture other = SidecarFixture.engine();
     Message.Dispatch dispatch = Messages.dispatch(1, Urgency.PROMPT);
-    other.send(Messages.sentTo(io.snipeloom.state.Incarnation.of("sidecar-1#s0"), dispatch));
+    other.send(Messages.sentTo(Incarnation.of("sidecar-1#s0"), dispatch));
     assertRefused(other, ErrorCode.FENCED);
   }
 
@@ -156,6 +166,19 @@
     assertThat(((Message.AnswerEnd) fixture.router.last()).complete(), is(true));
   }
 
+  @Test
+  void leavingWaitsUntilTheSettlementIsInTheLog() {
+    fixture.send(Messages.dispatch(1, Urgency.PROMPT));
+    fixture.logDown = true;
+    fixture.call(0).complete();
+    final var left = fixture.sidecar.leave().toCompletableFuture();
+    fixture.pass(Duration.ofSeconds(1));
+    assertThat(fixture.records(DecisionRecord.SidecarLeft.class), is(empty()));
+    fixture.logUp();
+    fixture.pass(Duration.ofSeconds(1));
+    assertThat(left.isDone(), is(true));
+  }
+
   @Test
   void consumptionAboveTheReservationStopsTheStreamAndSettlesAtTheReservation() {
     fixture.send(Messages.dispatch(1, Urgency.PROMPT));
--- /dev/null
+++ b/src/test/java/io/snipeloom/transport/TransportTrial.java
@@ -0,0 +1,158 @@
+package io.snipeloom.transport;
+
+import com.codahale.metrics.MetricRegistry;
+import com.sun.management.OperatingSystemMXBean;
+import io.snipeloom.protocol.Message;
+import io.snipeloom.protocol.MessageCodec;
+import io.snipeloom.protocol.Messages;
+import io.snipeloom.state.SnipeloomException;
+import java.lang.management.ManagementFactory;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.logging.LogManager;
+
+/** Prints frame sizes, round trips over loopback and the processor time of idle links. */
+public final class TransportTrial {
+  private static final int[] LINKS = {10, 100, 1_000};
+  private static final int[] IN_FLIGHT = {1, 16, 64};
+  private static final int ROUND_TRIPS = 100_000;
+  private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(10);
+  private static final FrameSettings SETTINGS =
+      FrameSettings.of(SharedKey.of("a shared key of trials"));
+
+  private TransportTrial() {}
+
+  /** Runs the trial. */
+  public static void main(String[] args) throws InterruptedException {
+    LogManager.getLogManager().reset();
+    printFrameSizes();
+    for (int inFlight : IN_FLIGHT) {
+      printRoundTrips(inFlight);
+    }
+    for (int links : LINKS) {
+      printIdle(links);
+    }
+  }
+
+  private static void printFrameSizes() {
+    for (Message message : Messages.oneOfEach()) {
+      int bytes = MessageCodec.encode(message).length + FrameChannels.LENGTH_BYTES;
+      System.out.println("frame " + message.getClass().getSimpleName() + " " + bytes + " bytes");
+    }
+  }
+
+  private static void printRoundTrips(int inFlight) throws InterruptedException {
+    Echo echo = new Echo();
+    FrameServer server = server(echo);
+    CountDownLatch done = new CountDownLatch(ROUND_TRIPS);
+    Pinger pinger = new Pinger(done);
+    FrameClient client = client();
+    client.connect("127.0.0.1", server.port(), client.nextExecutor(), pinger);
+    Eventually.await("open", () -> pinger.connection != null);
+    long start = System.nanoTime();
+    for (int i = 0; i < inFlight; i++) {
+      pinger.ping();
+    }
+    done.await();
+    long nanos = System.nanoTime() - start;
+    System.out.printf(
+        "round trips in flight=%d count=%d per_second=%d%n",
+        inFlight, ROUND_TRIPS, ROUND_TRIPS * TimeUnit.SECONDS.toNanos(1) / nanos);
+    client.stop();
+    server.stop();
+  }
+
+  private static void printIdle(int links) {
+    RecordingListener served = new RecordingListener();
+    FrameServer server = server(served);
+    FrameClient client = client();
+    for (int i = 0; i < links; i++) {
+      client.connect("127.0.0.1", server.port(), client.nextExecutor(), new Quiet());
+    }
+    Eventually.await("open", () -> served.opened.size() == links);
+    var system = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+    long cpuStart = system.getProcessCpuTime();
+    long start = System.nanoTime();
+    while (System.nanoTime() - start < IDLE_NANOS) {
+      LockSupport.parkNanos(IDLE_NANOS / 10);
+    }
+    double share = (system.getProcessCpuTime() - cpuStart) / (double) (System.nanoTime() - start);
+    System.out.printf(
+        "idle links=%d cpu_of_both_ends=%.3f%% of a core lost=%d%n",
+        links, share * 100, served.closed.size());
+    client.stop();
+    server.stop();
+  }
+
+  private static FrameServer server(FrameListener listener) {
+    FrameServer server =
+        FrameServer.of(
+            Messages.SIDECAR,
+            SETTINGS,
+            listener,
+            () -> new Message.Heartbeat(1, 2, 3),
+            new MetricRegistry());
+    server.start("127.0.0.1", 0);
+    return server;
+  }
+
+  private static FrameClient client() {
+    return FrameClient.of(Messages.ROUTER, SETTINGS, 2, new MetricRegistry());
+  }
+
+  /** A listener that ignores what it does not override. */
+  private static class Quiet implements FrameListener {
+    @Override
+    public void onOpened(FrameConnection connection) {}
+
+    @Override
+    public void onMessage(FrameConnection connection, Message message) {}
+
+    @Override
+    public void onWritable(FrameConnection connection) {}
+
+    @Override
+    public void onClosed(FrameConnection connection, SnipeloomException reason) {}
+
+    @Override
+    public void onFailed(SnipeloomException reason) {}
+  }
+
+  /** Sends each cancel back. */
+  private static final class Echo extends Quiet {
+    @Override
+    public void onMessage(FrameConnection connection, Message message) {
+      if (message instanceof Message.Cancel) {
+        connection.send(message);
+      }
+    }
+  }
+
+  /** Sends a cancel for each one that comes back. */
+  private static final class Pinger extends Quiet {
+    private final CountDownLatch done;
+    private volatile FrameConnection connection;
+
+    Pinger(CountDownLatch done) {
+      this.done = done;
+    }
+
+    void ping() {
+      connection.send(new Message.Cancel(Messages.attempt(1)));
+    }
+
+    @Override
+    public void onOpened(FrameConnection opened) {
+      connection = opened;
+    }
+
+    @Override
+    public void onMessage(FrameConnection from, Message message) {
+      if (message instanceof Message.Cancel && done.getCount() > 0) {
+        done.countDown();
+        ping();
+      }
+    }
+  }
+}
