--- a/src/main/java/io/snipeloom/coordination/FleetAdministration.java
+++ b/src/main/java/io/snipeloom/coordination/FleetAdministration.java
@@ -42,7 +42,7 @@
 
   @Override
   public List<BudgetBalance> balances(BudgetId after, int limit) {
-    String start = after == null ? null : after.value();
+    String start = after == null ? "" : after.value();
     return replica.read(
         state ->
             state.configuration().page(ConfigurationSection.BUDGETS, start, limit).stream()
--- a/src/main/java/io/snipeloom/daemon/RequestReader.java
+++ b/src/main/java/io/snipeloom/daemon/RequestReader.java
@@ -41,6 +41,7 @@
 
   private static final Duration MAX_KEY_LEAD = Duration.ofMinutes(5);
   private static final long CALL_WITHOUT_PRICE_TOKENS = 0;
+  private static final List<String> CHAT_PASSED_ON = List.of(HttpHeaders.CONTENT_TYPE);
   private static final List<String> PASSED_ON =
       List.of(
           HttpHeaders.CONTENT_TYPE, HttpHeaders.ACCEPT, KEY_HEADER, HttpHeaders.ACCEPT_LANGUAGE);
@@ -87,7 +88,7 @@
         customer,
         requestClass,
         chat.model(),
-        new HttpCall("POST", "/v1/chat/completions", passedOn(http), body),
+        new HttpCall("POST", "/v1/chat/completions", passedOn(http, CHAT_PASSED_ON), body),
         Math.addExact(chat.promptUpperBoundTokens(), output),
         output,
         PrefixChain.of(chat.promptBytes()));
@@ -110,7 +111,7 @@
         customer,
         requestClass,
         null,
-        new HttpCall(http.getMethodName(), http.getUri().toString(), passedOn(http), body),
+        new HttpCall(http.getMethodName(), http.getUri().toString(), passedOn(http, PASSED_ON), body),
         Math.max(CALL_WITHOUT_PRICE_TOKENS, requestClass.fixedTokens()),
         0,
         PrefixChain.empty());
@@ -239,8 +240,8 @@
             || path.charAt(prefix.length()) == '/');
   }
 
-  private static List<Header> passedOn(HttpRequest<?> http) {
-    return PASSED_ON.stream()
+  private static List<Header> passedOn(HttpRequest<?> http, List<String> names) {
+    return names.stream()
         .filter(name -> http.getHeaders().contains(name))
         .map(name -> new Header(name, http.getHeaders().get(name)))
         .toList();
--- a/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
+++ b/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
@@ -34,6 +34,11 @@
       "3:no instance answered, or it could not reach the log; try again"
     })
 public final class SnipeloomCommand implements Runnable {
+  private static final String LOG_FORMAT_PROPERTY = "java.util.logging.SimpleFormatter.format";
+
+  /** One line an event: time, level, the event's own pairs, and a stack trace if there is one. */
+  private static final String LOG_FORMAT = "time=%1$tFT%1$tT.%1$tL%1$tz level=%4$s %5$s%6$s%n";
+
   @Spec private CommandSpec spec;
 
   /**
@@ -42,6 +47,7 @@
    * @param args the arguments
    */
   public static void main(String[] args) {
+    System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
     System.exit(commandLine().execute(args));
   }
 
--- a/src/main/java/io/snipeloom/state/DecisionEvent.java
+++ b/src/main/java/io/snipeloom/state/DecisionEvent.java
@@ -1,5 +1,6 @@
 package io.snipeloom.state;
 
+import java.util.List;
 import java.util.Map;
 
 /** An event that follows from a record of the decision stream, equal at every reader. */
@@ -27,15 +28,30 @@
 
   /** A change of configuration lost or broke a rule. */
   record ConfigurationRefused(
-      long offset, ConfigurationChange change, ErrorCode code, String message)
+      long offset,
+      ConfigurationChange change,
+      ErrorCode code,
+      String message,
+      List<Violation> violations)
       implements DecisionEvent {}
 
   /** A top-up entered the pool. */
   record ToppedUp(long offset, TopUp topUp, BudgetLevel level) implements DecisionEvent {}
 
   /** A claim was granted, possibly in part or with no tokens. */
-  record ClaimGranted(long offset, Incarnation holder, long asked, long granted, BudgetLevel level)
-      implements DecisionEvent {}
+  record ClaimGranted(
+      long offset, Incarnation holder, long asked, long needed, long granted, BudgetLevel level)
+      implements DecisionEvent {
+
+    /**
+     * Returns the tokens that the holder needs and did not get.
+     *
+     * @return the tokens; 0 if its need is met
+     */
+    public long missing() {
+      return Math.max(0, needed - granted);
+    }
+  }
 
   /** A claim was refused since its holder is closed. */
   record ClaimRefused(long offset, Incarnation holder, BudgetId budget) implements DecisionEvent {}
