--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -34,6 +34,7 @@
 public final class SidecarDaemon {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration TICK = Duration.ofMillis(100);
+  private static final int TICKS_PER_HOLDER_CHECK = 100;
 
   private final SidecarSettings settings;
   private final Incarnation self;
@@ -48,6 +49,7 @@
   private final FrameServer server;
   private final HttpHost operations;
   private boolean announced;
+  private long ticks;
 
   private SidecarDaemon(SidecarSettings settings) {
     this.settings = settings;
@@ -76,7 +78,7 @@
             new ReplicaDecisions(replica),
             writer,
             backEnd,
-            executor,
+            this::execute,
             InstantSource.system(),
             System::nanoTime,
             metrics);
@@ -116,7 +118,7 @@
     server.start(settings.listen().address(), settings.listen().port());
     operations.start();
     var unused =
-        executor.scheduleWithFixedDelay(this::tick, 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(() -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
     logger.atInfo().log(
         "%s",
         LogLine.of("sidecar.started")
@@ -126,31 +128,58 @@
             .with("port", server.port()));
   }
 
+  private void execute(Runnable task) {
+    executor.execute(() -> runLogged(task));
+  }
+
+  private void runLogged(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      metrics.meter("sidecar.tasks.failed").mark();
+      logger.atSevere().withCause(e).log("%s", LogLine.of("sidecar.task.failed"));
+    }
+  }
+
   private void tick() {
     if (!announced && replica.isCaughtUp()) {
       announced = true;
       sidecar.start();
     }
+    if (ticks++ % TICKS_PER_HOLDER_CHECK == 0) {
+      closeAwaitedHolders();
+    }
     sidecar.tick();
   }
 
+  /** Catches up on closed holders whose event a snapshot may have skipped. */
+  private void closeAwaitedHolders() {
+    replica
+        .read(
+            state ->
+                state.strandedHolders().stream()
+                    .filter(holder -> state.awaitedSidecars(holder).contains(self))
+                    .toList())
+        .forEach(sidecar::onHolderClosed);
+  }
+
   /** Stops without cutting off open work. */
   public void stop() {
     Duration patience = Duration.ofSeconds(settings.drainSeconds());
-    final boolean drained = awaitLeft(patience);
-    final boolean written = writer.stop(patience);
-    server.stop();
-    operations.stop();
-    executor.shutdownNow();
-    replica.stop();
-    backEnd.stop();
-    log.stop();
+    boolean drained = awaitLeft(patience);
+    boolean written = writer.stop(patience);
     logger.atInfo().log(
         "%s",
         LogLine.of("sidecar.stopped")
             .with("incarnation", self)
             .with("drained", drained)
             .with("written", written));
+    server.stop();
+    operations.stop();
+    executor.shutdownNow();
+    replica.stop();
+    backEnd.stop();
+    log.stop();
   }
 
   private boolean awaitLeft(Duration patience) {
