--- a/src/main/java/io/snipeloom/coordination/BudgetHolder.java
+++ b/src/main/java/io/snipeloom/coordination/BudgetHolder.java
@@ -175,8 +175,9 @@
   /**
    * Ends this holder for good: it reserves, claims and returns nothing more. A router calls it when
    * its replica was reloaded from a snapshot, since the closing of this holder may be among the
-   * events that were passed over. It then writes {@code HolderClosed} and goes on with a new
-   * incarnation; attempts under way are still settled under the old one.
+   * events that were passed over. It then drops all records not yet appended but settlements and
+   * outcomes, writes {@code HolderClosed} and goes on with a new incarnation; attempts under way
+   * are still settled under the old one.
    */
   public void fence() {
     phase = Phase.FENCED;
--- a/src/test/java/io/snipeloom/coordination/ScheduleNode.java
+++ b/src/test/java/io/snipeloom/coordination/ScheduleNode.java
@@ -151,11 +151,14 @@
     }
   }
 
-  /** Forgets what was sent; the caller makes sure that nothing depends on it. */
-  final void dropUnresolved(Class<? extends DecisionRecord> dependent) {
+  /** Forgets what was sent, and what is to be sent except reports of what happened. */
+  final void keepReportsOnly() {
     unresolved.clear();
     resend.clear();
-    queue.removeIf(dependent::isInstance);
+    queue.removeIf(
+        record ->
+            !(record instanceof DecisionRecord.AttemptSettled
+                || record instanceof DecisionRecord.OutcomeRecorded));
   }
 
   private void pump() {
--- a/src/test/java/io/snipeloom/coordination/ScheduleRouter.java
+++ b/src/test/java/io/snipeloom/coordination/ScheduleRouter.java
@@ -53,7 +53,7 @@
   void onReloaded() {
     reloadedOnce = true;
     lostSidecars.clear();
-    dropUnresolved(DecisionRecord.HolderDrained.class);
+    keepReportsOnly();
     if (!closed) {
       closed = true;
       outbox.clear();
--- a/src/test/java/io/snipeloom/coordination/ScheduleSidecar.java
+++ b/src/test/java/io/snipeloom/coordination/ScheduleSidecar.java
@@ -94,7 +94,7 @@
 
   @Override
   void onReloaded() {
-    dropUnresolved(DecisionRecord.HolderDrained.class);
+    keepReportsOnly();
     leftWritten = false;
     draining.addAll(state().strandedHolders());
   }
