--- a/src/main/java/io/snipeloom/coordination/BudgetHolder.java
+++ b/src/main/java/io/snipeloom/coordination/BudgetHolder.java
@@ -122,15 +122,19 @@
 
   private void checkOpen() {
     if (phase == Phase.FENCED) {
-      throw refused(ErrorCode.FENCED, "this holder was closed");
+      throw counted(refusal(ErrorCode.FENCED, "this holder was closed"));
     }
     if (phase == Phase.STOPPED) {
-      throw refused(ErrorCode.LEAVING, "this router takes no new work");
+      throw counted(refusal(ErrorCode.LEAVING, "this router takes no new work"));
     }
   }
 
-  private SnipeloomException refused(ErrorCode code, String message) {
-    metrics.refused(code);
+  private SnipeloomException counted(SnipeloomException refusal) {
+    metrics.refused(refusal.code());
+    return refusal;
+  }
+
+  private SnipeloomException refusal(ErrorCode code, String message) {
     return SnipeloomException.of(code, message).withPlace("reserve", self.value());
   }
 
@@ -182,7 +186,7 @@
   public void fence() {
     phase = Phase.FENCED;
     for (HolderShard shard : shards) {
-      shard.close(refused(ErrorCode.FENCED, "this holder was closed"));
+      shard.close(refusal(ErrorCode.FENCED, "this holder was closed"));
     }
   }
 
@@ -201,7 +205,7 @@
     if (phase == Phase.OPEN) {
       phase = Phase.STOPPED;
       for (HolderShard shard : shards) {
-        shard.stop(refused(ErrorCode.LEAVING, "this router takes no new work"));
+        shard.stop(refusal(ErrorCode.LEAVING, "this router takes no new work"));
       }
     }
   }
--- a/src/main/java/io/snipeloom/coordination/HeldBudget.java
+++ b/src/main/java/io/snipeloom/coordination/HeldBudget.java
@@ -7,6 +7,7 @@
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.state.SpendPolicy;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -20,11 +21,12 @@
 final class HeldBudget {
   private static final int MAX_UNCONFIRMED = 4096;
   private static final long UNKNOWN = -1;
+  private static final long SCARCITY_NANOS = Duration.ofSeconds(10).toNanos();
 
   private final BudgetId id;
   private final Map<AttemptId, Long> reservations = new HashMap<>();
   private final Map<AttemptId, Long> unconfirmed = new LinkedHashMap<>();
-  private final Queue<ReservationWaiter> waiters = new ArrayDeque<>();
+  private final Queue<ReservationWaiter> waiters = new ArrayDeque<>(1);
   private long granted;
   private long remaining;
   private long returned;
@@ -38,6 +40,8 @@
   private long needed;
   private long neededAtNanos;
   private boolean pooledSinceShortGrant = true;
+  private boolean scarce;
+  private long scarceAtNanos;
   private double rate;
   private long consumedSinceRate;
   private long rateAtNanos;
@@ -223,7 +227,8 @@
     long missing = missing();
     boolean worthAsking = pooledSinceShortGrant || nowNanos - movedAtNanos > recallRetryNanos;
     long knownPool = Math.max(0, pool);
-    long tokens = ClaimPolicy.claim(policy, rate, knownPool, remaining, missing);
+    boolean scarce = isScarceAt(nowNanos);
+    long tokens = scarce ? missing : ClaimPolicy.claim(policy, rate, knownPool, remaining, missing);
     boolean tooSmall = missing == 0 && tokens < usualReservation;
     if (tokens == 0 || tooSmall || !worthAsking) {
       return 0;
@@ -233,6 +238,17 @@
     return tokens;
   }
 
+  /** Notes that a holder lacks tokens: for a while, wishes must not compete with needs. */
+  void noteScarcity(long nowNanos) {
+    scarce = true;
+    scarceAtNanos = nowNanos;
+  }
+
+  private boolean isScarceAt(long nowNanos) {
+    scarce = scarce && nowNanos - scarceAtNanos < SCARCITY_NANOS;
+    return scarce;
+  }
+
   /** Returns the tokens that waiting or recently refused reservations lack. */
   long missing() {
     long wanted = Math.max(needed, waiters.stream().mapToLong(ReservationWaiter::tokens).sum());
--- a/src/main/java/io/snipeloom/coordination/HolderShard.java
+++ b/src/main/java/io/snipeloom/coordination/HolderShard.java
@@ -102,6 +102,9 @@
             held.addGranted(grant);
           }
           held.noteLevel(grant.level());
+          if (grant.missing() > 0) {
+            held.noteScarcity(nanoClock.getAsLong());
+          }
           if (!grant.holder().equals(self) && grant.missing() > 0) {
             metrics.recalls().inc();
             giveBack(held, held.recalled(grant.missing()), effects);
--- a/src/test/java/io/snipeloom/coordination/SpendTrial.java
+++ b/src/test/java/io/snipeloom/coordination/SpendTrial.java
@@ -47,6 +47,7 @@
     TrialWorld world = new TrialWorld(seed, way, HOLDERS_PER_REGION);
     world.topUp("t1", 2 * TOKENS_PER_HOUR);
     world.run(20 * MINUTE);
+    world.noteHeld();
     world.cutRegion(region, true);
     world.run(30 * MINUTE);
     world.topUp("t2", TOKENS_PER_HOUR);
@@ -59,8 +60,8 @@
   private static void print(long seed, int runs, Scenario scenario) {
     System.out.println(
         "| way | requests | refused | falsely refused | usable share | unspent tokens"
-            + " | overspent | appends per 1000 requests |");
-    System.out.println("|---|---|---|---|---|---|---|---|");
+            + " | overspent | appends per 1000 requests | held per router before the cut |");
+    System.out.println("|---|---|---|---|---|---|---|---|---|");
     for (TrialHolder.Way way : TrialHolder.Way.values()) {
       TrialResult sum = new TrialResult();
       double share = 0;
@@ -72,11 +73,12 @@
         sum.appends += result.appends;
         sum.unspent += result.unspent;
         sum.overspent += result.overspent;
+        sum.heldPerRouter += result.heldPerRouter / runs;
         share += result.usableShare / runs;
       }
       System.out.printf(
           Locale.ROOT,
-          "| %s | %d | %d | %d | %.3f %% | %d | %d | %d |%n",
+          "| %s | %d | %d | %d | %.3f %% | %d | %d | %d | %d |%n",
           way,
           sum.requests,
           sum.refused,
@@ -84,7 +86,8 @@
           share * 100,
           sum.unspent / runs,
           sum.overspent,
-          sum.appends * 1000 / sum.requests);
+          sum.appends * 1000 / sum.requests,
+          sum.heldPerRouter);
     }
   }
 
--- a/src/test/java/io/snipeloom/coordination/TrialResult.java
+++ b/src/test/java/io/snipeloom/coordination/TrialResult.java
@@ -9,6 +9,7 @@
   long unspent;
   long overspent;
   long pool;
+  long heldPerRouter;
   double usableShare = 1;
 
   /** Notes a refusal; it is false if one account for all routers would have had the tokens. */
--- a/src/test/java/io/snipeloom/coordination/TrialWorld.java
+++ b/src/test/java/io/snipeloom/coordination/TrialWorld.java
@@ -76,6 +76,11 @@
     return result;
   }
 
+  /** Notes what the routers hold, which is what their death without a report would strand. */
+  void noteHeld() {
+    result.heldPerRouter = state.budget(BUDGET).orElseThrow().held() / routers.size();
+  }
+
   void topUp(String id, long tokens) {
     toppedUp += tokens;
     change(List.of(new ConfigurationEdit.AddTopUp(new TopUp(TopUpId.of(id), BUDGET, tokens))));
