--- a/src/main/java/io/snipeloom/daemon/OperatorTokens.java
+++ b/src/main/java/io/snipeloom/daemon/OperatorTokens.java
@@ -9,6 +9,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * The operators of an instance, each with the SHA-256 of a bearer token. Immutable and thread-safe.
@@ -18,6 +19,7 @@
  */
 public final class OperatorTokens {
   private static final int HASH_BYTES = 32;
+  private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:#-]{0,95}");
 
   private final List<Credential> credentials;
 
@@ -88,8 +90,13 @@
    */
   public record Credential(String operator, String tokenSha256) {
 
-    /** Checks the hash. */
+    /** Checks the name, which must be fit for records, and the hash. */
     public Credential {
+      if (operator == null || !NAME.matcher(operator).matches()) {
+        throw SnipeloomException.of(
+            ErrorCode.INVALID_SETTINGS,
+            "the name of an operator must match %s but was %s".formatted(NAME, operator));
+      }
       if (tokenSha256 == null || !tokenSha256.matches("[0-9a-fA-F]{" + 2 * HASH_BYTES + "}")) {
         throw SnipeloomException.of(
             ErrorCode.INVALID_SETTINGS,
--- a/src/test/java/io/snipeloom/daemon/AdministrationApiTest.java
+++ b/src/test/java/io/snipeloom/daemon/AdministrationApiTest.java
@@ -112,6 +112,20 @@
     assertThat(fleet.authority.current().customer(CustomerId.of("acme")).get().name(), is("A"));
   }
 
+  @Test
+  void tellsThatTheLogIsDownAndWhenToComeBack() throws Exception {
+    fleet.logDown = true;
+    HttpResponse<String> response =
+        post(
+            "/admin/v1/configuration/changes",
+            "{'baseOffset':0,'edits':[{'edit':'putCustomer','customer':{'id':'acme'}}]}");
+    JsonNode error = error(response, 503, "log.unavailable");
+    assertThat(error.path("retryAfterMillis").asLong(), is(1_500L));
+    assertThat(response.headers().firstValue("Retry-After").get(), is("2"));
+    fleet.logDown = false;
+    assertThat(fleet.authority.current().offset(), is(0L));
+  }
+
   @Test
   void refusesChangesWithPointersAndNoEffect() throws Exception {
     ConfigurationDocument before = fleet.authority.current();
--- a/src/test/java/io/snipeloom/daemon/ConsoleTest.java
+++ b/src/test/java/io/snipeloom/daemon/ConsoleTest.java
@@ -250,6 +250,18 @@
     assertThat(acme().name(), is("Mine"));
   }
 
+  @Test
+  void keepsTheDraftWhenTheLogIsDown() throws Exception {
+    submit("/console/customers/save", "id", "beta", "policy", "TIGHT");
+    fleet.logDown = true;
+    submit("/console/publish");
+    assertThat(page.statusCode(), is(503));
+    assertThat(page.body(), containsString("may or may not be published"));
+    fleet.logDown = false;
+    submit("/console/publish");
+    assertThat(page.body(), containsString("in force from offset 1 on"));
+  }
+
   @Test
   void refusesFormsWithoutTheTokenOfTheSession() throws Exception {
     String good = form("id", "evil", "policy", "TIGHT");
--- a/src/test/java/io/snipeloom/daemon/FakeFleet.java
+++ b/src/test/java/io/snipeloom/daemon/FakeFleet.java
@@ -3,6 +3,7 @@
 import io.snipeloom.coordination.BillLine;
 import io.snipeloom.coordination.BudgetBalance;
 import io.snipeloom.coordination.BudgetReader;
+import io.snipeloom.coordination.ConfigurationAuthority;
 import io.snipeloom.coordination.FleetStatus;
 import io.snipeloom.coordination.HolderBalance;
 import io.snipeloom.coordination.InMemoryConfigurationAuthority;
@@ -17,13 +18,17 @@
 import io.snipeloom.state.ConfigurationSamples;
 import io.snipeloom.state.CustomerId;
 import io.snipeloom.state.EngineOrder;
+import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.Incarnation;
 import io.snipeloom.state.InstanceId;
+import io.snipeloom.state.PublishResult;
 import io.snipeloom.state.RequestClassId;
 import io.snipeloom.state.RequestKey;
+import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.state.Zone;
 import io.snipeloom.transport.HttpHost;
 import io.snipeloom.transport.HttpLimits;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -38,6 +43,7 @@
   final InMemoryConfigurationAuthority authority = new InMemoryConfigurationAuthority();
   final List<BillLine> lines = new ArrayList<>();
   final List<String> actions = new ArrayList<>();
+  volatile boolean logDown;
 
   FakeFleet() {
     authority.publish(
@@ -66,7 +72,7 @@
 
   Administration administration() {
     return new Administration(
-        authority,
+        new OutageAuthority(),
         this,
         this,
         this,
@@ -144,4 +150,21 @@
     actions.add(action);
     return CompletableFuture.completedFuture(42L);
   }
+
+  /** Publishes unless the log is down. */
+  private final class OutageAuthority implements ConfigurationAuthority {
+    @Override
+    public ConfigurationDocument current() {
+      return authority.current();
+    }
+
+    @Override
+    public CompletionStage<PublishResult> publish(ConfigurationChange change) {
+      return logDown
+          ? CompletableFuture.failedStage(
+              SnipeloomException.of(ErrorCode.LOG_UNAVAILABLE, "the log did not answer")
+                  .withRetryAfter(Duration.ofMillis(1_500)))
+          : authority.publish(change);
+    }
+  }
 }
--- a/src/test/java/io/snipeloom/state/ConfigurationJsonTest.java
+++ b/src/test/java/io/snipeloom/state/ConfigurationJsonTest.java
@@ -9,8 +9,10 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.startsWith;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.List;
@@ -120,8 +122,10 @@
 
   @Test
   void refusesDeepNesting() {
-    String deep = "[".repeat(100_000);
-    assertThat(refused(text("{'customers':" + deep)).size(), is(1));
+    String deep = "[".repeat(10_000) + "]".repeat(10_000);
+    List<Violation> violations = refused(text("{'customers':" + deep + "}"));
+    assertThat(violations.get(0).message(), containsString("nesting depth"));
+    assertThat(violations.get(0).pointer(), startsWith("/customers/0/0"));
   }
 
   @Test
