Console: values and search in lists, plain texts for wrong fields

Seen in headless Chromium on the sample configuration: errors read 'string found, integer expected' and a regular expression; lists showed identifiers only and could not reach an entry among 390,000 but page by page. The schema now carries its own texts, lists show the values and start after an identifier.

--- a/src/main/java/io/snipeloom/daemon/ConsolePages.java
+++ b/src/main/java/io/snipeloom/daemon/ConsolePages.java
@@ -50,11 +50,16 @@
     for (SectionForm section : SectionForm.values()) {
       form.add(button(section.title()).with("formaction", section.path()));
     }
-    form.add(button("Review draft (%d edits)".formatted(context.draft().edits().size())));
+    form.add(button("Review draft (%s)".formatted(count(context))));
     form.add(button("Sign out " + context.operator()).with("formaction", "/console/sign-out"));
     return element("nav").with("aria-label", "Console").add(form);
   }
 
+  private static String count(ConsoleContext context) {
+    int edits = context.draft().edits().size();
+    return edits == 1 ? "1 edit" : edits + " edits";
+  }
+
   /** Returns a form that carries the draft. */
   static Html form(ConsoleContext context, String action) {
     return element("form")
@@ -102,6 +107,7 @@
                 element("tr")
                     .add(
                         element("th", "Identifier").with("scope", "col"),
+                        element("th", "Values").with("scope", "col"),
                         element("th", "Draft").with("scope", "col"),
                         element("th", "Actions").with("scope", "col")));
     Html table = element("table").add(element("caption", section.title()), head, body);
@@ -114,7 +120,21 @@
               .with("name", AFTER)
               .with("value", last));
     }
-    return signedIn(context, section.title(), notice(notice), problems(context), form);
+    return signedIn(
+        context,
+        section.title(),
+        notice(notice),
+        problems(context),
+        search(context, section),
+        form);
+  }
+
+  private static Html search(ConsoleContext context, SectionForm section) {
+    return form(context, section.path())
+        .add(
+            element("label", "Show the entries after this identifier").with("for", "search"),
+            element("input").with("type", "text").with("id", "search").with("name", AFTER),
+            button("Show"));
   }
 
   private static Html row(ConsoleContext context, SectionForm section, ConfigurationEntry entry) {
@@ -132,6 +152,7 @@
     return element("tr")
         .add(
             element("th", id).with("scope", "row"),
+            element("td", section.summary(entry)),
             element("td", isInDraft ? "edited" : ""),
             actions);
   }
@@ -146,7 +167,7 @@
       publish = element("p", "The draft has no edits.");
     } else {
       publish.add(
-          button("Publish %d edits".formatted(context.draft().edits().size())),
+          button("Publish " + count(context)),
           button("Discard the draft").with("formaction", "/console/discard"));
     }
     Html base =
--- a/src/main/java/io/snipeloom/daemon/SectionForm.java
+++ b/src/main/java/io/snipeloom/daemon/SectionForm.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /** The form of each section: its fields, and how they become an edit and back. */
 enum SectionForm {
@@ -81,6 +82,16 @@
     return values;
   }
 
+  /** Returns a line that tells the values of an entry, without its identifier and hashes. */
+  String summary(ConfigurationEntry entry) {
+    FormValues values = valuesOf(entry);
+    return fields().stream()
+        .filter(field -> !field.name().equals("id") && !field.name().equals("apiKeyHashes"))
+        .filter(field -> !values.text(field.name()).isEmpty())
+        .map(field -> field.label() + ": " + values.text(field.name()).replace('\n', ' '))
+        .collect(Collectors.joining("; "));
+  }
+
   private static String shown(JsonNode node) {
     if (!node.isArray()) {
       return node.asText();
--- a/src/main/java/io/snipeloom/daemon/SignInController.java
+++ b/src/main/java/io/snipeloom/daemon/SignInController.java
@@ -35,7 +35,7 @@
       label { display: block; font-weight: bold; margin-top: 1rem; }
       input, select, textarea { font: inherit; max-width: 100%; width: 30rem; }
       input[type=checkbox] { width: auto; }
-      button { font: inherit; margin: .25rem 0; padding: .25rem .75rem; }
+      button { font: inherit; margin: .25rem .5rem .25rem 0; padding: .25rem .75rem; }
       table { border-collapse: collapse; margin-top: 1rem; width: 100%; }
       th, td { border: 1px solid; padding: .25rem .5rem; text-align: left; }
       pre { background: #f2f2f2; overflow: auto; padding: .5rem; }
--- a/src/main/java/io/snipeloom/state/ConfigurationSchema.java
+++ b/src/main/java/io/snipeloom/state/ConfigurationSchema.java
@@ -22,7 +22,10 @@
 
   private ConfigurationSchema(String fragment) {
     SchemaValidatorsConfig config =
-        SchemaValidatorsConfig.builder().pathType(PathType.JSON_POINTER).build();
+        SchemaValidatorsConfig.builder()
+            .pathType(PathType.JSON_POINTER)
+            .errorMessageKeyword("errorMessage")
+            .build();
     this.schema =
         JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
             .getSchema(SchemaLocation.of(RESOURCE + fragment), config);
--- a/src/test/java/io/snipeloom/daemon/ConsoleTest.java
+++ b/src/test/java/io/snipeloom/daemon/ConsoleTest.java
@@ -188,6 +188,8 @@
       assertThat(page.body(), containsString("id=\"field-%s-error\"".formatted(field)));
       assertThat(page.body(), containsString("field-%s-error\"".formatted(field)));
     }
+    assertThat(page.body(), containsString("must be a whole number"));
+    assertThat(page.body(), containsString("must be at most 1000000"));
     assertThat("what was entered stays", page.body(), containsString("value=\"soon\""));
     submit(
         "/console/requestClasses/save",
@@ -368,6 +370,15 @@
     }
   }
 
+  @Test
+  void listsEntriesAfterAnIdentifier() throws Exception {
+    submit("/console/requestClasses", "after", "draft");
+    assertThat(page.body(), allOf(containsString("Edit vote"), not(containsString("Edit draft"))));
+    assertThat(page.body(), containsString("Urgency: NOT_REPEATABLE; Upstream: desk"));
+    submit("/console/requestClasses", "after", "-");
+    assertThat(page.statusCode(), is(400));
+  }
+
   @Test
   void givesEachFieldOneLabel() throws Exception {
     for (SectionForm section : SectionForm.values()) {
--- a/src/test/java/io/snipeloom/state/ConfigurationDocumentTest.java
+++ b/src/test/java/io/snipeloom/state/ConfigurationDocumentTest.java
@@ -164,6 +164,15 @@
     assertThat(pointers(error), contains("/baseOffset"));
   }
 
+  @Test
+  void refusesOperatorsWithoutWellFormedNames() {
+    ConfigurationChange change =
+        new ConfigurationChange(0, "two words", List.of(put(customer("acme"))));
+    SnipeloomException error =
+        assertThrows(SnipeloomException.class, () -> document().with(1, change));
+    assertThat(pointers(error), contains("/operator"));
+  }
+
   @Test
   void refusesAnOffsetThatDoesNotGrow() {
     SnipeloomException error =
