--- a/bench/direct.sh
+++ b/bench/direct.sh
@@ -70,12 +70,21 @@
 run engine "$engine/health" standin engine --port $((base + 4)) --admin-port $((base + 5)) \
   --model draft-small --batch-size "$concurrency" --token-millis "$token_millis"
 register sidecar SIDECAR '"drafting"' $((base + 20))
-run sidecar "http://127.0.0.1:$((base + 21))/ready" sidecar --settings "$work/sidecar.json"
+run sidecar "http://127.0.0.1:$((base + 21))/health" sidecar --settings "$work/sidecar.json"
 register router ROUTER null $((base + 10))
-run router "http://127.0.0.1:$((base + 12))/ready" router --settings "$work/router.json"
-SNIPELOOM_TOKEN=operator-local bin/snipeloom config publish --admin "http://127.0.0.1:$((base + 11))" \
+run router "http://127.0.0.1:$((base + 12))/health" router --settings "$work/router.json"
+SNIPELOOM_TOKEN=operator-local bin/snipeloom config publish --base -1 --admin "http://127.0.0.1:$((base + 11))" \
   examples/local/configuration.json >"$work/publish.log"
-sleep 2
+await() { # URL: waits until it answers with success
+  for _ in $(seq 600); do
+    curl -fs -o /dev/null "$1" && return
+    sleep 0.1
+  done
+  echo "no answer from $1; see the logs in $work" >&2
+  exit 1
+}
+await "http://127.0.0.1:$((base + 21))/ready"
+await "http://127.0.0.1:$((base + 12))/ready"
 idle_seconds=20
 sidecar_before=$(cpu_ticks sidecar)
 router_before=$(cpu_ticks router)
--- a/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
+++ b/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
@@ -1,5 +1,6 @@
 package io.snipeloom.daemon;
 
+import io.snipeloom.standin.LoadCommand;
 import io.snipeloom.standin.StandinCommand;
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.state.Violation;
@@ -24,6 +25,7 @@
       LedgerCommand.class,
       SidecarCommand.class,
       StandinCommand.class,
+      LoadCommand.class,
       CompletionCommand.class,
     },
     exitCodeListHeading = "%nExit codes:%n",
