--- a/src/main/java/io/snipeloom/coordination/AdmissionQueue.java
+++ b/src/main/java/io/snipeloom/coordination/AdmissionQueue.java
@@ -30,11 +30,11 @@
   /** How often {@link #sweep} should be called. */
   public static final Duration SWEEP_PERIOD = Duration.ofMillis(50);
 
-  /** The share of the slots that work of the last rank may hold, out of {@link #SHARES}. */
-  static final int LAST_RANK_SHARES = 7;
+  /** The divisor of the slots that work of the last rank leaves free for urgent work. */
+  static final int RESERVE_DIVISOR = 8;
 
-  /** The shares into which the slots are divided. */
-  static final int SHARES = 8;
+  /** The divisor of the slots by which urgent work may exceed them and queue at back ends. */
+  static final int EXCESS_DIVISOR = 8;
 
   /** Of so many turns, one goes to the least urgent that waits, so that it cannot starve. */
   static final int YIELD_PERIOD = 16;
@@ -58,7 +58,6 @@
   private final Timer waits;
   private int limit;
   private int inFlight;
-  private int lastRankInFlight;
   private int turns;
 
   private AdmissionQueue(
@@ -184,6 +183,10 @@
       refuse(ticket, ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed", done);
       return;
     }
+    if (limit <= 0) {
+      refuse(ticket, ErrorCode.NO_UPSTREAM, "no back end is usable", done);
+      return;
+    }
     if (queues.sizeBefore(queue.rank() + 1) == 0 && hasSlot(queue.rank())) {
       grant(ticket, now, done);
       return;
@@ -247,21 +250,17 @@
   }
 
   private ClassQueue<Ticket> nextQueue() {
-    if (inFlight >= limit) {
-      return null;
-    }
-    return queues.next(this::hasSlot, turns % YIELD_PERIOD == YIELD_PERIOD - 1);
+    boolean yields = turns % YIELD_PERIOD == YIELD_PERIOD - 1;
+    return yields ? queues.next(rank -> hasSlot(0), true) : queues.next(this::hasSlot, false);
   }
 
   private boolean hasSlot(int rank) {
-    if (inFlight >= limit) {
+    if (limit <= 0) {
       return false;
     }
-    return !isLastRank(rank) || lastRankInFlight < lastRankLimit();
-  }
-
-  private int lastRankLimit() {
-    return Math.max(1, limit * LAST_RANK_SHARES / SHARES);
+    return isLastRank(rank)
+        ? inFlight < Math.max(1, limit - limit / RESERVE_DIVISOR)
+        : inFlight < limit + limit / EXCESS_DIVISOR;
   }
 
   private static boolean isLastRank(int rank) {
@@ -272,9 +271,6 @@
     ticket.state = State.GRANTED;
     ticket.grantedNanos = now;
     inFlight++;
-    if (isLastRank(ticket.rank())) {
-      lastRankInFlight++;
-    }
     grants.mark();
     waits.update(now - ticket.offeredNanos, TimeUnit.NANOSECONDS);
     done.add(ticket);
@@ -383,9 +379,6 @@
     private void releaseLocked(long now) {
       if (state == State.GRANTED) {
         inFlight--;
-        if (isLastRank(rank())) {
-          lastRankInFlight--;
-        }
         drain.released(now - grantedNanos);
       } else if (state == State.QUEUED) {
         queues.of(request.requestClass()).waiting().removeIf(this::equals);
--- a/src/main/java/io/snipeloom/coordination/BackEnd.java
+++ b/src/main/java/io/snipeloom/coordination/BackEnd.java
@@ -25,7 +25,7 @@
 
   private static final double REPORT_GAIN = 0.2;
   private static final double SERVICE_GAIN = 0.05;
-  private static final double NANOS_PER_MILLI = 1e6;
+  private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** How an attempt ended, as far as the back end is concerned. */
   public enum Outcome {
@@ -58,7 +58,7 @@
   private final Zone zone;
   private volatile Set<ModelId> models;
   private final Circuit circuit = new Circuit();
-  private final AtomicInteger inFlight = new AtomicInteger();
+  private final InFlightHistory inFlight = new InFlightHistory();
   private volatile boolean withdrawn;
   private volatile boolean reserved;
   private final AtomicInteger epoch = new AtomicInteger();
@@ -68,7 +68,7 @@
   private volatile Report report = new Report(null, 0, 0);
 
   /**
-   * A load report, split by the own requests in flight when it was first seen.
+   * A load report, split by the own requests in flight when it was sent.
    *
    * @param load the report
    * @param others the requests of other routers
@@ -164,7 +164,7 @@
    * @return the number of requests
    */
   public int inFlight() {
-    return inFlight.get();
+    return inFlight.count();
   }
 
   /**
@@ -201,7 +201,7 @@
     if (!takesNewWork() || !circuit.tryStart(urgency, nowNanos)) {
       return false;
     }
-    inFlight.incrementAndGet();
+    inFlight.change(1, nowNanos);
     return true;
   }
 
@@ -214,9 +214,9 @@
    * @param random the source of jitter
    */
   public void end(Outcome outcome, long beganNanos, long nowNanos, RandomGenerator random) {
-    inFlight.decrementAndGet();
+    inFlight.change(-1, nowNanos);
     if (outcome == Outcome.ANSWERED) {
-      noteService((nowNanos - beganNanos) / NANOS_PER_MILLI);
+      noteService((nowNanos - beganNanos) / (double) NANOS_PER_MILLI);
     }
     outcome.tell(circuit, nowNanos, random);
   }
@@ -239,10 +239,11 @@
    * Returns the estimated requests at the back end: the router's own, and those of other routers by
    * the last report, which counts less the older it is.
    *
+   * @param nowNanos the present time in nanoseconds
    * @return the estimate
    */
-  public double estimatedLoad() {
-    return inFlight.get() + othersLoad();
+  public double estimatedLoad(long nowNanos) {
+    return inFlight.count() + othersLoad(nowNanos);
   }
 
   /**
@@ -251,15 +252,16 @@
    * and the average of earlier reports fills in.
    */
   @SuppressWarnings("ReferenceEquality")
-  private double othersLoad() {
+  private double othersLoad(long nowNanos) {
     Message.Heartbeat load = link.load();
+    long age = link.loadAgeMillis();
     Report known = report;
     if (known.load() != load) {
-      known = known.next(load, inFlight.get());
+      known = known.next(load, inFlight.at(nowNanos - age * NANOS_PER_MILLI));
       report = known;
     }
     double service = serviceMillis;
-    double weight = service / (service + link.loadAgeMillis());
+    double weight = service / (service + age);
     return weight * known.others() + (1 - weight) * known.meanOthers();
   }
 
--- a/src/main/java/io/snipeloom/coordination/Circuit.java
+++ b/src/main/java/io/snipeloom/coordination/Circuit.java
@@ -19,7 +19,7 @@
   static final Duration MIN_OPEN = Duration.ofMillis(500);
 
   /** The longest time for which the circuit stays open. */
-  static final Duration MAX_OPEN = Duration.ofSeconds(30);
+  static final Duration MAX_OPEN = Duration.ofSeconds(5);
 
   /** The states of a circuit. */
   public enum State {
--- a/src/main/java/io/snipeloom/coordination/ConcurrencyLimit.java
+++ b/src/main/java/io/snipeloom/coordination/ConcurrencyLimit.java
@@ -10,9 +10,10 @@
    *
    * @param backEnds the back ends of the upstream
    * @param routers the routers that share the upstream, at least 1
+   * @param nowNanos the present time in nanoseconds
    * @return the limit; 0 if no back end is usable
    */
-  public static int of(BackEnds backEnds, int routers) {
+  public static int of(BackEnds backEnds, int routers, long nowNanos) {
     double own = 0;
     double free = 0;
     double capacity = 0;
@@ -20,7 +21,7 @@
       if (backEnd.takesNewWork()) {
         own += backEnd.inFlight();
         capacity += backEnd.capacity();
-        free += Math.max(0, backEnd.capacity() - backEnd.estimatedLoad());
+        free += Math.max(0, backEnd.capacity() - backEnd.estimatedLoad(nowNanos));
       }
     }
     double share = capacity / Math.max(1, routers);
--- a/src/main/java/io/snipeloom/coordination/DrainRate.java
+++ b/src/main/java/io/snipeloom/coordination/DrainRate.java
@@ -1,14 +1,14 @@
 package io.snipeloom.coordination;
 
 /**
- * The rate at which slots come free, and the shortest usual time of service; guarded by its owner.
+ * The rate at which slots come free; guarded by its owner.
  *
- * <p>The rate is measured over spans of time that always contain some releases, so that an outage
- * shows as a falling rate.
+ * <p>The rate is that of the last few dozen releases and of the time since, so that an outage shows
+ * as a falling rate.
  */
 final class DrainRate {
   private static final double ASSUMED_SERVICE_NANOS = 2e9;
-  private static final double HALF_LIFE_NANOS = 5e9;
+  private static final double KEPT = 1 - 1 / 32.0;
   private static final double SERVICE_GAIN = 0.05;
 
   private double releases;
@@ -29,12 +29,9 @@
   void advance(long nowNanos, boolean busy) {
     double elapsed = nowNanos - lastNanos;
     lastNanos = nowNanos;
-    if (elapsed <= 0 || !busy) {
-      return;
+    if (busy) {
+      spanNanos += elapsed;
     }
-    double keep = Math.exp(-elapsed / HALF_LIFE_NANOS);
-    releases *= keep;
-    spanNanos = spanNanos * keep + elapsed;
   }
 
   /**
@@ -43,7 +40,8 @@
    * @param serviceNanos the time for which the slot was held
    */
   void released(long serviceNanos) {
-    releases++;
+    releases = releases * KEPT + 1;
+    spanNanos *= KEPT;
     meanServiceNanos += SERVICE_GAIN * (serviceNanos - meanServiceNanos);
   }
 
--- a/src/main/java/io/snipeloom/coordination/RoutingPolicy.java
+++ b/src/main/java/io/snipeloom/coordination/RoutingPolicy.java
@@ -43,7 +43,8 @@
       if (left == null || left == right) {
         return left;
       }
-      return left.estimatedLoad() <= right.estimatedLoad() ? left : right;
+      long now = picker.nowNanos();
+      return left.estimatedLoad(now) <= right.estimatedLoad(now) ? left : right;
     }
   },
 
--- a/src/main/java/io/snipeloom/coordination/ScoredChoice.java
+++ b/src/main/java/io/snipeloom/coordination/ScoredChoice.java
@@ -14,13 +14,16 @@
   static final int ANY_ZONE_SAMPLE = 3;
 
   /** The cost of one more request per unit of capacity beyond a full back end. */
-  static final double QUEUE_COST = 4;
+  static final double QUEUE_COST = 8;
+
+  /** The weight of requests of other routers, which are known with a lag only. */
+  static final double OTHERS_WEIGHT = 0.5;
 
   /** The cost of leaving the zone of the router, in units of utilisation. */
-  static final double ZONE_COST = 0.05;
+  static final double ZONE_COST = 0.01;
 
   /** The gain of a wholly cached prompt of the longest length, in units of utilisation. */
-  static final double PREFIX_GAIN = 0.6;
+  static final double PREFIX_GAIN = 0.3;
 
   /** The spread of random ties, in units of utilisation. */
   static final double TIE_SPREAD = 0.01;
@@ -89,7 +92,8 @@
 
   private double cost(BackEnd candidate) {
     double capacity = candidate.capacity();
-    double load = candidate.estimatedLoad();
+    double own = candidate.inFlight();
+    double load = own + OTHERS_WEIGHT * (candidate.estimatedLoad(nowNanos) - own);
     double waiting = Math.max(0, load + 1 - capacity);
     double cost = (load + QUEUE_COST * waiting) / capacity;
     if (!candidate.zone().equals(request.zone())) {
--- a/src/test/java/io/snipeloom/coordination/RoutingTrial.java
+++ b/src/test/java/io/snipeloom/coordination/RoutingTrial.java
@@ -1,6 +1,5 @@
 package io.snipeloom.coordination;
 
-import io.snipeloom.state.Urgency;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -11,6 +10,7 @@
   private static final long MODEL_SPAN = 240 * TrialClock.SECOND;
   private static final long PLAIN_SPAN = 40 * TrialClock.SECOND;
   private static final long CALIBRATION_SEED = 99;
+  private static final int CALIBRATION_STEPS = 9;
   private static final int ROUTERS = 3;
   private static final List<Long> SEEDS = List.of(1L, 2L, 3L);
   private static final String HEADER =
@@ -39,20 +39,27 @@
     return service.isModel() ? MODEL_SPAN : PLAIN_SPAN;
   }
 
-  /** Returns the requests per second that round robin completes when it is offered too many. */
-  static double saturation(TrialShape shape, TrialShape.Service service, int scale) {
-    double offered = service.isModel() ? 6 * service.replicas() * scale : 400 * scale;
-    TrialShape.Service oneRank = service.withUrgency(Urgency.PROMPT);
-    TrialTrace trace = new TrialTrace(oneRank, scale, ROUTERS * scale, CALIBRATION_SEED);
-    long span = span(service) / 2;
-    List<TrialRequest> requests = trace.draw(offered, span);
-    TrialFleet fleet =
-        new TrialFleet(RoutingPolicy.ROUND_ROBIN, shape, service, scale, ROUTERS * scale, 1, true);
-    requests.forEach(fleet::arrive);
-    fleet.clock.runUntil(span);
-    long from = span / 3;
-    long ended = requests.stream().filter(r -> r.end >= from && r.end < span).count();
-    return ended / ((span - from) / (double) TrialClock.SECOND);
+  /** Returns the requests per second at which round robin keeps a share of the slots busy. */
+  static double rateAtLoad(TrialShape shape, TrialShape.Service service) {
+    double low = 0;
+    double high = service.isModel() ? 6 * service.replicas() : 400 * service.replicas();
+    for (int i = 0; i < CALIBRATION_STEPS; i++) {
+      double rate = (low + high) / 2;
+      if (busyShare(shape, service, rate) < LOAD) {
+        low = rate;
+      } else {
+        high = rate;
+      }
+    }
+    return low;
+  }
+
+  private static double busyShare(TrialShape shape, TrialShape.Service service, double rate) {
+    TrialTrace trace = new TrialTrace(service, 1, ROUTERS, CALIBRATION_SEED);
+    TrialFleet fleet = new TrialFleet(RoutingPolicy.ROUND_ROBIN, shape, service, 1, ROUTERS, 1);
+    trace.draw(rate, span(service)).forEach(fleet::arrive);
+    fleet.clock.runUntil(span(service));
+    return fleet.busyShare();
   }
 
   static TrialResult run(
@@ -65,7 +72,7 @@
       Fault fault) {
     List<TrialRequest> requests =
         new TrialTrace(service, scale, ROUTERS * scale, seed).draw(rate, span(service));
-    TrialFleet fleet = new TrialFleet(policy, shape, service, scale, ROUTERS * scale, seed, true);
+    TrialFleet fleet = new TrialFleet(policy, shape, service, scale, ROUTERS * scale, seed);
     fault.apply(fleet, span(service));
     requests.forEach(fleet::arrive);
     fleet.clock.runUntil(2 * span(service));
@@ -82,7 +89,7 @@
     List<Long> seeds = Arrays.stream(args).skip(1).map(Long::valueOf).toList();
     for (TrialShape shape : TrialShape.all()) {
       for (TrialShape.Service service : shape.services()) {
-        double rate = LOAD * saturation(shape, service, scale);
+        double rate = scale * rateAtLoad(shape, service);
         for (Fault fault : Fault.values()) {
           printTable(shape, service, scale, rate, seeds.isEmpty() ? SEEDS : seeds, fault);
         }
--- a/src/test/java/io/snipeloom/coordination/TrialFleet.java
+++ b/src/test/java/io/snipeloom/coordination/TrialFleet.java
@@ -24,9 +24,9 @@
   final TrialClock clock = new TrialClock();
   final List<TrialReplica> replicas = new ArrayList<>();
   private final List<Router> routers = new ArrayList<>();
+  private final List<Double> busy = new ArrayList<>();
   private final SplittableRandom random;
   private final TrialShape.Service service;
-  private final boolean retries;
 
   TrialFleet(
       RoutingPolicy policy,
@@ -34,11 +34,9 @@
       TrialShape.Service service,
       int scale,
       int routerCount,
-      long seed,
-      boolean retries) {
+      long seed) {
     this.random = new SplittableRandom(seed);
     this.service = service;
-    this.retries = retries;
     UpstreamId upstream = UpstreamId.of(service.name());
     for (int i = 0; i < service.replicas() * scale; i++) {
       var instance = FakeLink.sidecar(service.name() + i, "z" + i % shape.zones(), upstream);
@@ -52,6 +50,14 @@
     clock.every(AdmissionQueue.SWEEP_PERIOD.toNanos(), () -> routers.forEach(Router::sweep));
   }
 
+  /** Returns the mean share of the slots that were busy, after a quarter of the time so far. */
+  double busyShare() {
+    return busy.subList(busy.size() / 4, busy.size()).stream()
+        .mapToDouble(Double::doubleValue)
+        .average()
+        .orElse(0);
+  }
+
   void arrive(TrialRequest request) {
     clock.after(
         request.arrival - clock.getAsLong(), () -> routers.get(request.router).offer(request));
@@ -86,17 +92,19 @@
   }
 
   private void reportLoad() {
+    int running = replicas.stream().mapToInt(TrialReplica::running).sum();
+    busy.add(running / (double) (replicas.size() * service.capacity()));
     for (int i = 0; i < replicas.size(); i++) {
       TrialReplica replica = replicas.get(i);
       int index = i;
-      int running = replica.running();
+      int atReplica = replica.running();
       int queued = replica.queued();
       long sent = clock.getAsLong();
       clock.after(
           REPORT_LAG,
           () ->
               routers.forEach(
-                  r -> r.links.get(index).report(running, queued, replica.capacity, sent)));
+                  r -> r.links.get(index).report(atReplica, queued, replica.capacity, sent)));
     }
     routers.forEach(Router::updateLimit);
   }
@@ -143,14 +151,14 @@
       admission =
           AdmissionQueue.of(
               upstream,
-              ConcurrencyLimit.of(backEnds, routerCount),
+              ConcurrencyLimit.of(backEnds, routerCount, clock.getAsLong()),
               TOTAL_QUEUE,
               clock,
               new MetricRegistry());
     }
 
     void updateLimit() {
-      admission.setLimit(ConcurrencyLimit.of(backEnds, routerCount));
+      admission.setLimit(ConcurrencyLimit.of(backEnds, routerCount, clock.getAsLong()));
     }
 
     void sweep() {
@@ -224,7 +232,7 @@
               clock.getAsLong(),
               request.deadline(),
               random);
-      if (retries && decision.isRetry()) {
+      if (decision.isRetry()) {
         clock.after(
             decision.delay().toNanos(),
             () -> attempt(request, ticket, route.withExcluded(chosen.id())));
--- a/src/test/java/io/snipeloom/coordination/TrialShape.java
+++ b/src/test/java/io/snipeloom/coordination/TrialShape.java
@@ -67,23 +67,6 @@
       return traffic.get(0).meanTokens() > 0;
     }
 
-    /** Returns the same service with all its traffic of one urgency, which keeps its mix. */
-    Service withUrgency(Urgency urgency) {
-      List<Traffic> same =
-          traffic.stream()
-              .map(
-                  t ->
-                      new Traffic(
-                          t.name(),
-                          urgency,
-                          t.share(),
-                          t.meanTokens(),
-                          t.deadlineSeconds(),
-                          t.queueLimit()))
-              .toList();
-      return new Service(name, replicas, capacity, same);
-    }
-
     RequestClass requestClass(Traffic kind) {
       return new RequestClass(
           RequestClassId.of(kind.name()),
