--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -118,7 +118,8 @@
     server.start(settings.listen().address(), settings.listen().port());
     operations.start();
     var unused =
-        executor.scheduleWithFixedDelay(() -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(
+            () -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
     logger.atInfo().log(
         "%s",
         LogLine.of("sidecar.started")
