--- a/src/main/java/io/snipeloom/coordination/UpstreamPool.java
+++ b/src/main/java/io/snipeloom/coordination/UpstreamPool.java
@@ -16,6 +16,7 @@
   private static final int TOTAL_QUEUE_LIMIT = 10_000;
 
   private final UpstreamId upstream;
+  private final LongSupplier nanoClock;
   private final AdmissionQueue admission;
   private final RetryBudget retryBudget;
   private final RetryPolicy retryPolicy;
@@ -29,6 +30,7 @@
       LongSupplier nanoClock,
       MetricRegistry metrics) {
     this.upstream = upstream;
+    this.nanoClock = nanoClock;
     this.admission =
         AdmissionQueue.of(upstream, INITIAL_LIMIT, TOTAL_QUEUE_LIMIT, nanoClock, metrics);
     this.retryBudget = RetryBudget.of(nanoClock);
@@ -70,7 +72,7 @@
    * @param routers the routers that share the upstream, at least 1
    */
   public void refresh(int routers) {
-    admission.setLimit(ConcurrencyLimit.of(backEnds, routers));
+    admission.setLimit(ConcurrencyLimit.of(backEnds, routers, nanoClock.getAsLong()));
     admission.sweep();
   }
 
