--- a/src/main/java/io/snipeloom/coordination/FleetMembership.java
+++ b/src/main/java/io/snipeloom/coordination/FleetMembership.java
@@ -169,6 +169,17 @@
     return sharers.getOrDefault(upstream, 1);
   }
 
+  /**
+   * Returns the router slots that are known.
+   *
+   * @return the slots; empty before the list has answered
+   */
+  public synchronized Set<InstanceId> routers() {
+    return view.instances(Instance.Role.ROUTER).stream()
+        .map(Instance::id)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /** Polls the list once. */
   void pollList() {
     List<Instance> instances;
--- a/src/main/java/io/snipeloom/daemon/RouterDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/RouterDaemon.java
@@ -7,6 +7,7 @@
 import io.snipeloom.coordination.CallerRequest;
 import io.snipeloom.coordination.FleetAdministration;
 import io.snipeloom.coordination.FleetMembership;
+import io.snipeloom.coordination.HolderCloser;
 import io.snipeloom.coordination.LedgerTail;
 import io.snipeloom.coordination.LogConfigurationAuthority;
 import io.snipeloom.coordination.LogReplica;
@@ -28,6 +29,8 @@
 import io.snipeloom.state.BudgetId;
 import io.snipeloom.state.ConfigurationDocument;
 import io.snipeloom.state.Customer;
+import io.snipeloom.state.DecisionEvent;
+import io.snipeloom.state.DecisionRecord;
 import io.snipeloom.state.Incarnation;
 import io.snipeloom.state.ModelId;
 import io.snipeloom.state.SpendPolicy;
@@ -41,6 +44,7 @@
 import java.net.URI;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -62,6 +66,7 @@
   private static final int TCP_THREADS = 2;
   private static final int SCHEDULER_THREADS = 2;
   private static final Duration CLAIM_PERIOD = Duration.ofMillis(200);
+  private static final Duration CLOSE_PERIOD = Duration.ofSeconds(1);
   private static final Duration SNAPSHOT_PERIOD = Duration.ofSeconds(1);
   private static final int PREFIX_ENTRIES = 100_000;
 
@@ -82,6 +87,7 @@
   private final SnapshotWriter snapshots;
   private final FrameClient frames;
   private final FleetMembership membership;
+  private final HolderCloser closer;
   private final UpstreamPools pools;
   private final RequestRouter router;
   private final HttpHost callers;
@@ -112,6 +118,7 @@
         FrameClient.of(
             self, FrameSettings.of(SharedKey.of(settings.sharedKey())), TCP_THREADS, metrics);
     this.membership = openMembership();
+    this.closer = new HolderCloser(self, replica, writer, membership::routers, nanoClock);
     this.pools =
         new UpstreamPools(
             RoutingPolicy.SCORED,
@@ -146,6 +153,7 @@
     pools.start(scheduler);
     repeat(holder::step, CLAIM_PERIOD);
     repeat(snapshots::step, SNAPSHOT_PERIOD);
+    repeat(closer::step, CLOSE_PERIOD);
     callers.start();
     admin.start();
     operations.start();
@@ -167,6 +175,14 @@
    */
   public void onFailure(Runnable listener) {
     replica.onFailure(error -> listener.run());
+    replica.addListener(event -> onClosed(event, listener));
+  }
+
+  private void onClosed(DecisionEvent event, Runnable listener) {
+    if (event instanceof DecisionEvent.HolderClosed closed && closed.holder().equals(self)) {
+      LOG.atWarning().log("event=holder_closed_by_others incarnation=%s", self);
+      listener.run();
+    }
   }
 
   /** Stops without cutting off an open request. */
@@ -174,6 +190,9 @@
     Duration patience = Duration.ofSeconds(settings.drainSeconds());
     boolean drained = router.drain(patience);
     holder.stop();
+    if (holder.isDrained()) {
+      writer.append(List.of(new DecisionRecord.HolderClosed(self)));
+    }
     boolean written = writer.stop(patience);
     LOG.atInfo().log(
         "event=router_stopped incarnation=%s drained=%b written=%b", self, drained, written);
--- a/src/main/java/io/snipeloom/state/DecisionState.java
+++ b/src/main/java/io/snipeloom/state/DecisionState.java
@@ -201,6 +201,15 @@
     return tables.holders().isClosed(holder);
   }
 
+  /**
+   * Returns the holders that may claim and spend.
+   *
+   * @return the incarnations, sorted
+   */
+  public List<Incarnation> openHolders() {
+    return tables.holders().openIds();
+  }
+
   /**
    * Returns the closed holders whose remainder is still stranded, in the order of their closing.
    *
--- a/src/main/java/io/snipeloom/state/HolderTable.java
+++ b/src/main/java/io/snipeloom/state/HolderTable.java
@@ -43,6 +43,10 @@
     return closed.containsKey(id) || released.containsKey(id);
   }
 
+  List<Incarnation> openIds() {
+    return List.copyOf(open.keySet());
+  }
+
   List<Incarnation> closedIds() {
     return List.copyOf(closed.keySet());
   }
