--- /dev/null
+++ b/src/main/java/io/snipeloom/coordination/LogReplica.java
@@ -0,0 +1,366 @@
+package io.snipeloom.coordination;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.snipeloom.platform.LogPage;
+import io.snipeloom.platform.LogRecord;
+import io.snipeloom.platform.LogService;
+import io.snipeloom.state.ApplyResult;
+import io.snipeloom.state.DecisionEvent;
+import io.snipeloom.state.DecisionState;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.RecordBatch;
+import io.snipeloom.state.RecordCodec;
+import io.snipeloom.state.SnapshotAssembler;
+import io.snipeloom.state.SnipeloomException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantReadWriteLock;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+/**
+ * Follows the decision stream and keeps this process's replica of the decision state.
+ *
+ * <p>Listeners learn of every decision in log order, after the state shows it. A replica that fell
+ * behind the retention of the log starts anew from a snapshot. Thread-safe; add the listeners, then
+ * start it once.
+ */
+public final class LogReplica {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final int PAGE_RECORDS = 1_000;
+  private static final Duration POLL_WAIT = Duration.ofSeconds(1);
+  private static final Duration ERROR_PAUSE = Duration.ofMillis(200);
+
+  private final String stream;
+  private final LogService log;
+  private final LongSupplier nanoClock;
+  private final ReentrantReadWriteLock lock = new ReentrantReadWriteLock();
+  private final List<DecisionListener> listeners = new CopyOnWriteArrayList<>();
+  private final List<BatchListener> batchListeners = new CopyOnWriteArrayList<>();
+  private final Counter malformed;
+  private final Counter readFailures;
+  private final RecentRecords recent = new RecentRecords();
+  private DecisionState state = DecisionState.empty();
+  private volatile long appliedOffset = -1;
+  private long nextOffset;
+  private SnapshotAssembler assembler;
+  private Consumer<SnipeloomException> failureListener = error -> {};
+  private volatile long logEnd;
+  private volatile boolean caughtUp;
+  private volatile boolean reachable;
+  private volatile long answeredNanos;
+  private volatile boolean stopping;
+  private Thread thread;
+
+  /**
+   * Creates a replica that is not started yet.
+   *
+   * @param stream the name of the decision stream
+   * @param log the log service
+   * @param nanoClock a monotonic clock in nanoseconds
+   * @param metrics the registry for the metrics of the replica
+   */
+  public LogReplica(String stream, LogService log, LongSupplier nanoClock, MetricRegistry metrics) {
+    this.stream = stream;
+    this.log = log;
+    this.nanoClock = nanoClock;
+    this.answeredNanos = nanoClock.getAsLong();
+    this.malformed = metrics.counter("log.malformed_records");
+    this.readFailures = metrics.counter("log.read_failures");
+    metrics.register("log.applied_offset", (Gauge<Long>) () -> appliedOffset);
+    metrics.register("log.lag_records", (Gauge<Long>) this::lag);
+  }
+
+  /** Starts to follow the stream. */
+  public void start() {
+    thread = new Thread(this::run, "log-replica");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Stops following the stream. */
+  public void stop() {
+    stopping = true;
+    thread.interrupt();
+    try {
+      thread.join(POLL_WAIT.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /**
+   * Adds a listener for decisions.
+   *
+   * @param listener the listener
+   */
+  public void addListener(DecisionListener listener) {
+    listeners.add(listener);
+  }
+
+  /**
+   * Sets what to do when the replica can't go on: an invariant broke, or the log dropped records
+   * that the replica had not read. The process must then start anew under another incarnation.
+   *
+   * @param listener learns of the failure, once
+   */
+  public void onFailure(Consumer<SnipeloomException> listener) {
+    failureListener = listener;
+  }
+
+  /**
+   * Tells a writer which of its batches were read back.
+   *
+   * @param writer the writer of this process
+   */
+  public void addWriter(LogWriter writer) {
+    batchListeners.add(
+        (batch, offset, events) -> {
+          if (batch.writer().equals(writer.incarnation())) {
+            boolean refused = events.stream().anyMatch(LogReplica::isRefusal);
+            writer.onReadBack(batch.sequence(), offset, refused);
+          }
+        });
+  }
+
+  /**
+   * Adds a listener for batches that were read back.
+   *
+   * @param listener the listener
+   */
+  void addBatchListener(BatchListener listener) {
+    batchListeners.add(listener);
+  }
+
+  /**
+   * Reads from the state under its lock.
+   *
+   * @param <T> the type of the result
+   * @param reader takes what it needs; must not keep the state
+   * @return what the reader returned
+   */
+  public <T> T read(Function<DecisionState, T> reader) {
+    lock.readLock().lock();
+    try {
+      return reader.apply(state);
+    } finally {
+      lock.readLock().unlock();
+    }
+  }
+
+  /**
+   * Returns the offset of the last applied batch.
+   *
+   * @return the offset; -1 before the first
+   */
+  public long appliedOffset() {
+    return appliedOffset;
+  }
+
+  /**
+   * Returns whether the replica has once reached the end of the log since it started.
+   *
+   * @return true if it has caught up
+   */
+  public boolean isCaughtUp() {
+    return caughtUp;
+  }
+
+  /**
+   * Returns whether the last read was answered.
+   *
+   * @return false while reads fail
+   */
+  public boolean isReachable() {
+    return reachable;
+  }
+
+  /**
+   * Returns when the log last answered.
+   *
+   * @return the time on the monotonic clock, in nanoseconds
+   */
+  public long answeredNanos() {
+    return answeredNanos;
+  }
+
+  /**
+   * Returns how many records the replica is behind the end of the log that it last saw.
+   *
+   * @return the number of records
+   */
+  public long lag() {
+    return Math.max(0, logEnd - 1 - appliedOffset);
+  }
+
+  /**
+   * Returns records that this replica applied lately, for a peer that cannot read the log.
+   *
+   * @param from the first offset wanted
+   * @param limit the most records returned
+   * @return the records
+   */
+  public LogPage recentPage(long from, int limit) {
+    return recent.page(from, limit);
+  }
+
+  private void run() {
+    while (!stopping) {
+      try {
+        apply(log.read(stream, nextOffset, PAGE_RECORDS, POLL_WAIT));
+        reachable = true;
+        answeredNanos = nanoClock.getAsLong();
+      } catch (SnipeloomException e) {
+        onFailedRead(e);
+      }
+    }
+  }
+
+  private void onFailedRead(SnipeloomException error) {
+    if (isFinal(error)) {
+      stopping = true;
+      caughtUp = false;
+      LOG.atSevere().log("event=replica_failed stream=%s error=%s", stream, error.getMessage());
+      failureListener.accept(error);
+      return;
+    }
+    reachable = false;
+    readFailures.inc();
+    LOG.atWarning().atMostEvery(5, TimeUnit.SECONDS).log(
+        "event=log_read_failed stream=%s code=%s", stream, error.code().text());
+    pause();
+  }
+
+  private static boolean isFinal(SnipeloomException error) {
+    return error.code() == ErrorCode.INVARIANT_VIOLATED || error.code() == ErrorCode.NOT_READY;
+  }
+
+  private void apply(LogPage page) {
+    if (page.firstRetained() > nextOffset) {
+      startLoading(page.firstRetained());
+    }
+    logEnd = page.next();
+    if (assembler != null) {
+      load(page.records());
+      return;
+    }
+    page.records().forEach(this::applyRecord);
+    if (nextOffset >= page.next()) {
+      caughtUp = true;
+    }
+  }
+
+  private void startLoading(long firstRetained) {
+    if (appliedOffset >= 0) {
+      throw SnipeloomException.of(
+          ErrorCode.NOT_READY, "the log no longer keeps offset " + nextOffset);
+    }
+    assembler = SnapshotAssembler.startingAt(firstRetained);
+    nextOffset = firstRetained;
+  }
+
+  /** Looks for a whole snapshot; reading then goes on behind it, with records read before. */
+  private void load(List<LogRecord> records) {
+    for (LogRecord record : records) {
+      nextOffset = record.offset() + 1;
+      RecordBatch batch = decode(record);
+      Optional<DecisionState> loaded = batch == null ? Optional.empty() : assembler.offer(batch);
+      if (loaded.isPresent()) {
+        install(loaded.get());
+        return;
+      }
+    }
+  }
+
+  private void install(DecisionState loaded) {
+    lock.writeLock().lock();
+    try {
+      state = loaded;
+    } finally {
+      lock.writeLock().unlock();
+    }
+    assembler = null;
+    appliedOffset = loaded.appliedOffset();
+    nextOffset = appliedOffset + 1;
+    LOG.atInfo().log("event=snapshot_loaded stream=%s offset=%d", stream, appliedOffset);
+  }
+
+  private void applyRecord(LogRecord record) {
+    if (record.offset() < nextOffset) {
+      return;
+    }
+    RecordBatch batch = decode(record);
+    List<DecisionEvent> events = applyBatch(record.offset(), batch);
+    noteApplied(record);
+    events.forEach(event -> listeners.forEach(listener -> listener.onEvent(event)));
+    if (batch != null) {
+      batchListeners.forEach(listener -> listener.onBatch(batch, record.offset(), events));
+    }
+  }
+
+  private void noteApplied(LogRecord record) {
+    recent.add(record);
+    appliedOffset = record.offset();
+    nextOffset = appliedOffset + 1;
+  }
+
+  private static boolean isRefusal(DecisionEvent event) {
+    return event instanceof DecisionEvent.BatchDropped dropped
+        && dropped.reason() != DecisionEvent.DropReason.DUPLICATE;
+  }
+
+  private List<DecisionEvent> applyBatch(long offset, RecordBatch batch) {
+    lock.writeLock().lock();
+    try {
+      if (batch == null) {
+        state.skip(offset);
+        return List.of();
+      }
+      ApplyResult result = state.apply(offset, batch);
+      return result.events();
+    } finally {
+      lock.writeLock().unlock();
+    }
+  }
+
+  private RecordBatch decode(LogRecord record) {
+    try {
+      return RecordCodec.decode(record.data());
+    } catch (SnipeloomException e) {
+      malformed.inc();
+      LOG.atSevere().log(
+          "event=malformed_record stream=%s offset=%d code=%s",
+          stream, record.offset(), e.code().text());
+      return null;
+    }
+  }
+
+  private void pause() {
+    try {
+      TimeUnit.NANOSECONDS.sleep(ERROR_PAUSE.toNanos());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Learns of each batch that was read back from the log. */
+  @FunctionalInterface
+  interface BatchListener {
+
+    /**
+     * Learns of a batch.
+     *
+     * @param batch the batch
+     * @param offset its offset
+     * @param events what followed from it
+     */
+    void onBatch(RecordBatch batch, long offset, List<DecisionEvent> events);
+  }
+}
--- a/src/test/java/io/snipeloom/coordination/SpendTrial.java
+++ b/src/test/java/io/snipeloom/coordination/SpendTrial.java
@@ -29,22 +29,22 @@
     }
   }
 
-  static TrialResult untilRefused(long seed, TrialHolder.Way way, int holders) {
-    TrialWorld world = new TrialWorld(seed, way, holders);
+  static SpendTrialResult untilRefused(long seed, SpendTrialHolder.Way way, int holders) {
+    SpendTrialWorld world = new SpendTrialWorld(seed, way, holders);
     world.topUp("t1", TOKENS_PER_HOUR);
     world.runUntilRefused(120 * MINUTE);
     return world.result();
   }
 
-  static TrialResult nearlySpent(long seed, TrialHolder.Way way, int holders) {
-    TrialWorld world = new TrialWorld(seed, way, holders);
+  static SpendTrialResult nearlySpent(long seed, SpendTrialHolder.Way way, int holders) {
+    SpendTrialWorld world = new SpendTrialWorld(seed, way, holders);
     world.topUp("t1", TOKENS_PER_HOUR / 6);
     world.run(20 * MINUTE);
     return world.result();
   }
 
-  static TrialResult partition(long seed, TrialHolder.Way way, int region) {
-    TrialWorld world = new TrialWorld(seed, way, HOLDERS_PER_REGION);
+  static SpendTrialResult partition(long seed, SpendTrialHolder.Way way, int region) {
+    SpendTrialWorld world = new SpendTrialWorld(seed, way, HOLDERS_PER_REGION);
     world.topUp("t1", 2 * TOKENS_PER_HOUR);
     world.run(20 * MINUTE);
     world.noteHeld();
@@ -62,11 +62,11 @@
         "| way | requests | refused | falsely refused | usable share | unspent tokens"
             + " | overspent | appends per 1000 requests | held per router before the cut |");
     System.out.println("|---|---|---|---|---|---|---|---|---|");
-    for (TrialHolder.Way way : TrialHolder.Way.values()) {
-      TrialResult sum = new TrialResult();
+    for (SpendTrialHolder.Way way : SpendTrialHolder.Way.values()) {
+      SpendTrialResult sum = new SpendTrialResult();
       double share = 0;
       for (int run = 0; run < runs; run++) {
-        TrialResult result = scenario.run(seed + run, way);
+        SpendTrialResult result = scenario.run(seed + run, way);
         sum.requests += result.requests;
         sum.refused += result.refused;
         sum.falselyRefused += result.falselyRefused;
@@ -93,6 +93,6 @@
 
   /** A run of one way under one seed. */
   private interface Scenario {
-    TrialResult run(long seed, TrialHolder.Way way);
+    SpendTrialResult run(long seed, SpendTrialHolder.Way way);
   }
 }
