--- a/src/test/java/io/snipeloom/coordination/TrialHolder.java
+++ b/src/test/java/io/snipeloom/coordination/SpendTrialHolder.java
@@ -15,7 +15,7 @@
 import java.util.function.LongSupplier;
 
 /** A way to hold tokens at one router, as the trial drives it. */
-interface TrialHolder {
+interface SpendTrialHolder {
 
   /** Returns whether tokens were reserved; the trial tries again until its deadline. */
   boolean reserve(AttemptId attempt, long tokens);
@@ -37,7 +37,7 @@
     CLAIM_PER_REQUEST,
     NO_RETURNS;
 
-    TrialHolder create(
+    SpendTrialHolder create(
         Incarnation id, BudgetId budget, int holders, RecordSink sink, LongSupplier clock) {
       return switch (this) {
         case TIGHT -> new Adaptive(id, budget, SpendPolicy.TIGHT, sink, clock);
@@ -50,7 +50,7 @@
   }
 
   /** The budget holder of the product. */
-  final class Adaptive implements TrialHolder {
+  final class Adaptive implements SpendTrialHolder {
     private final BudgetId budget;
     private final BudgetHolder holder;
 
@@ -87,7 +87,7 @@
   }
 
   /** What the baselines share: tokens granted by the log and a claim under way. */
-  abstract class Baseline implements TrialHolder {
+  abstract class Baseline implements SpendTrialHolder {
     final Incarnation id;
     final BudgetId budget;
     final RecordSink sink;
--- a/src/test/java/io/snipeloom/coordination/SpendTrialResult.java
+++ b/src/test/java/io/snipeloom/coordination/SpendTrialResult.java
@@ -18,7 +18,7 @@
       usableShare = (double) used / toppedUp;
     }
     refused++;
-    if (free >= TrialWorld.UPPER_BOUND) {
+    if (free >= SpendTrialWorld.UPPER_BOUND) {
       falselyRefused++;
     }
   }
--- a/src/test/java/io/snipeloom/coordination/TrialWorld.java
+++ b/src/test/java/io/snipeloom/coordination/SpendTrialWorld.java
@@ -30,7 +30,7 @@
  * Requests of three regions on one budget, in steps of 100 ms on a virtual clock. A record reaches
  * the log in the next step and every connected router in the step after.
  */
-final class TrialWorld {
+final class SpendTrialWorld {
   static final long STEP_MILLIS = 100;
   static final long UPPER_BOUND = 2000;
 
@@ -55,7 +55,7 @@
   private long reserved;
   private long consoleSequence;
 
-  TrialWorld(long seed, TrialHolder.Way way, int holdersPerRegion) {
+  SpendTrialWorld(long seed, SpendTrialHolder.Way way, int holdersPerRegion) {
     this.random = new SplittableRandom(seed);
     int holders = REGIONS * holdersPerRegion;
     for (int i = 0; i < holders; i++) {
@@ -134,7 +134,7 @@
     private final Incarnation id;
     private final int region;
     private final double requestsPerStep;
-    private final TrialHolder holder;
+    private final SpendTrialHolder holder;
     private final Queue<DecisionEvent> inbox = new ArrayDeque<>();
     private final List<DecisionRecord> outbox = new ArrayList<>();
     private final List<Request> waiting = new ArrayList<>();
@@ -143,7 +143,7 @@
     private long sequence;
     private long attempts;
 
-    private Router(TrialHolder.Way way, int number, int region, int holders) {
+    private Router(SpendTrialHolder.Way way, int number, int region, int holders) {
       this.id = Incarnation.of("router" + number + "#1");
       this.region = region;
       double share = REGION_SHARE[region] * REGIONS / holders;
