Bounded text buffer in the decoder, operations surface, measurements

plainServiceThatIsDownMeansNotRun failed once under load: the stand-in had not closed its port yet, reset the connection, and the sidecar rightly said unknown. The test now waits until the port refuses connections and asks for the same answer.

--- a/src/main/java/io/snipeloom/daemon/RequestReader.java
+++ b/src/main/java/io/snipeloom/daemon/RequestReader.java
@@ -111,7 +111,8 @@
         customer,
         requestClass,
         null,
-        new HttpCall(http.getMethodName(), http.getUri().toString(), passedOn(http, PASSED_ON), body),
+        new HttpCall(
+            http.getMethodName(), http.getUri().toString(), passedOn(http, PASSED_ON), body),
         Math.max(CALL_WITHOUT_PRICE_TOKENS, requestClass.fixedTokens()),
         0,
         PrefixChain.empty());
--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -12,10 +12,16 @@
 import io.snipeloom.state.LogLine;
 import io.snipeloom.transport.FrameServer;
 import io.snipeloom.transport.FrameSettings;
+import io.snipeloom.transport.HttpHost;
+import io.snipeloom.transport.HttpLimits;
+import io.snipeloom.transport.OperationsController;
+import io.snipeloom.transport.Readiness;
 import io.snipeloom.transport.SharedKey;
 import java.net.URI;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -44,6 +50,7 @@
   private final HttpBackEnd backEnd;
   private final Sidecar sidecar;
   private final FrameServer server;
+  private final HttpHost operations;
   private boolean announced;
   private long ticks;
 
@@ -85,6 +92,14 @@
             sidecar,
             sidecar::load,
             metrics);
+    this.operations =
+        HttpHost.of(
+            OperationsController.SURFACE,
+            settings.operations().address(),
+            settings.operations().port(),
+            HttpLimits.standard(),
+            metrics,
+            new SidecarReadiness());
   }
 
   /**
@@ -103,9 +118,11 @@
     replica.addWriter(writer);
     replica.start();
     writer.start();
+    operations.start();
     server.start(settings.listen().address(), settings.listen().port());
     var unused =
-        executor.scheduleWithFixedDelay(() -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(
+            () -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
     logger.atInfo().log(
         "%s",
         LogLine.of("sidecar.started")
@@ -166,6 +183,7 @@
     replica.stop();
     backEnd.stop();
     log.stop();
+    operations.stop();
   }
 
   private boolean awaitLeft(Duration patience) {
@@ -186,7 +204,21 @@
    * @return true once the log is followed, the incarnation is announced and the back end is up
    */
   public boolean isReady() {
-    return replica.isCaughtUp() && sidecar.isJoined() && sidecar.load().capacity() > 0;
+    return obstacles().isEmpty();
+  }
+
+  private List<String> obstacles() {
+    List<String> obstacles = new ArrayList<>();
+    if (!replica.isCaughtUp()) {
+      obstacles.add("the log is not read to its end");
+    }
+    if (!sidecar.isJoined()) {
+      obstacles.add("the incarnation is not announced");
+    }
+    if (sidecar.load().capacity() == 0) {
+      obstacles.add("the back end is down");
+    }
+    return obstacles;
   }
 
   /**
@@ -207,6 +239,15 @@
     return self;
   }
 
+  /**
+   * Returns the port for health, readiness and metrics.
+   *
+   * @return the TCP port
+   */
+  public int operationsPort() {
+    return operations.port();
+  }
+
   /**
    * Returns the port for routers.
    *
@@ -215,4 +256,17 @@
   public int port() {
     return server.port();
   }
+
+  /** Tells those who watch the process whether it takes work. */
+  private final class SidecarReadiness implements Readiness {
+    @Override
+    public boolean isReady() {
+      return obstacles().isEmpty();
+    }
+
+    @Override
+    public List<String> reasons() {
+      return obstacles();
+    }
+  }
 }
--- a/src/main/java/io/snipeloom/protocol/FieldReader.java
+++ b/src/main/java/io/snipeloom/protocol/FieldReader.java
@@ -15,16 +15,16 @@
 /** Reads the fields of one message and never allocates more than the frame holds. */
 final class FieldReader {
   private static final int MAX_HEADERS = 256;
+  private static final int DECODER_BUFFER_CHARS = 64;
+  private static final MessagePack.UnpackerConfig CONFIG =
+      new MessagePack.UnpackerConfig().withStringDecoderBufferSize(DECODER_BUFFER_CHARS);
 
   private final int frameBytes;
   private final MessageUnpacker unpacker;
 
   FieldReader(byte[] frame) {
     this.frameBytes = frame.length;
-    this.unpacker =
-        new MessagePack.UnpackerConfig()
-            .withStringSizeLimit(Math.max(1, frame.length))
-            .newUnpacker(frame);
+    this.unpacker = CONFIG.newUnpacker(frame);
   }
 
   int arrayLength() throws IOException {
--- a/src/main/java/io/snipeloom/transport/FrameHandler.java
+++ b/src/main/java/io/snipeloom/transport/FrameHandler.java
@@ -152,7 +152,10 @@
     timer.cancel(false);
     count(reason.code());
     logger.atInfo().log(
-        "%s", line("connection.closed").with("code", reason.code().text()).with("reason", reason.getMessage()));
+        "%s",
+        line("connection.closed")
+            .with("code", reason.code().text())
+            .with("reason", reason.getMessage()));
     var unused = context.close();
     report(reason.withPlace("connection", peerText()));
   }
--- a/src/test/java/io/snipeloom/coordination/TrialWorld.java
+++ b/src/test/java/io/snipeloom/coordination/TrialWorld.java
@@ -48,7 +48,7 @@
   private final DecisionState state = DecisionState.empty();
   private final List<Router> routers = new ArrayList<>();
   private final Incarnation console = Incarnation.of("console#1");
-  private final TrialResult result = new TrialResult();
+  private final SpendTrialResult result = new SpendTrialResult();
   private long nowMillis;
   private long toppedUp;
   private long consumed;
@@ -68,7 +68,7 @@
             new ConfigurationEdit.PutBudget(new Budget(BUDGET, CUSTOMER))));
   }
 
-  TrialResult result() {
+  SpendTrialResult result() {
     BudgetAccount account = state.budget(BUDGET).orElseThrow();
     result.unspent = toppedUp - consumed - reserved;
     result.overspent = Math.max(0, consumed - toppedUp);
--- a/src/test/java/io/snipeloom/daemon/SidecarDaemonTest.java
+++ b/src/test/java/io/snipeloom/daemon/SidecarDaemonTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 
 import com.codahale.metrics.MetricRegistry;
+import io.micronaut.http.client.HttpClient;
 import io.snipeloom.coordination.AnswerListener;
 import io.snipeloom.coordination.LinkSettings;
 import io.snipeloom.coordination.TcpSidecarLink;
@@ -30,6 +31,12 @@
 import io.snipeloom.transport.FrameClient;
 import io.snipeloom.transport.FrameSettings;
 import io.snipeloom.transport.SharedKey;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.MalformedURLException;
+import java.net.Socket;
+import java.net.URL;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
@@ -99,11 +106,13 @@
   }
 
   @Test
-  void plainCallTakesEffectOnceAndAnUnknownModelIsAnswered() {
+  void plainCallTakesEffectOnceAndTheProcessIsReady() throws MalformedURLException {
     start(UpstreamKind.PLAIN_SERVICE, service.port());
     Received received = send(charge(1));
     Eventually.await("end", () -> received.end != null);
     assertThat(received.end.complete(), is(true));
+    assertThat(operations("/ready"), containsString("true"));
+    assertThat(operations("/metrics"), containsString("sidecar"));
     assertThat(received.end.outputTokens() + received.end.promptTokens(), greaterThan(0L));
     Received again = send(charge(1));
     Eventually.await("answered", () -> again.lost != null || again.end != null);
@@ -113,7 +122,9 @@
   @Test
   void plainServiceThatIsDownMeansNotRun() {
     start(UpstreamKind.PLAIN_SERVICE, service.port());
+    int port = service.port();
     service.stop();
+    Eventually.await("the port is closed", () -> isClosed(port));
     Received received = send(charge(1));
     Eventually.await("refused", () -> received.refused != null || received.lost != null);
     RunState runState =
@@ -179,6 +190,23 @@
     return Messages.calling(call, Messages.sentTo(daemon.incarnation(), dispatch));
   }
 
+  private static boolean isClosed(int port) {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      return !socket.isConnected();
+    } catch (ConnectException e) {
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private String operations(String path) throws MalformedURLException {
+    URL url = new URL("http://127.0.0.1:" + daemon.operationsPort());
+    try (HttpClient http = HttpClient.create(url)) {
+      return http.toBlocking().retrieve(path);
+    }
+  }
+
   private Received send(Message.Dispatch dispatch) {
     Received received = new Received();
     link.dispatch(dispatch, received);
