--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -15,10 +15,13 @@
 import io.snipeloom.transport.HttpHost;
 import io.snipeloom.transport.HttpLimits;
 import io.snipeloom.transport.OperationsController;
+import io.snipeloom.transport.Readiness;
 import io.snipeloom.transport.SharedKey;
 import java.net.URI;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -96,7 +99,7 @@
             settings.operations().port(),
             HttpLimits.standard(),
             metrics,
-            new SidecarReadiness(this::isReady));
+            new SidecarReadiness());
   }
 
   /**
@@ -115,8 +118,8 @@
     replica.addWriter(writer);
     replica.start();
     writer.start();
-    server.start(settings.listen().address(), settings.listen().port());
     operations.start();
+    server.start(settings.listen().address(), settings.listen().port());
     var unused =
         executor.scheduleWithFixedDelay(
             () -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
@@ -176,11 +179,11 @@
             .with("drained", drained)
             .with("written", written));
     server.stop();
-    operations.stop();
     executor.shutdownNow();
     replica.stop();
     backEnd.stop();
     log.stop();
+    operations.stop();
   }
 
   private boolean awaitLeft(Duration patience) {
@@ -201,7 +204,21 @@
    * @return true once the log is followed, the incarnation is announced and the back end is up
    */
   public boolean isReady() {
-    return replica.isCaughtUp() && sidecar.isJoined() && sidecar.load().capacity() > 0;
+    return obstacles().isEmpty();
+  }
+
+  private List<String> obstacles() {
+    List<String> obstacles = new ArrayList<>();
+    if (!replica.isCaughtUp()) {
+      obstacles.add("the log is not read to its end");
+    }
+    if (!sidecar.isJoined()) {
+      obstacles.add("the incarnation is not announced");
+    }
+    if (sidecar.load().capacity() == 0) {
+      obstacles.add("the back end is down");
+    }
+    return obstacles;
   }
 
   /**
@@ -222,6 +239,15 @@
     return self;
   }
 
+  /**
+   * Returns the port for health, readiness and metrics.
+   *
+   * @return the TCP port
+   */
+  public int operationsPort() {
+    return operations.port();
+  }
+
   /**
    * Returns the port for routers.
    *
@@ -230,4 +256,17 @@
   public int port() {
     return server.port();
   }
+
+  /** Tells those who watch the process whether it takes work. */
+  private final class SidecarReadiness implements Readiness {
+    @Override
+    public boolean isReady() {
+      return obstacles().isEmpty();
+    }
+
+    @Override
+    public List<String> reasons() {
+      return obstacles();
+    }
+  }
 }
