--- a/src/main/java/io/snipeloom/coordination/FleetMembership.java
+++ b/src/main/java/io/snipeloom/coordination/FleetMembership.java
@@ -56,6 +56,7 @@
   private final List<BackEnd> draining = new ArrayList<>();
   private volatile Map<UpstreamId, BackEnds> published = Map.of();
   private volatile Map<UpstreamId, Integer> sharers = Map.of();
+  private volatile boolean listFailing;
   private ScheduledExecutorService listThread;
   private ScheduledExecutorService linkThread;
 
@@ -176,11 +177,15 @@
       instances = list.instances();
     } catch (SnipeloomException e) {
       metrics.meter("membership.listFailures").mark();
-      logger.atWarning().log("event=list.failed code=%s peer=%s", e.code().text(), e.peer());
+      if (!listFailing) {
+        logger.atWarning().log("event=list.failed code=%s peer=%s", e.code().text(), e.peer());
+      }
+      listFailing = true;
       return;
     }
     synchronized (this) {
       long doubtedBefore = view.doubted();
+      listFailing = false;
       view.onList(instances, nanoClock.getAsLong());
       if (view.doubted() > doubtedBefore) {
         logger.atWarning().log(
--- a/src/main/java/io/snipeloom/coordination/SubsetPlan.java
+++ b/src/main/java/io/snipeloom/coordination/SubsetPlan.java
@@ -6,8 +6,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -76,8 +78,10 @@
     }
     int width = routersPerSidecar(present.size(), sidecars.size());
     Peer own = Peer.of(self);
+    Map<Zone, Integer> perZone = new HashMap<>();
+    present.forEach(router -> perZone.merge(router.zone(), 1, Integer::sum));
     for (Instance sidecar : sidecars) {
-      if (isGiven(own, sidecar, present, width)) {
+      if (isGiven(own, sidecar, present, perZone.getOrDefault(sidecar.zone(), 0), width)) {
         chosen.add(sidecar.id());
       }
     }
@@ -115,26 +119,26 @@
     return present;
   }
 
-  private static boolean isGiven(Peer self, Instance sidecar, List<Peer> routers, int width) {
+  /** Counting stops as soon as enough routers are preferred to this one. */
+  private static boolean isGiven(
+      Peer self, Instance sidecar, List<Peer> routers, int inZone, int width) {
     long hash = RendezvousHash.of(sidecar.id().value());
     long weight = RendezvousHash.weight(self.hash(), hash);
     boolean local = self.zone().equals(sidecar.zone());
-    int inZone = 0;
-    int heavierInZone = 0;
-    int heavierElsewhere = 0;
-    for (Peer router : routers) {
-      boolean heavier = RendezvousHash.weight(router.hash(), hash) > weight;
-      if (router.zone().equals(sidecar.zone())) {
-        inZone++;
-        heavierInZone += heavier ? 1 : 0;
-      } else {
-        heavierElsewhere += heavier ? 1 : 0;
-      }
-    }
     int elsewhere = routers.size() - inZone;
     int localWidth = Math.min(inZone, width * OWN_ZONE_QUARTERS / 4);
     localWidth = Math.max(localWidth, Math.min(inZone, width - elsewhere));
-    return local ? heavierInZone < localWidth : heavierElsewhere < width - localWidth;
+    int places = local ? localWidth : width - localWidth;
+    for (Peer router : routers) {
+      if (places <= 0) {
+        return false;
+      }
+      if (router.zone().equals(sidecar.zone()) == local
+          && RendezvousHash.weight(router.hash(), hash) > weight) {
+        places--;
+      }
+    }
+    return places > 0;
   }
 
   private static void addMissing(Peer self, Collection<Instance> sidecars, Set<InstanceId> chosen) {
