--- /dev/null
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -0,0 +1,233 @@
+package io.snipeloom.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.snipeloom.coordination.LogReplica;
+import io.snipeloom.coordination.LogWriter;
+import io.snipeloom.coordination.LogWriterSettings;
+import io.snipeloom.coordination.Sidecar;
+import io.snipeloom.coordination.SidecarLimits;
+import io.snipeloom.platform.HttpLogService;
+import io.snipeloom.state.Incarnation;
+import io.snipeloom.state.LogLine;
+import io.snipeloom.transport.FrameServer;
+import io.snipeloom.transport.FrameSettings;
+import io.snipeloom.transport.HttpHost;
+import io.snipeloom.transport.HttpLimits;
+import io.snipeloom.transport.OperationsController;
+import io.snipeloom.transport.SharedKey;
+import java.net.URI;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * The process beside one back end: follows the log, takes work from routers and calls the back end.
+ *
+ * <p>Started and stopped once. A stop refuses new work at once, finishes what is open, settles it
+ * and only then closes connections.
+ */
+public final class SidecarDaemon {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration TICK = Duration.ofMillis(100);
+  private static final int TICKS_PER_HOLDER_CHECK = 100;
+
+  private final SidecarSettings settings;
+  private final Incarnation self;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "sidecar"));
+  private final HttpLogService log;
+  private final LogReplica replica;
+  private final LogWriter writer;
+  private final HttpBackEnd backEnd;
+  private final Sidecar sidecar;
+  private final FrameServer server;
+  private final HttpHost operations;
+  private boolean announced;
+  private long ticks;
+
+  private SidecarDaemon(SidecarSettings settings) {
+    this.settings = settings;
+    this.self = Incarnations.fresh(settings.instance());
+    this.log = settings.log().open();
+    this.replica = new LogReplica(settings.log().stream(), log, System::nanoTime, metrics);
+    this.writer =
+        new LogWriter(
+            settings.log().stream(),
+            self,
+            log,
+            replica,
+            LogWriterSettings.standard(),
+            System::nanoTime,
+            metrics);
+    SidecarLimits limits =
+        SidecarLimits.standard().withCapacity(settings.capacity(), settings.queueLimit());
+    this.backEnd =
+        HttpBackEnd.of(settings.kind(), URI.create(settings.backEnd()), (int) limits.answerBytes());
+    this.sidecar =
+        Sidecar.of(
+            self,
+            settings.upstream(),
+            settings.kind(),
+            limits,
+            new ReplicaDecisions(replica),
+            writer,
+            backEnd,
+            this::execute,
+            InstantSource.system(),
+            System::nanoTime,
+            metrics);
+    this.server =
+        FrameServer.of(
+            self,
+            FrameSettings.of(SharedKey.of(settings.sharedKey())),
+            sidecar,
+            sidecar::load,
+            metrics);
+    this.operations =
+        HttpHost.of(
+            OperationsController.SURFACE,
+            settings.operations().address(),
+            settings.operations().port(),
+            HttpLimits.standard(),
+            metrics,
+            new SidecarReadiness(this::isReady));
+  }
+
+  /**
+   * Returns a sidecar that is not started yet.
+   *
+   * @param settings the settings
+   * @return the sidecar
+   */
+  public static SidecarDaemon of(SidecarSettings settings) {
+    return new SidecarDaemon(settings);
+  }
+
+  /** Starts to follow the log and listens; work is taken once the incarnation is announced. */
+  public void start() {
+    replica.addListener(new SidecarEvents(self, settings.instance(), sidecar, replica));
+    replica.addWriter(writer);
+    replica.start();
+    writer.start();
+    server.start(settings.listen().address(), settings.listen().port());
+    operations.start();
+    var unused =
+        executor.scheduleWithFixedDelay(
+            () -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
+    logger.atInfo().log(
+        "%s",
+        LogLine.of("sidecar.started")
+            .with("incarnation", self)
+            .with("upstream", settings.upstream())
+            .with("zone", settings.zone())
+            .with("port", server.port()));
+  }
+
+  private void execute(Runnable task) {
+    executor.execute(() -> runLogged(task));
+  }
+
+  private void runLogged(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      metrics.meter("sidecar.tasks.failed").mark();
+      logger.atSevere().withCause(e).log("%s", LogLine.of("sidecar.task.failed"));
+    }
+  }
+
+  private void tick() {
+    if (!announced && replica.isCaughtUp()) {
+      announced = true;
+      sidecar.start();
+    }
+    if (ticks++ % TICKS_PER_HOLDER_CHECK == 0) {
+      closeAwaitedHolders();
+    }
+    sidecar.tick();
+  }
+
+  /** Catches up on closed holders whose event a snapshot may have skipped. */
+  private void closeAwaitedHolders() {
+    replica
+        .read(
+            state ->
+                state.strandedHolders().stream()
+                    .filter(holder -> state.awaitedSidecars(holder).contains(self))
+                    .toList())
+        .forEach(sidecar::onHolderClosed);
+  }
+
+  /** Stops without cutting off open work. */
+  public void stop() {
+    Duration patience = Duration.ofSeconds(settings.drainSeconds());
+    boolean drained = awaitLeft(patience);
+    boolean written = writer.stop(patience);
+    logger.atInfo().log(
+        "%s",
+        LogLine.of("sidecar.stopped")
+            .with("incarnation", self)
+            .with("drained", drained)
+            .with("written", written));
+    server.stop();
+    operations.stop();
+    executor.shutdownNow();
+    replica.stop();
+    backEnd.stop();
+    log.stop();
+  }
+
+  private boolean awaitLeft(Duration patience) {
+    try {
+      sidecar.leave().toCompletableFuture().get(patience.toMillis(), TimeUnit.MILLISECONDS);
+      return true;
+    } catch (TimeoutException | ExecutionException e) {
+      return false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  /**
+   * Returns whether work is taken.
+   *
+   * @return true once the log is followed, the incarnation is announced and the back end is up
+   */
+  public boolean isReady() {
+    return replica.isCaughtUp() && sidecar.isJoined() && sidecar.load().capacity() > 0;
+  }
+
+  /**
+   * Returns the metrics of the process.
+   *
+   * @return the registry
+   */
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  /**
+   * Returns the incarnation of the process.
+   *
+   * @return the incarnation
+   */
+  public Incarnation incarnation() {
+    return self;
+  }
+
+  /**
+   * Returns the port for routers.
+   *
+   * @return the TCP port
+   */
+  public int port() {
+    return server.port();
+  }
+}
--- a/src/main/java/io/snipeloom/state/Customer.java
+++ b/src/main/java/io/snipeloom/state/Customer.java
@@ -16,12 +16,24 @@
     String name,
     List<String> apiKeyHashes,
     BudgetId defaultBudget,
-    SpendPolicy policy) {
+    SpendPolicy policy)
+    implements ConfigurationEntry {
 
   /** Copies the hashes and fills in the defaults. */
   public Customer {
+    Entry.required("id", id);
     name = name == null ? "" : name;
     apiKeyHashes = apiKeyHashes == null ? List.of() : List.copyOf(apiKeyHashes);
     policy = policy == null ? SpendPolicy.AVAILABLE : policy;
   }
+
+  @Override
+  public ConfigurationSection section() {
+    return ConfigurationSection.CUSTOMERS;
+  }
+
+  @Override
+  public String entryId() {
+    return id.value();
+  }
 }
