--- a/bench/direct.sh
+++ b/bench/direct.sh
@@ -16,8 +16,10 @@
 pids=()
 end() {
   trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do # the router and the sidecar write to the log as they stop
+    kill "${pids[i]}" 2>/dev/null || true
+    wait "${pids[i]}" 2>/dev/null || true
+  done
 }
 trap end EXIT INT TERM
 declare -A started_ms
@@ -85,6 +87,14 @@
 }
 await "http://127.0.0.1:$((base + 21))/ready"
 await "http://127.0.0.1:$((base + 12))/ready"
+echo "Concurrency $concurrency, $requests requests after as many to warm up, a token each $token_millis ms."
+echo "JVM options: ${SNIPELOOM_JAVA_OPTS:-none}. Load average before: $(cut -d' ' -f1-3 /proc/loadavg); $(nproc) processors."
+echo
+load --url "$engine" --model draft-small --stream --head --row "direct, streamed"
+load --url "$router" --model draft-small --stream --key sk-kilimanjaro-local --row "router, streamed"
+load --url "$engine" --model draft-small --row "direct, whole"
+load --url "$router" --model draft-small --key sk-kilimanjaro-local --row "router, whole"
+sleep 5
 idle_seconds=20
 sidecar_before=$(cpu_ticks sidecar)
 router_before=$(cpu_ticks router)
@@ -93,12 +103,6 @@
 share() { awk -v a="$1" -v b="$2" -v s="$idle_seconds" -v t="$ticks" 'BEGIN {printf "%.2f", 100 * (b - a) / t / s}'; }
 sidecar_idle=$(share "$sidecar_before" "$(cpu_ticks sidecar)")
 router_idle=$(share "$router_before" "$(cpu_ticks router)")
-echo "Concurrency $concurrency, $requests requests after as many to warm up, a token each $token_millis ms."
-echo
-load --url "$engine" --model draft-small --stream --head --row "direct, streamed"
-load --url "$router" --model draft-small --stream --key sk-kilimanjaro-local --row "router, streamed"
-load --url "$engine" --model draft-small --row "direct, whole"
-load --url "$router" --model draft-small --key sk-kilimanjaro-local --row "router, whole"
 echo
 echo "| process | start-up ms | resident MB after the runs | idle % of a core over $idle_seconds s |"
 echo "|---|---|---|---|"
