--- a/src/main/java/io/snipeloom/coordination/BudgetHolder.java
+++ b/src/main/java/io/snipeloom/coordination/BudgetHolder.java
@@ -122,15 +122,19 @@
 
   private void checkOpen() {
     if (phase == Phase.FENCED) {
-      throw refused(ErrorCode.FENCED, "this holder was closed");
+      throw counted(refusal(ErrorCode.FENCED, "this holder was closed"));
     }
     if (phase == Phase.STOPPED) {
-      throw refused(ErrorCode.LEAVING, "this router takes no new work");
+      throw counted(refusal(ErrorCode.LEAVING, "this router takes no new work"));
     }
   }
 
-  private SnipeloomException refused(ErrorCode code, String message) {
-    metrics.refused(code);
+  private SnipeloomException counted(SnipeloomException refusal) {
+    metrics.refused(refusal.code());
+    return refusal;
+  }
+
+  private SnipeloomException refusal(ErrorCode code, String message) {
     return SnipeloomException.of(code, message).withPlace("reserve", self.value());
   }
 
@@ -175,13 +179,14 @@
   /**
    * Ends this holder for good: it reserves, claims and returns nothing more. A router calls it when
    * its replica was reloaded from a snapshot, since the closing of this holder may be among the
-   * events that were passed over. It then writes {@code HolderClosed} and goes on with a new
-   * incarnation; attempts under way are still settled under the old one.
+   * events that were passed over. It then drops all records not yet appended but settlements and
+   * outcomes, writes {@code HolderClosed} and goes on with a new incarnation; attempts under way
+   * are still settled under the old one.
    */
   public void fence() {
     phase = Phase.FENCED;
     for (HolderShard shard : shards) {
-      shard.close(refused(ErrorCode.FENCED, "this holder was closed"));
+      shard.close(refusal(ErrorCode.FENCED, "this holder was closed"));
     }
   }
 
@@ -200,7 +205,7 @@
     if (phase == Phase.OPEN) {
       phase = Phase.STOPPED;
       for (HolderShard shard : shards) {
-        shard.stop(refused(ErrorCode.LEAVING, "this router takes no new work"));
+        shard.stop(refusal(ErrorCode.LEAVING, "this router takes no new work"));
       }
     }
   }
--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -12,6 +12,9 @@
 import io.snipeloom.state.LogLine;
 import io.snipeloom.transport.FrameServer;
 import io.snipeloom.transport.FrameSettings;
+import io.snipeloom.transport.HttpHost;
+import io.snipeloom.transport.HttpLimits;
+import io.snipeloom.transport.OperationsController;
 import io.snipeloom.transport.SharedKey;
 import java.net.URI;
 import java.time.Duration;
@@ -44,6 +47,7 @@
   private final HttpBackEnd backEnd;
   private final Sidecar sidecar;
   private final FrameServer server;
+  private final HttpHost operations;
   private boolean announced;
   private long ticks;
 
@@ -85,6 +89,14 @@
             sidecar,
             sidecar::load,
             metrics);
+    this.operations =
+        HttpHost.of(
+            OperationsController.SURFACE,
+            settings.operations().address(),
+            settings.operations().port(),
+            HttpLimits.standard(),
+            metrics,
+            new SidecarReadiness(this::isReady));
   }
 
   /**
@@ -104,8 +116,10 @@
     replica.start();
     writer.start();
     server.start(settings.listen().address(), settings.listen().port());
+    operations.start();
     var unused =
-        executor.scheduleWithFixedDelay(() -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
+        executor.scheduleWithFixedDelay(
+            () -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
     logger.atInfo().log(
         "%s",
         LogLine.of("sidecar.started")
@@ -162,6 +176,7 @@
             .with("drained", drained)
             .with("written", written));
     server.stop();
+    operations.stop();
     executor.shutdownNow();
     replica.stop();
     backEnd.stop();
