--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -15,13 +15,10 @@
 import io.snipeloom.transport.HttpHost;
 import io.snipeloom.transport.HttpLimits;
 import io.snipeloom.transport.OperationsController;
-import io.snipeloom.transport.Readiness;
 import io.snipeloom.transport.SharedKey;
 import java.net.URI;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -99,7 +96,7 @@
             settings.operations().port(),
             HttpLimits.standard(),
             metrics,
-            new SidecarReadiness());
+            new SidecarReadiness(this::isReady));
   }
 
   /**
@@ -118,8 +115,8 @@
     replica.addWriter(writer);
     replica.start();
     writer.start();
-    operations.start();
     server.start(settings.listen().address(), settings.listen().port());
+    operations.start();
     var unused =
         executor.scheduleWithFixedDelay(
             () -> runLogged(this::tick), 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
@@ -179,11 +176,11 @@
             .with("drained", drained)
             .with("written", written));
     server.stop();
+    operations.stop();
     executor.shutdownNow();
     replica.stop();
     backEnd.stop();
     log.stop();
-    operations.stop();
   }
 
   private boolean awaitLeft(Duration patience) {
@@ -204,21 +201,7 @@
    * @return true once the log is followed, the incarnation is announced and the back end is up
    */
   public boolean isReady() {
-    return obstacles().isEmpty();
-  }
-
-  private List<String> obstacles() {
-    List<String> obstacles = new ArrayList<>();
-    if (!replica.isCaughtUp()) {
-      obstacles.add("the log is not read to its end");
-    }
-    if (!sidecar.isJoined()) {
-      obstacles.add("the incarnation is not announced");
-    }
-    if (sidecar.load().capacity() == 0) {
-      obstacles.add("the back end is down");
-    }
-    return obstacles;
+    return replica.isCaughtUp() && sidecar.isJoined() && sidecar.load().capacity() > 0;
   }
 
   /**
@@ -256,17 +239,4 @@
   public int port() {
     return server.port();
   }
-
-  /** Tells those who watch the process whether it takes work. */
-  private final class SidecarReadiness implements Readiness {
-    @Override
-    public boolean isReady() {
-      return obstacles().isEmpty();
-    }
-
-    @Override
-    public List<String> reasons() {
-      return obstacles();
-    }
-  }
 }
--- a/src/test/java/io/snipeloom/daemon/LocalFleet.java
+++ b/src/test/java/io/snipeloom/daemon/LocalFleet.java
@@ -260,7 +260,7 @@
     if (known != null) {
       return known;
     }
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(IP))) {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       ports.put(use, socket.getLocalPort());
       return socket.getLocalPort();
     }
