--- a/bench/direct.sh
+++ b/bench/direct.sh
@@ -43,6 +43,9 @@
 rss_mb() { awk '/VmRSS/ {printf "%.0f", $2 / 1024}' "/proc/$(cat "$work/$1.pid")/status"; }
 cpu_ticks() { awk '{print $14 + $15}' "/proc/$(cat "$work/$1.pid")/stat"; }
 load() { bin/snipeloom load --concurrency "$concurrency" --requests "$requests" --warm-up "$requests" "$@" || true; }
+# One request at a time: the engine is idle when it comes, so that no wait for a step of the batch hides
+# the time that the hops add.
+alone() { bin/snipeloom load --concurrency 1 --requests 500 --warm-up 500 --max-tokens 4 --stream "$@" || true; }
 log=http://127.0.0.1:$base
 list=http://127.0.0.1:$((base + 2))
 engine=http://127.0.0.1:$((base + 4))
@@ -94,6 +97,8 @@
 load --url "$router" --model draft-small --stream --key sk-kilimanjaro-local --row "router, streamed"
 load --url "$engine" --model draft-small --row "direct, whole"
 load --url "$router" --model draft-small --key sk-kilimanjaro-local --row "router, whole"
+alone --url "$engine" --model draft-small --row "direct, one at a time"
+alone --url "$router" --model draft-small --key sk-kilimanjaro-local --row "router, one at a time"
 sleep 5
 idle_seconds=20
 sidecar_before=$(cpu_ticks sidecar)
