--- a/src/main/java/io/snipeloom/coordination/RoutingPolicy.java
+++ b/src/main/java/io/snipeloom/coordination/RoutingPolicy.java
@@ -1,5 +1,6 @@
 package io.snipeloom.coordination;
 
+import io.snipeloom.state.UpstreamKind;
 import java.util.random.RandomGenerator;
 
 /** The ways to choose a back end. */
@@ -60,6 +61,17 @@
     }
   };
 
+  /**
+   * Returns the policy for back ends of a kind. Short calls end before a load report arrives, so
+   * for plain services only the router's own count is used.
+   *
+   * @param kind the kind of back ends
+   * @return the policy
+   */
+  public static RoutingPolicy forKind(UpstreamKind kind) {
+    return kind == UpstreamKind.MODEL_ENGINE ? SCORED : LEAST_IN_FLIGHT;
+  }
+
   /**
    * Chooses a back end.
    *
