--- a/src/main/java/io/snipeloom/coordination/LogWriter.java
+++ b/src/main/java/io/snipeloom/coordination/LogWriter.java
@@ -47,6 +47,7 @@
   private final Condition changed = lock.newCondition();
   private final Deque<Pending> queue = new ArrayDeque<>();
   private final SortedMap<Long, List<Pending>> outstanding = new TreeMap<>();
+  private final SortedMap<Long, List<Pending>> refusedBatches = new TreeMap<>();
   private final Meter appends;
   private final Meter appendedRecords;
   private final Counter failures;
@@ -182,9 +183,13 @@
    * Learns from the replica that a batch of this writer was read back. Also ends the retries of an
    * append whose answer was lost.
    *
+   * <p>Readers refuse every batch that was built before its writer could see a first refusal. Their
+   * records are sent again in their order and before any later ones, once no other batch is under
+   * way: a report that work is settled must never overtake the settlement.
+   *
    * @param number the sequence number of the batch
    * @param offset its offset
-   * @param refused whether readers refused the batch as stale, in which case it is sent again
+   * @param refused whether readers refused the batch, in which case it is sent again
    */
   void onReadBack(long number, long offset, boolean refused) {
     List<Pending> seen;
@@ -192,10 +197,10 @@
     try {
       seen = outstanding.remove(number);
       if (seen != null && refused) {
-        queue.addAll(seen);
-        urgent = true;
-        changed.signalAll();
+        refusedBatches.put(number, seen);
       }
+      requeueRefused();
+      changed.signalAll();
     } finally {
       lock.unlock();
     }
@@ -204,6 +209,19 @@
     }
   }
 
+  private void requeueRefused() {
+    if (refusedBatches.isEmpty() || !outstanding.isEmpty()) {
+      return;
+    }
+    List<Pending> again = new ArrayList<>();
+    refusedBatches.values().forEach(again::addAll);
+    refusedBatches.clear();
+    for (int i = again.size() - 1; i >= 0; i--) {
+      queue.addFirst(again.get(i));
+    }
+    urgent = true;
+  }
+
   private void run() {
     while (true) {
       List<Pending> taken = take();
@@ -251,8 +269,8 @@
 
   private void awaitDue() {
     while (!aborted) {
-      if (queue.isEmpty()) {
-        if (stopping) {
+      if (queue.isEmpty() || !refusedBatches.isEmpty()) {
+        if (stopping && refusedBatches.isEmpty()) {
           return;
         }
         changed.awaitUninterruptibly();
@@ -344,6 +362,8 @@
     try {
       outstanding.values().forEach(failed::addAll);
       outstanding.clear();
+      refusedBatches.values().forEach(failed::addAll);
+      refusedBatches.clear();
       failed.addAll(queue);
       queue.clear();
     } finally {
--- a/src/main/java/io/snipeloom/coordination/RequestFlow.java
+++ b/src/main/java/io/snipeloom/coordination/RequestFlow.java
@@ -285,6 +285,8 @@
       return;
     }
     attempt.sent = true;
+    attempt.sidecar = sidecar;
+    context.openAttempts().begin(sidecar);
     attempt.sentNanos = context.nowNanos();
     tried.add(attempt.backEnd.id());
     pool.picker().prefixes().recordSend(attempt.backEnd, request.prefix());
@@ -492,6 +494,7 @@
     if (attempt.backEnd != null) {
       attempt.backEnd.end(outcome, attempt.sentNanos, context.nowNanos(), context.random());
       context.reservations().settle(attempt.id, consumed);
+      context.openAttempts().end(attempt.sidecar);
     }
     if (current == attempt) {
       current = null;
@@ -507,6 +510,7 @@
     private final AttemptId id;
     private final BackEnd backEnd;
     private final SidecarLink link;
+    private Incarnation sidecar;
     private boolean sent;
     private long sentNanos;
     private boolean concluded;
--- a/src/main/java/io/snipeloom/coordination/RouterContext.java
+++ b/src/main/java/io/snipeloom/coordination/RouterContext.java
@@ -18,6 +18,7 @@
  * @param replica the replica of the decision state
  * @param records takes records for the log
  * @param reservations reserves tokens
+ * @param openAttempts counts the open attempts at each sidecar
  * @param resolver finds earlier attempts
  * @param pools finds the pool of a request
  * @param scheduler runs delayed steps
@@ -32,6 +33,7 @@
     LogReplica replica,
     RecordSink records,
     BudgetHolder reservations,
+    OpenAttempts openAttempts,
     CallResolver resolver,
     Function<CallerRequest, UpstreamPool> pools,
     ScheduledExecutorService scheduler,
--- a/src/main/java/io/snipeloom/coordination/UpstreamPools.java
+++ b/src/main/java/io/snipeloom/coordination/UpstreamPools.java
@@ -7,7 +7,9 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * The pools of all upstreams of a router, kept up to date with the membership.
@@ -15,8 +17,8 @@
  * <p>Thread-safe; started once.
  */
 public final class UpstreamPools {
-  private final RoutingPolicy policy;
-  private final PrefixIndex prefixes;
+  private final Function<UpstreamId, RoutingPolicy> policies;
+  private final Supplier<PrefixIndex> prefixes;
   private final FleetMembership membership;
   private final LongSupplier nanoClock;
   private final MetricRegistry metrics;
@@ -25,19 +27,19 @@
   /**
    * Creates the pools.
    *
-   * @param policy how back ends are chosen
-   * @param prefixes the index of cached prefixes
+   * @param policies how the back ends of an upstream are chosen
+   * @param prefixes makes the index of cached prefixes of one upstream
    * @param membership the back ends of each upstream
    * @param nanoClock a monotonic clock in nanoseconds
    * @param metrics the registry for metrics
    */
   public UpstreamPools(
-      RoutingPolicy policy,
-      PrefixIndex prefixes,
+      Function<UpstreamId, RoutingPolicy> policies,
+      Supplier<PrefixIndex> prefixes,
       FleetMembership membership,
       LongSupplier nanoClock,
       MetricRegistry metrics) {
-    this.policy = policy;
+    this.policies = policies;
     this.prefixes = prefixes;
     this.membership = membership;
     this.nanoClock = nanoClock;
@@ -66,7 +68,8 @@
   }
 
   private UpstreamPool newPool(UpstreamId upstream) {
-    UpstreamPool pool = UpstreamPool.of(upstream, policy, prefixes, nanoClock, metrics);
+    UpstreamPool pool =
+        UpstreamPool.of(upstream, policies.apply(upstream), prefixes.get(), nanoClock, metrics);
     refresh(pool);
     return pool;
   }
--- a/src/main/java/io/snipeloom/daemon/RouterDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/RouterDaemon.java
@@ -13,6 +13,7 @@
 import io.snipeloom.coordination.LogReplica;
 import io.snipeloom.coordination.LogWriter;
 import io.snipeloom.coordination.LogWriterSettings;
+import io.snipeloom.coordination.OpenAttempts;
 import io.snipeloom.coordination.PrefixIndex;
 import io.snipeloom.coordination.RequestRouter;
 import io.snipeloom.coordination.RouterContext;
@@ -83,6 +84,7 @@
   private final LogReplica replica;
   private final LogWriter writer;
   private final LogConfigurationAuthority authority;
+  private final OpenAttempts openAttempts;
   private final BudgetHolder holder;
   private final SnapshotWriter snapshots;
   private final FrameClient frames;
@@ -111,6 +113,7 @@
             nanoClock,
             metrics);
     this.authority = new LogConfigurationAuthority(replica, writer);
+    this.openAttempts = new OpenAttempts(self, writer);
     this.holder = BudgetHolder.create(self, this::policy, writer, nanoClock, metrics);
     this.snapshots =
         new SnapshotWriter(replica, writer, SnapshotSchedule.standard(), nanoClock, random);
@@ -121,8 +124,8 @@
     this.closer = new HolderCloser(self, replica, writer, membership::routers, nanoClock);
     this.pools =
         new UpstreamPools(
-            RoutingPolicy.SCORED,
-            PrefixIndex.of(PREFIX_ENTRIES, nanoClock),
+            this::routingPolicy,
+            () -> PrefixIndex.of(PREFIX_ENTRIES, nanoClock),
             membership,
             nanoClock,
             metrics);
@@ -146,6 +149,7 @@
   public void start() {
     replica.addListener(authority);
     replica.addListener(holder::onEvent);
+    replica.addListener(openAttempts);
     replica.addWriter(writer);
     replica.start();
     writer.start();
@@ -245,6 +249,14 @@
         .orElse(SpendPolicy.TIGHT);
   }
 
+  private RoutingPolicy routingPolicy(UpstreamId upstream) {
+    return authority
+        .current()
+        .upstream(upstream)
+        .map(found -> RoutingPolicy.forKind(found.kind()))
+        .orElse(RoutingPolicy.LEAST_IN_FLIGHT);
+  }
+
   private Set<ModelId> models(UpstreamId upstream) {
     return authority
         .current()
@@ -263,6 +275,7 @@
             replica,
             writer,
             holder,
+            openAttempts,
             new CallResolver(replica, writer, find),
             find,
             scheduler,
