--- /dev/null
+++ b/src/test/java/io/snipeloom/state/StateSlopes.java
@@ -0,0 +1,173 @@
+package io.snipeloom.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.IntFunction;
+
+/** Measures how the decision state and its records grow. */
+public final class StateSlopes {
+  private static final long[] BUDGETS = {100, 1_000, 10_000, 39_000};
+  private static final long[] KEYS = {100, 1_000, 10_000, 100_000};
+  private static final long[] PAIRS = {100, 1_000, 10_000, 100_000};
+  private static final long[] CUSTOMERS = {26, 260, 2_600, 26_000};
+  private static final long[] SIDECARS = {79, 790, 3_950, 7_900};
+  private static final long[] RECORDS = {1, 10, 100, 500};
+  private static final int BUDGETS_OF_PAIRS = 100;
+  private static final int APPLIES = 2_000;
+  private static final int CODINGS = 20;
+
+  private final SlopeTable table;
+
+  private StateSlopes(SlopeTable table) {
+    this.table = table;
+  }
+
+  /** Adds the figures of the state to a table. */
+  public static void addTo(SlopeTable table) {
+    StateSlopes slopes = new StateSlopes(table);
+    slopes.addRecords();
+    slopes.addSizes("budget with one top-up", BUDGETS, n -> funded().budgets(n));
+    slopes.addSizes("customer with one key", CUSTOMERS, n -> new StateSamples().customers(n));
+    slopes.addSizes("live sidecar", SIDECARS, n -> new StateSamples().sidecars(n));
+    slopes.addSizes(
+        "holder-budget pair",
+        PAIRS,
+        n -> funded().budgets(BUDGETS_OF_PAIRS).claims(n / BUDGETS_OF_PAIRS, BUDGETS_OF_PAIRS));
+    slopes.addSizes("billed key", KEYS, n -> funded().budgets(1).claims(1, 1).settled(n));
+    slopes.addSizes("key of a call", KEYS, n -> spending().intents(n));
+    slopes.addSnapshots();
+    slopes.addApplies();
+  }
+
+  private static StateSamples funded() {
+    return new StateSamples().customers(1);
+  }
+
+  private static StateSamples spending() {
+    return funded().budgets(1).sidecars(2).claims(1, 1);
+  }
+
+  private void addSizes(String of, long[] sizes, IntFunction<StateSamples> build) {
+    long[] heaps = new long[sizes.length];
+    long[] bytes = new long[sizes.length];
+    for (int i = 0; i < sizes.length; i++) {
+      int size = (int) sizes[i];
+      heaps[i] = heap(build, size);
+      bytes[i] = build.apply(size).state().snapshot().length;
+    }
+    table.addCounts("state heap per " + of, of, "bytes", sizes, heaps);
+    table.addCounts("snapshot per " + of, of, "bytes", sizes, bytes);
+  }
+
+  private static long heap(IntFunction<StateSamples> build, int size) {
+    long before = SlopeTable.usedHeap();
+    StateSamples samples = build.apply(size);
+    long after = SlopeTable.usedHeap();
+    if (samples.state().appliedOffset() < 0) {
+      throw new IllegalStateException("nothing was applied");
+    }
+    return after - before;
+  }
+
+  private void addSnapshots() {
+    double[][] writes = new double[BUDGETS.length][];
+    double[][] restores = new double[BUDGETS.length][];
+    for (int i = 0; i < BUDGETS.length; i++) {
+      DecisionState state = funded().budgets((int) BUDGETS[i]).state();
+      byte[] snapshot = state.snapshot();
+      writes[i] = SlopeTable.nanos(1, () -> state.snapshot());
+      restores[i] = SlopeTable.nanos(1, () -> DecisionState.restore(snapshot));
+    }
+    table.addTimes("snapshot write", "budgets", "ns", BUDGETS, writes);
+    table.addTimes("snapshot restore", "budgets", "ns", BUDGETS, restores);
+  }
+
+  /** The kinds of record whose cost is measured. */
+  private enum Kind {
+    SETTLE {
+      @Override
+      DecisionRecord record(int number, int budgets, long baseOffset) {
+        return StateSamples.settlement(number, 0);
+      }
+    },
+    CLAIM {
+      @Override
+      DecisionRecord record(int number, int budgets, long baseOffset) {
+        return StateSamples.claim(StateSamples.ROUTER, number % budgets);
+      }
+    },
+    INTENT {
+      @Override
+      DecisionRecord record(int number, int budgets, long baseOffset) {
+        return StateSamples.intent(number);
+      }
+    },
+    TOP_UP {
+      @Override
+      DecisionRecord record(int number, int budgets, long baseOffset) {
+        return StateSamples.topUp("later-%06d".formatted(number), number % budgets, baseOffset);
+      }
+    };
+
+    abstract DecisionRecord record(int number, int budgets, long baseOffset);
+  }
+
+  private void addRecords() {
+    for (Kind kind : Kind.values()) {
+      long[] bytes = new long[RECORDS.length];
+      long[] allocated = new long[RECORDS.length];
+      double[][] encodings = new double[RECORDS.length][];
+      double[][] decodings = new double[RECORDS.length][];
+      for (int i = 0; i < RECORDS.length; i++) {
+        RecordBatch batch = batch(kind, (int) RECORDS[i]);
+        byte[] encoded = RecordCodec.encode(batch);
+        bytes[i] = encoded.length;
+        allocated[i] = SlopeTable.allocated(CODINGS, () -> RecordCodec.decode(encoded));
+        encodings[i] = SlopeTable.nanos(CODINGS, () -> RecordCodec.encode(batch));
+        decodings[i] = SlopeTable.nanos(CODINGS, () -> RecordCodec.decode(encoded));
+      }
+      table.addCounts("batch bytes, " + kind, "records", "bytes", RECORDS, bytes);
+      table.addCounts("batch decode allocation, " + kind, "records", "bytes", RECORDS, allocated);
+      table.addTimes("batch encode, " + kind, "records", "ns", RECORDS, encodings);
+      table.addTimes("batch decode, " + kind, "records", "ns", RECORDS, decodings);
+    }
+  }
+
+  private static RecordBatch batch(Kind kind, int size) {
+    List<DecisionRecord> records = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      records.add(kind.record(i, size, 123_456_789));
+    }
+    return StateSamples.batch(StateSamples.ROUTER, 123_456, 123_456_789, records);
+  }
+
+  private void addApplies() {
+    for (Kind kind : Kind.values()) {
+      double[][] samples = new double[BUDGETS.length][];
+      double[] warmUp = applies(kind, (int) BUDGETS[0]);
+      if (warmUp.length != SlopeTable.RUNS) {
+        throw new IllegalStateException("a run is missing");
+      }
+      for (int i = 0; i < BUDGETS.length; i++) {
+        samples[i] = applies(kind, (int) BUDGETS[i]);
+      }
+      table.addTimes("apply one " + kind, "budgets", "ns", BUDGETS, samples);
+    }
+  }
+
+  private static double[] applies(Kind kind, int budgets) {
+    StateSamples samples = funded().budgets(budgets).sidecars(2).claims(1, 1);
+    int[] number = {0};
+    return SlopeTable.nanos(APPLIES, run -> time(kind, budgets, samples, number));
+  }
+
+  private static long time(Kind kind, int budgets, StateSamples samples, int[] number) {
+    long start = System.nanoTime();
+    for (int i = 0; i < APPLIES; i++) {
+      long base = samples.configurationOffset();
+      samples.apply(List.of(kind.record(number[0]++, budgets, base)));
+    }
+    return System.nanoTime() - start;
+  }
+
+}
