--- a/src/test/java/io/snipeloom/coordination/Slopes.java
+++ b/src/test/java/io/snipeloom/coordination/Slopes.java
@@ -19,7 +19,7 @@
    * @throws IOException if the file cannot be written
    */
   public static void main(String[] args) throws IOException {
-    long start = System.nanoTime();
+    final long start = System.nanoTime();
     SlopeTable table = new SlopeTable();
     FleetSlopes.addTo(table);
     StateSlopes.addTo(table);
--- a/src/test/java/io/snipeloom/state/SlopeTable.java
+++ b/src/test/java/io/snipeloom/state/SlopeTable.java
@@ -73,7 +73,6 @@
     }
 
     private void plot(Path directory) throws IOException {
-      double[] x = Arrays.stream(sizes).asDoubleStream().toArray();
       double[] y = medians();
       if (Arrays.stream(y).anyMatch(value -> value <= 0)) {
         return;
@@ -82,7 +81,7 @@
           new XYChartBuilder().title(name).xAxisTitle(size).yAxisTitle(unit).width(480).build();
       chart.getStyler().setXAxisLogarithmic(true).setYAxisLogarithmic(true);
       chart.getStyler().setLegendVisible(false);
-      chart.addSeries("median", x, y);
+      chart.addSeries("median", Arrays.stream(sizes).asDoubleStream().toArray(), y);
       Path file = directory.resolve(name.replaceAll("[^A-Za-z0-9]+", "-").toLowerCase(Locale.ROOT));
       VectorGraphicsEncoder.saveVectorGraphic(
           chart, file.toString(), VectorGraphicsEncoder.VectorGraphicsFormat.SVG);
--- a/src/test/java/io/snipeloom/state/StateSamples.java
+++ b/src/test/java/io/snipeloom/state/StateSamples.java
@@ -72,7 +72,8 @@
                     new TopUp(TopUpId.of(id), budget(budget), TOKENS)))));
   }
 
-  static RecordBatch batch(Incarnation writer, long sequence, long basedOn, List<DecisionRecord> records) {
+  static RecordBatch batch(
+      Incarnation writer, long sequence, long basedOn, List<DecisionRecord> records) {
     return new RecordBatch(writer, sequence, basedOn, records);
   }
 
--- a/src/test/java/io/snipeloom/state/StateSlopes.java
+++ b/src/test/java/io/snipeloom/state/StateSlopes.java
@@ -169,5 +169,4 @@
     }
     return System.nanoTime() - start;
   }
-
 }
