Real-process fault tests; a refused stream keeps its status; a vote is refused at once in an outage

Cause: the first form of FleetFaultTest passed although the engine answered 404, since a streamed refusal came out as 200 with only [DONE]. Now the status and body of the back end reach the caller, and the tests count the tokens. Stricter, they showed that a draft waited 60 s for a claim while the log was down; a claim is now waited for at most 3 s, and not at all while appends fail; a vote is refused as not run at once.

--- a/src/main/java/io/snipeloom/coordination/LogWriter.java
+++ b/src/main/java/io/snipeloom/coordination/LogWriter.java
@@ -141,11 +141,7 @@
     return writer;
   }
 
-  /**
-   * Returns whether the last append was answered.
-   *
-   * @return false while appends fail
-   */
+  @Override
   public boolean isReachable() {
     return reachable;
   }
--- a/src/main/java/io/snipeloom/coordination/RecordSink.java
+++ b/src/main/java/io/snipeloom/coordination/RecordSink.java
@@ -25,4 +25,14 @@
   default CompletionStage<Long> appendNow(List<DecisionRecord> records) {
     return append(records);
   }
+
+  /**
+   * Returns whether the last append was answered, so that a request need not wait for the next one
+   * in vain.
+   *
+   * @return false while appends fail
+   */
+  default boolean isReachable() {
+    return true;
+  }
 }
--- a/src/main/java/io/snipeloom/coordination/RequestFlow.java
+++ b/src/main/java/io/snipeloom/coordination/RequestFlow.java
@@ -27,6 +27,7 @@
  */
 final class RequestFlow {
   private static final Duration NO_UPSTREAM_RETRY_AFTER = Duration.ofSeconds(1);
+  private static final Duration CLAIM_PATIENCE = Duration.ofSeconds(3);
   private static final Duration UNKNOWN_RETRY_AFTER = Duration.ofSeconds(2);
 
   private final RouterContext context;
@@ -180,10 +181,19 @@
     attempts++;
     context
         .reservations()
-        .reserveBy(request.budget(), id, request.upperBoundTokens(), request.deadlineNanos())
+        .reserveBy(request.budget(), id, request.upperBoundTokens(), claimDeadlineNanos())
         .whenComplete((reservation, error) -> onReserved(id, error));
   }
 
+  /** A claim is waited for only briefly, and not at all while the log does not answer. */
+  private long claimDeadlineNanos() {
+    long now = context.nowNanos();
+    if (!context.records().isReachable()) {
+      return now;
+    }
+    return Math.min(request.deadlineNanos(), now + CLAIM_PATIENCE.toNanos());
+  }
+
   private synchronized void onReserved(AttemptId id, Throwable error) {
     if (finished) {
       if (error == null) {
@@ -228,6 +238,14 @@
   }
 
   private void recordIntent(Attempt attempt, Incarnation sidecar) {
+    if (!context.records().isReachable()) {
+      dropUnsent(attempt);
+      fail(
+          SnipeloomException.of(ErrorCode.LOG_UNAVAILABLE, "the intent cannot be recorded now")
+              .withPlace("intent", "")
+              .withRetryAfter(UNKNOWN_RETRY_AFTER));
+      return;
+    }
     DecisionRecord.IntentRecorded intent =
         new DecisionRecord.IntentRecorded(
             request.key(), attempt.id, sidecar, request.fingerprint());
--- a/src/main/java/io/snipeloom/daemon/BufferedAnswer.java
+++ b/src/main/java/io/snipeloom/daemon/BufferedAnswer.java
@@ -2,9 +2,9 @@
 
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
 import io.micronaut.http.MutableHttpResponse;
 import io.snipeloom.coordination.AnswerSink;
-import io.snipeloom.protocol.Header;
 import io.snipeloom.protocol.Message;
 import io.snipeloom.state.SnipeloomException;
 import java.io.ByteArrayOutputStream;
@@ -20,10 +20,13 @@
 final class BufferedAnswer implements AnswerSink {
   private final CompletableFuture<HttpResponse<?>> response = new CompletableFuture<>();
   private final ChunkCollector collector;
+  private final boolean completion;
+  private final ByteArrayOutputStream refusal = new ByteArrayOutputStream();
   private Message.AnswerHead head;
 
-  private BufferedAnswer(ChunkCollector collector) {
+  private BufferedAnswer(ChunkCollector collector, boolean completion) {
     this.collector = collector;
+    this.completion = completion;
   }
 
   /**
@@ -33,7 +36,8 @@
    */
   static BufferedAnswer plain() {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    return new BufferedAnswer(new ChunkCollector(bytes::writeBytes, end -> bytes.toByteArray()));
+    return new BufferedAnswer(
+        new ChunkCollector(bytes::writeBytes, end -> bytes.toByteArray()), false);
   }
 
   /**
@@ -43,7 +47,7 @@
    */
   static BufferedAnswer chat() {
     ChatAssembler assembler = new ChatAssembler();
-    return new BufferedAnswer(new ChunkCollector(assembler::add, assembler::build));
+    return new BufferedAnswer(new ChunkCollector(assembler::add, assembler::build), true);
   }
 
   /**
@@ -63,7 +67,11 @@
   @Override
   public void onChunk(byte[] data, Runnable consumed) {
     try {
-      collector.add().accept(data);
+      if (isRefusal()) {
+        refusal.writeBytes(data);
+      } else {
+        collector.add().accept(data);
+      }
       consumed.run();
     } catch (SnipeloomException e) {
       response.completeExceptionally(e);
@@ -75,9 +83,11 @@
     try {
       MutableHttpResponse<byte[]> whole =
           HttpResponse.<byte[]>status(HttpStatus.valueOf(head.status()))
-              .body(collector.build().apply(end));
-      for (Header header : head.headers()) {
-        whole.header(header.name(), header.value());
+              .body(isRefusal() ? refusal.toByteArray() : collector.build().apply(end));
+      if (completion && !isRefusal()) {
+        whole.contentType(MediaType.APPLICATION_JSON_TYPE);
+      } else {
+        head.headers().forEach(header -> whole.header(header.name(), header.value()));
       }
       response.complete(whole);
     } catch (RuntimeException e) {
@@ -85,6 +95,11 @@
     }
   }
 
+  /** Returns whether the back end gave a completion another status, with a body of its own. */
+  private boolean isRefusal() {
+    return completion && head.status() != HttpStatus.OK.getCode();
+  }
+
   @Override
   public void onError(SnipeloomException error) {
     response.completeExceptionally(error);
--- a/src/main/java/io/snipeloom/daemon/StreamedAnswer.java
+++ b/src/main/java/io/snipeloom/daemon/StreamedAnswer.java
@@ -1,6 +1,7 @@
 package io.snipeloom.daemon;
 
 import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
 import io.micronaut.http.MediaType;
 import io.micronaut.http.sse.Event;
 import io.snipeloom.coordination.AnswerSink;
@@ -15,9 +16,10 @@
 /**
  * Passes an answer on as server-sent events while it arrives.
  *
- * <p>A failure before the first event becomes an error response; a later one becomes an error event
- * without the closing {@code [DONE]}, so that a cut answer never looks whole. Calls come from one
- * thread at a time.
+ * <p>An answer whose status is not 200 is passed on whole, as the back end gave it. A failure
+ * before the first event becomes an error response; a later one becomes an error event without the
+ * closing {@code [DONE]}, so that a cut answer never looks whole. Calls come from one thread at a
+ * time.
  */
 final class StreamedAnswer implements AnswerSink {
   private static final String DONE = "[DONE]";
@@ -28,6 +30,7 @@
   private final boolean usageWanted;
   private final Function<SnipeloomException, String> errorJson;
   private volatile Runnable cancel = () -> {};
+  private BufferedAnswer refusal;
 
   /**
    * Creates a sink.
@@ -60,7 +63,12 @@
 
   @Override
   public void onHead(Message.AnswerHead head) {
-    open();
+    if (head.status() == HttpStatus.OK.getCode()) {
+      open();
+    } else {
+      refusal = BufferedAnswer.plain();
+      refusal.onHead(head);
+    }
   }
 
   private void open() {
@@ -78,6 +86,10 @@
 
   @Override
   public void onChunk(byte[] data, Runnable consumed) {
+    if (refusal != null) {
+      refusal.onChunk(data, consumed);
+      return;
+    }
     String text = new String(data, StandardCharsets.UTF_8);
     if (!usageWanted && text.contains(USAGE_MARK) && text.contains("\"choices\":[]")) {
       consumed.run();
@@ -88,6 +100,11 @@
 
   @Override
   public void onEnd(Message.AnswerEnd end) {
+    if (refusal != null) {
+      refusal.onEnd(end);
+      response.complete(refusal.response().join());
+      return;
+    }
     emit(DONE, () -> {});
     chunks.tryEmitComplete();
   }
--- a/src/test/java/io/snipeloom/daemon/FleetFaultTest.java
+++ b/src/test/java/io/snipeloom/daemon/FleetFaultTest.java
@@ -20,6 +20,8 @@
 import java.nio.file.Path;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -30,6 +32,7 @@
 class FleetFaultTest {
   private static final String CHAT = "/v1/chat/completions";
   private static final String VOTES = "/desk/votes";
+  private static final Pattern HELD = Pattern.compile("router-1#\\w+\",\"heldTokens\":(\\d+)");
 
   @TempDir private Path directory;
   private LocalFleet fleet;
@@ -59,6 +62,7 @@
             .addUserMessage("Draft a citation")
             .build();
     ChatCompletion whole = client.chat().completions().create(params);
+    assertThat(whole.toString(), whole.choices().isEmpty(), is(false));
     String text = whole.choices().get(0).message().content().orElseThrow();
     try (StreamResponse<ChatCompletionChunk> stream =
         client.chat().completions().createStreaming(params)) {
@@ -83,6 +87,7 @@
     fleet.kill("router-1");
     HttpResponse<String> repeat = fleet.send(fleet.post("router-2", CHAT, key, body));
     assertThat(repeat.body() + fleet.logs(), repeat.statusCode(), is(200));
+    assertThat(tokensOf(repeat.body()), is(40));
     assertThat(repeat.body(), containsString("[DONE]"));
     awaitLines(1);
     assertThat(fleet.admin("router-2", "/admin/v1/ledger"), containsString(key));
@@ -127,9 +132,11 @@
   void logOutageRefusesVotesAsNotRunAndServesDraftsFromTheClaim() throws Exception {
     HttpResponse<String> warm = fleet.send(fleet.post("router-1", CHAT, null, chatBody(4)));
     assertThat(warm.statusCode(), is(200));
+    Eventually.await("a claim ahead of need", () -> cushion() > 400);
     fleet.log.faults().set(Faults.none().withDown(true));
     HttpResponse<String> draft = fleet.send(fleet.post("router-1", CHAT, null, chatBody(4)));
     assertThat(draft.body() + fleet.logs(), draft.statusCode(), is(200));
+    assertThat(tokensOf(draft.body()), is(4));
     HttpResponse<String> vote =
         fleet.send(fleet.post("router-1", VOTES, freshKey(), "{\"vote\":1}"));
     assertThat(vote.body(), containsString("\"run\":\"not run\""));
@@ -144,14 +151,21 @@
     CompletableFuture<HttpResponse<String>> open =
         fleet.http.sendAsync(
             fleet.post("router-1", CHAT, null, chatBody(60)), HttpResponse.BodyHandlers.ofString());
-    Eventually.await("admitted", () -> fleet.engine.counts().tokens() > 0);
+    Eventually.await(
+        "the engine answers", () -> fleet.engine.counts().tokens() > 0 || open.isDone());
     fleet.terminate("router-1");
-    assertThat(open.get().body() + fleet.logs(), containsString("[DONE]"));
+    assertThat(fleet.logs(), tokensOf(open.get().body()), is(60));
+    assertThat(open.get().body(), containsString("[DONE]"));
     Eventually.await(
         "claims returned",
         () -> !fleet.admin("router-2", "/admin/v1/budgets").contains("router-1#"));
   }
 
+  private long cushion() {
+    Matcher held = HELD.matcher(fleet.admin("router-1", "/admin/v1/budgets").replaceAll("\\s", ""));
+    return held.find() ? Long.parseLong(held.group(1)) : 0;
+  }
+
   private int statusOfRepeat(String router, String key) {
     try {
       return fleet.send(fleet.post(router, VOTES, key, "{\"vote\":1}")).statusCode();
@@ -168,6 +182,10 @@
                 == lines);
   }
 
+  private static int tokensOf(String events) {
+    return events.split("\"content\":", -1).length - 1;
+  }
+
   private static String chatBody(int tokens) {
     return ("{\"model\": \"draft-small\", \"stream\": true, \"max_tokens\": %d,"
             + " \"messages\": [{\"role\": \"user\", \"content\": \"Draft a citation\"}]}")
--- a/src/test/java/io/snipeloom/daemon/LocalFleet.java
+++ b/src/test/java/io/snipeloom/daemon/LocalFleet.java
@@ -37,7 +37,9 @@
   final LogStandin log = LogStandin.of(StandinAddress.anyPort());
   final InstancesStandin instances = InstancesStandin.of(StandinAddress.anyPort());
   final EngineStandin engine =
-      EngineStandin.of(StandinAddress.anyPort(), EngineSettings.standard().withPace(20, 8));
+      EngineStandin.of(
+          StandinAddress.anyPort(),
+          EngineSettings.standard().withPace(20, 200).withModels(List.of("draft-small")));
   final ServiceStandin desk = ServiceStandin.of(StandinAddress.anyPort(), "desk");
   final HttpClient http = HttpClient.newHttpClient();
   private final Path directory;
