--- a/src/main/java/io/snipeloom/coordination/RequestFlow.java
+++ b/src/main/java/io/snipeloom/coordination/RequestFlow.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -38,7 +37,7 @@
   private final Runnable onClosed;
   private Admission admission;
   private ScheduledFuture<?> deadline;
-  private Attempt current;
+  private FlowAttempt current;
   private int attempts;
   private boolean finished;
   private boolean answerStarted;
@@ -136,7 +135,7 @@
       return;
     }
     if (error != null) {
-      fail(unwrapped(error));
+      fail(FlowMessages.unwrapped(error));
     } else if (resolution instanceof CallResolution.Follow follow) {
       followEarlier(follow);
     } else if (admission == null) {
@@ -147,7 +146,7 @@
   }
 
   private void followEarlier(CallResolution.Follow follow) {
-    current = new Attempt(follow.attempt(), null, follow.link());
+    current = new FlowAttempt(follow.attempt(), null, follow.link());
     current.sent = true;
     follow.link().attach(new Message.Attach(follow.attempt(), 0), new Listener(current));
   }
@@ -169,7 +168,7 @@
       return;
     }
     if (error != null) {
-      fail(unwrapped(error));
+      fail(FlowMessages.unwrapped(error));
       return;
     }
     pool.retryBudget().onFirstAttempt();
@@ -203,7 +202,7 @@
       return;
     }
     if (error != null) {
-      fail(unwrapped(error));
+      fail(FlowMessages.unwrapped(error));
       return;
     }
     choose(id);
@@ -229,7 +228,7 @@
               .withRetryAfter(NO_UPSTREAM_RETRY_AFTER));
       return;
     }
-    current = new Attempt(id, chosen.get(), chosen.get().link());
+    current = new FlowAttempt(id, chosen.get(), chosen.get().link());
     if (request.isRepeatable()) {
       send(current, sidecar.get());
     } else {
@@ -237,7 +236,7 @@
     }
   }
 
-  private void recordIntent(Attempt attempt, Incarnation sidecar) {
+  private void recordIntent(FlowAttempt attempt, Incarnation sidecar) {
     if (!context.records().isReachable()) {
       dropUnsent(attempt);
       fail(
@@ -255,7 +254,8 @@
         .whenComplete((offset, error) -> onIntentApplied(attempt, sidecar, error));
   }
 
-  private synchronized void onIntentApplied(Attempt attempt, Incarnation sidecar, Throwable error) {
+  private synchronized void onIntentApplied(
+      FlowAttempt attempt, Incarnation sidecar, Throwable error) {
     boolean mine =
         error == null
             && context
@@ -277,7 +277,7 @@
     }
     dropUnsent(attempt);
     if (error != null) {
-      fail(unwrapped(error));
+      fail(FlowMessages.unwrapped(error));
     } else {
       onIntentRefused();
     }
@@ -296,7 +296,7 @@
             .withRunState(RunState.UNKNOWN));
   }
 
-  private void send(Attempt attempt, Incarnation sidecar) {
+  private void send(FlowAttempt attempt, Incarnation sidecar) {
     if (!attempt.backEnd.tryBegin(request.requestClass().urgency(), context.nowNanos())) {
       dropUnsent(attempt);
       afterUnsent(attempt);
@@ -308,10 +308,11 @@
     attempt.sentNanos = context.nowNanos();
     tried.add(attempt.backEnd.id());
     pool.picker().prefixes().recordSend(attempt.backEnd, request.prefix());
-    attempt.link.dispatch(dispatchOf(attempt, sidecar), new Listener(attempt));
+    attempt.link.dispatch(
+        FlowMessages.dispatch(context, request, attempt.id, sidecar), new Listener(attempt));
   }
 
-  private void afterUnsent(Attempt attempt) {
+  private void afterUnsent(FlowAttempt attempt) {
     tried.add(attempt.backEnd.id());
     SnipeloomException error =
         SnipeloomException.of(ErrorCode.LEAVING, "the back end no longer takes work")
@@ -324,29 +325,7 @@
     }
   }
 
-  private Message.Dispatch dispatchOf(Attempt attempt, Incarnation sidecar) {
-    long leftNanos = request.deadlineNanos() - context.nowNanos();
-    boolean alone = context.replica().read(state -> state.isSuspect(request.fingerprint()));
-    return new Message.Dispatch(
-        attempt.id,
-        request.key(),
-        request.issuedAtMillis(),
-        sidecar,
-        request.budget(),
-        request.requestClass().id(),
-        pool.upstream(),
-        request.requestClass().urgency(),
-        request.upperBoundTokens(),
-        request.maxOutputTokens(),
-        TimeUnit.NANOSECONDS.toMillis(leftNanos),
-        request.keyed(),
-        request.fingerprint(),
-        alone,
-        request.call(),
-        request.traceparent());
-  }
-
-  private void dropUnsent(Attempt attempt) {
+  private void dropUnsent(FlowAttempt attempt) {
     context.reservations().settle(attempt.id, 0);
     current = null;
   }
@@ -388,7 +367,7 @@
     }
   }
 
-  private void recordNotRunThen(Attempt attempt, SnipeloomException error) {
+  private void recordNotRunThen(FlowAttempt attempt, SnipeloomException error) {
     context
         .resolver()
         .recordNotRun(request.key(), attempt.id)
@@ -399,27 +378,19 @@
     retryOrFail(error);
   }
 
-  private void recordNotRun(Attempt attempt) {
+  private void recordNotRun(FlowAttempt attempt) {
     context.resolver().recordNotRun(request.key(), attempt.id);
   }
 
-  private static SnipeloomException unwrapped(Throwable error) {
-    Throwable cause = error instanceof CompletionException ? error.getCause() : error;
-    if (cause instanceof SnipeloomException known) {
-      return known;
-    }
-    return SnipeloomException.of(ErrorCode.INTERNAL, String.valueOf(cause)).withCause(cause);
-  }
-
   // Answers.
 
-  private synchronized void onHead(Attempt attempt, Message.AnswerHead head) {
+  private synchronized void onHead(FlowAttempt attempt, Message.AnswerHead head) {
     if (isOpen(attempt)) {
       sink.onHead(head);
     }
   }
 
-  private synchronized void onChunk(Attempt attempt, Message.AnswerChunk chunk) {
+  private synchronized void onChunk(FlowAttempt attempt, Message.AnswerChunk chunk) {
     if (!isOpen(attempt)) {
       return;
     }
@@ -428,12 +399,12 @@
     sink.onChunk(chunk.data(), () -> attempt.link.acknowledge(attempt.id, next));
   }
 
-  private synchronized void onEnd(Attempt attempt, Message.AnswerEnd end) {
+  private synchronized void onEnd(FlowAttempt attempt, Message.AnswerEnd end) {
     if (attempt.concluded) {
       return;
     }
     BackEnd.Outcome outcome = end.complete() ? BackEnd.Outcome.ANSWERED : BackEnd.Outcome.FAILED;
-    conclude(attempt, consumedTokens(end), outcome);
+    conclude(attempt, FlowMessages.consumedTokens(request, end), outcome);
     if (finished) {
       closeIfIdle();
     } else if (end.complete()) {
@@ -441,35 +412,17 @@
       sink.onEnd(end);
       closeIfIdle();
     } else {
-      retryOrFail(incomplete(attempt, end));
+      retryOrFail(FlowMessages.incomplete(request, attempt.id, attempt.link.instance().id(), end));
     }
   }
 
-  private long consumedTokens(Message.AnswerEnd end) {
-    return request.model() == null
-        ? request.upperBoundTokens()
-        : end.promptTokens() + end.outputTokens();
-  }
-
-  private SnipeloomException incomplete(Attempt attempt, Message.AnswerEnd end) {
-    ErrorCode code = end.error() == null ? ErrorCode.UPSTREAM_FAILED : end.error();
-    return SnipeloomException.of(code, end.message())
-        .withPlace("answer", attempt.id.holder() + "/" + attempt.link.instance().id())
-        .withRunState(request.isRepeatable() ? RunState.RAN : RunState.UNKNOWN)
-        .withRetryAfter(NO_UPSTREAM_RETRY_AFTER);
-  }
-
-  private synchronized void onRefused(Attempt attempt, Message.Refused refusal) {
+  private synchronized void onRefused(FlowAttempt attempt, Message.Refused refusal) {
     if (attempt.concluded) {
       return;
     }
     boolean notRun = refusal.runState() == RunState.NOT_RUN;
     conclude(attempt, notRun ? 0 : request.upperBoundTokens(), BackEnd.Outcome.ABANDONED);
-    SnipeloomException error =
-        SnipeloomException.of(refusal.code(), refusal.message())
-            .withPlace("dispatch", attempt.link.instance().id().value())
-            .withRunState(refusal.runState())
-            .withRetryAfter(Duration.ofMillis(refusal.retryAfterMillis()));
+    SnipeloomException error = FlowMessages.refused(attempt.link.instance().id(), refusal);
     if (notRun && !request.isRepeatable() && attempt.backEnd != null) {
       recordNotRunThen(attempt, error);
     } else {
@@ -477,13 +430,13 @@
     }
   }
 
-  private synchronized void onLost(Attempt attempt, SnipeloomException error) {
+  private synchronized void onLost(FlowAttempt attempt, SnipeloomException error) {
     if (attempt.concluded) {
       return;
     }
     boolean notRun = error.runState() == RunState.NOT_RUN;
     if (!notRun && attempt.backEnd != null) {
-      estimate(attempt);
+      context.records().append(List.of(FlowMessages.estimate(request, attempt.id)));
     }
     conclude(attempt, notRun ? 0 : request.upperBoundTokens(), BackEnd.Outcome.FAILED);
     if (notRun && !request.isRepeatable() && attempt.backEnd != null) {
@@ -493,21 +446,7 @@
     }
   }
 
-  private void estimate(Attempt attempt) {
-    DecisionRecord.AttemptSettled upperBound =
-        new DecisionRecord.AttemptSettled(
-            attempt.id,
-            request.key(),
-            request.issuedAtMillis(),
-            request.budget(),
-            request.requestClass().id(),
-            request.upperBoundTokens(),
-            false,
-            false);
-    context.records().append(List.of(upperBound));
-  }
-
-  private void conclude(Attempt attempt, long consumed, BackEnd.Outcome outcome) {
+  private void conclude(FlowAttempt attempt, long consumed, BackEnd.Outcome outcome) {
     attempt.concluded = true;
     if (attempt.backEnd != null) {
       attempt.backEnd.end(outcome, attempt.sentNanos, context.nowNanos(), context.random());
@@ -519,39 +458,15 @@
     }
   }
 
-  private boolean isOpen(Attempt attempt) {
+  private boolean isOpen(FlowAttempt attempt) {
     return !finished && !attempt.concluded;
   }
 
-  /** One attempt; its fields are guarded by the flow. */
-  private static final class Attempt {
-    private final AttemptId id;
-    private final BackEnd backEnd;
-    private final SidecarLink link;
-    private Incarnation sidecar;
-    private boolean sent;
-    private long sentNanos;
-    private boolean concluded;
-
-    /**
-     * Creates an attempt.
-     *
-     * @param id its identifier
-     * @param backEnd the back end that it was admitted to; null for one that is only followed
-     * @param link the link to the sidecar
-     */
-    private Attempt(AttemptId id, BackEnd backEnd, SidecarLink link) {
-      this.id = id;
-      this.backEnd = backEnd;
-      this.link = link;
-    }
-  }
-
   /** Passes the frames of one attempt to the flow. */
   private final class Listener implements AnswerListener {
-    private final Attempt attempt;
+    private final FlowAttempt attempt;
 
-    private Listener(Attempt attempt) {
+    private Listener(FlowAttempt attempt) {
       this.attempt = attempt;
     }
 
