Log counts as unreachable only after a second of failed appends

Cause: one lost answer refused the next vote (log.unavailable) although the retry a moment later succeeded; a false refusal that lostAnswersOfTheLogNeitherRepeatVotesNorBills showed. Ruled out: leaving the wait to the request's deadline, which held callers for 60 s before.

--- a/src/main/java/io/snipeloom/coordination/LogWriter.java
+++ b/src/main/java/io/snipeloom/coordination/LogWriter.java
@@ -37,6 +37,9 @@
 public final class LogWriter implements RecordSink {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+  /** How long appends must have failed before the log counts as unreachable. */
+  private static final Duration UNREACHABLE_AFTER = Duration.ofSeconds(1);
+
   private final String stream;
   private final Incarnation writer;
   private final LogService log;
@@ -58,7 +61,8 @@
   private long oldestNanos;
   private long lastAppendNanos;
   private long sequence;
-  private volatile boolean reachable = true;
+  private volatile boolean failing;
+  private volatile long failingSinceNanos;
 
   /**
    * Creates a writer that is not started yet.
@@ -143,7 +147,7 @@
 
   @Override
   public boolean isReachable() {
-    return reachable;
+    return !failing || nanoClock.getAsLong() - failingSinceNanos < UNREACHABLE_AFTER.toNanos();
   }
 
   @Override
@@ -189,6 +193,7 @@
    */
   void onReadBack(long number, long offset, boolean refused) {
     List<Pending> seen;
+    failing = false;
     lock.lock();
     try {
       seen = outstanding.remove(number);
@@ -330,11 +335,11 @@
       try {
         log.append(stream, data);
         appends.mark();
-        reachable = true;
+        failing = false;
         return;
       } catch (SnipeloomException e) {
         failures.inc();
-        reachable = false;
+        noteFailure();
         LOG.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
             "event=append_failed stream=%s code=%s sequence=%d", stream, e.code().text(), number);
       }
@@ -343,6 +348,13 @@
     }
   }
 
+  private void noteFailure() {
+    if (!failing) {
+      failingSinceNanos = nanoClock.getAsLong();
+      failing = true;
+    }
+  }
+
   private boolean isOutstanding(long number) {
     lock.lock();
     try {
--- a/src/main/java/io/snipeloom/coordination/RecordSink.java
+++ b/src/main/java/io/snipeloom/coordination/RecordSink.java
@@ -27,10 +27,9 @@
   }
 
   /**
-   * Returns whether the last append was answered, so that a request need not wait for the next one
-   * in vain.
+   * Returns whether appends are answered, so that a request need not wait for one in vain.
    *
-   * @return false while appends fail
+   * @return false once appends have failed for a second or more
    */
   default boolean isReachable() {
     return true;
