--- a/src/test/java/io/snipeloom/daemon/LocalFleet.java
+++ b/src/test/java/io/snipeloom/daemon/LocalFleet.java
@@ -12,6 +12,7 @@
 import io.snipeloom.state.Zone;
 import io.snipeloom.transport.Eventually;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -25,6 +26,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Routers and sidecars as processes of their own, with stand-ins in the process of the test. */
 final class LocalFleet {
@@ -32,6 +34,10 @@
   static final String TOKEN = "operator-local";
 
   private static final String IP = "127.0.0.1";
+  private static final int FIRST_PORT = 20_000;
+  private static final int PORTS = 10_000;
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger((int) ProcessHandle.current().pid());
   private static final Duration CALL_LIMIT = Duration.ofSeconds(60);
 
   final LogStandin log = LogStandin.of(StandinAddress.anyPort());
@@ -262,10 +268,22 @@
     if (known != null) {
       return known;
     }
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      ports.put(use, socket.getLocalPort());
-      return socket.getLocalPort();
+    int port = freePort();
+    ports.put(use, port);
+    return port;
+  }
+
+  /** Returns a port below those that the system gives to outgoing connections, each once. */
+  private static int freePort() throws IOException {
+    for (int tries = 0; tries < PORTS; tries++) {
+      int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // Taken by someone else; the next one is tried.
+      }
     }
+    throw new IOException("no free port");
   }
 
   private static String listen(int port) {
