--- a/src/main/java/io/snipeloom/platform/AppendAnswer.java
+++ b/src/main/java/io/snipeloom/client/AppendAnswer.java
@@ -1,4 +1,4 @@
-package io.snipeloom.platform;
+package io.snipeloom.client;
 
 /**
  * The answer to an append to the log.
--- a/src/main/java/io/snipeloom/platform/AppendRequest.java
+++ b/src/main/java/io/snipeloom/client/AppendRequest.java
@@ -1,4 +1,4 @@
-package io.snipeloom.platform;
+package io.snipeloom.client;
 
 /**
  * The body of an append to the log.
--- a/src/main/java/io/snipeloom/platform/CacheEvent.java
+++ b/src/main/java/io/snipeloom/client/CacheEvent.java
@@ -1,4 +1,4 @@
-package io.snipeloom.platform;
+package io.snipeloom.client;
 
 /**
  * A change of the prefix cache of a model engine.
--- a/src/main/java/io/snipeloom/platform/EngineLoad.java
+++ b/src/main/java/io/snipeloom/client/EngineLoad.java
@@ -1,4 +1,4 @@
-package io.snipeloom.platform;
+package io.snipeloom.client;
 
 /**
  * The load that a model engine reports, with a lag.
--- a/src/main/java/io/snipeloom/platform/LogService.java
+++ b/src/main/java/io/snipeloom/client/LogService.java
@@ -1,4 +1,4 @@
-package io.snipeloom.platform;
+package io.snipeloom.client;
 
 import java.time.Duration;
 
--- a/src/main/java/io/snipeloom/platform/PlatformClient.java
+++ b/src/main/java/io/snipeloom/client/PlatformClient.java
@@ -1,4 +1,4 @@
-package io.snipeloom.platform;
+package io.snipeloom.client;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/src/main/java/io/snipeloom/platform/WeightStore.java
+++ b/src/main/java/io/snipeloom/client/WeightStore.java
@@ -1,4 +1,4 @@
-package io.snipeloom.platform;
+package io.snipeloom.client;
 
 /** The rate-limited store of model weights. */
 public interface WeightStore {
--- a/src/main/java/io/snipeloom/platform/package-info.java
+++ b/src/main/java/io/snipeloom/client/package-info.java
@@ -1,2 +1,2 @@
 /** Interfaces to the services of the platform and the HTTP clients that implement them. */
-package io.snipeloom.platform;
+package io.snipeloom.client;
--- a/src/main/java/io/snipeloom/coordination/FleetMembership.java
+++ b/src/main/java/io/snipeloom/coordination/FleetMembership.java
@@ -2,8 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
-import io.snipeloom.platform.Instance;
-import io.snipeloom.platform.InstanceList;
+import io.snipeloom.client.Instance;
+import io.snipeloom.client.InstanceList;
 import io.snipeloom.state.InstanceId;
 import io.snipeloom.state.ModelId;
 import io.snipeloom.state.SnipeloomException;
--- a/src/main/java/io/snipeloom/coordination/FleetView.java
+++ b/src/main/java/io/snipeloom/coordination/FleetView.java
@@ -1,6 +1,6 @@
 package io.snipeloom.coordination;
 
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.state.Incarnation;
 import io.snipeloom.state.InstanceId;
 import java.time.Duration;
--- a/src/main/java/io/snipeloom/coordination/LogWriter.java
+++ b/src/main/java/io/snipeloom/coordination/LogWriter.java
@@ -4,7 +4,7 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
-import io.snipeloom.platform.LogService;
+import io.snipeloom.client.LogService;
 import io.snipeloom.state.DecisionRecord;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.Incarnation;
--- a/src/main/java/io/snipeloom/coordination/PrefixChain.java
+++ b/src/main/java/io/snipeloom/coordination/PrefixChain.java
@@ -1,6 +1,6 @@
 package io.snipeloom.coordination;
 
-import io.snipeloom.platform.PrefixHashes;
+import io.snipeloom.client.PrefixHashes;
 
 /**
  * The hash chain of a prompt: hash {@code i} covers the first {@code i + 1} blocks, so that two
--- a/src/main/java/io/snipeloom/coordination/SidecarLink.java
+++ b/src/main/java/io/snipeloom/coordination/SidecarLink.java
@@ -1,6 +1,6 @@
 package io.snipeloom.coordination;
 
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.protocol.Message;
 import io.snipeloom.state.AttemptId;
 import io.snipeloom.state.Incarnation;
--- a/src/main/java/io/snipeloom/coordination/SidecarLinkFactory.java
+++ b/src/main/java/io/snipeloom/coordination/SidecarLinkFactory.java
@@ -1,6 +1,6 @@
 package io.snipeloom.coordination;
 
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 
 /** Opens and closes links; implementations are thread-safe and do not block. */
 public interface SidecarLinkFactory {
--- a/src/main/java/io/snipeloom/coordination/TcpSidecarLink.java
+++ b/src/main/java/io/snipeloom/coordination/TcpSidecarLink.java
@@ -2,7 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.protocol.Message;
 import io.snipeloom.state.AttemptId;
 import io.snipeloom.state.ErrorCode;
--- a/src/main/java/io/snipeloom/daemon/LogSettings.java
+++ b/src/main/java/io/snipeloom/daemon/LogSettings.java
@@ -1,7 +1,7 @@
 package io.snipeloom.daemon;
 
-import io.snipeloom.platform.ClientTimeouts;
-import io.snipeloom.platform.HttpLogService;
+import io.snipeloom.client.ClientTimeouts;
+import io.snipeloom.client.HttpLogService;
 import java.net.URI;
 import java.util.List;
 
--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -7,7 +7,7 @@
 import io.snipeloom.coordination.LogWriterSettings;
 import io.snipeloom.coordination.Sidecar;
 import io.snipeloom.coordination.SidecarLimits;
-import io.snipeloom.platform.HttpLogService;
+import io.snipeloom.client.HttpLogService;
 import io.snipeloom.state.Incarnation;
 import io.snipeloom.state.LogLine;
 import io.snipeloom.transport.FrameServer;
--- a/src/main/java/io/snipeloom/daemon/TcpLinkFactory.java
+++ b/src/main/java/io/snipeloom/daemon/TcpLinkFactory.java
@@ -5,7 +5,7 @@
 import io.snipeloom.coordination.SidecarLink;
 import io.snipeloom.coordination.SidecarLinkFactory;
 import io.snipeloom.coordination.TcpSidecarLink;
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.transport.FrameClient;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
--- a/src/main/java/io/snipeloom/standin/BatchEngine.java
+++ b/src/main/java/io/snipeloom/standin/BatchEngine.java
@@ -1,6 +1,6 @@
 package io.snipeloom.standin;
 
-import io.snipeloom.platform.EngineLoad;
+import io.snipeloom.client.EngineLoad;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import java.time.Duration;
--- a/src/main/java/io/snipeloom/standin/ChatRequest.java
+++ b/src/main/java/io/snipeloom/standin/ChatRequest.java
@@ -1,7 +1,7 @@
 package io.snipeloom.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.snipeloom.platform.PrefixHashes;
+import io.snipeloom.client.PrefixHashes;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/io/snipeloom/standin/EngineController.java
+++ b/src/main/java/io/snipeloom/standin/EngineController.java
@@ -15,7 +15,7 @@
 import io.micronaut.http.annotation.Post;
 import io.micronaut.http.annotation.Produces;
 import io.micronaut.http.annotation.QueryValue;
-import io.snipeloom.platform.OrderRequest;
+import io.snipeloom.client.OrderRequest;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.transport.HttpHost;
--- a/src/main/java/io/snipeloom/standin/EngineOrders.java
+++ b/src/main/java/io/snipeloom/standin/EngineOrders.java
@@ -1,6 +1,6 @@
 package io.snipeloom.standin;
 
-import io.snipeloom.platform.OrderRequest;
+import io.snipeloom.client.OrderRequest;
 import io.snipeloom.state.EngineOrder;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
--- a/src/main/java/io/snipeloom/standin/EngineParts.java
+++ b/src/main/java/io/snipeloom/standin/EngineParts.java
@@ -1,6 +1,6 @@
 package io.snipeloom.standin;
 
-import io.snipeloom.platform.EngineLoad;
+import io.snipeloom.client.EngineLoad;
 import java.security.SecureRandom;
 
 /** The parts that the HTTP interface of an engine works on. */
--- a/src/main/java/io/snipeloom/standin/InstancesController.java
+++ b/src/main/java/io/snipeloom/standin/InstancesController.java
@@ -9,7 +9,7 @@
 import io.micronaut.http.annotation.Get;
 import io.micronaut.http.annotation.Post;
 import io.micronaut.http.annotation.Put;
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.InstanceId;
 import io.snipeloom.state.SnipeloomException;
--- a/src/main/java/io/snipeloom/standin/InstancesStandin.java
+++ b/src/main/java/io/snipeloom/standin/InstancesStandin.java
@@ -1,6 +1,6 @@
 package io.snipeloom.standin;
 
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 
 /**
  * A stand-in for the instance list of the platform, in memory.
--- a/src/main/java/io/snipeloom/standin/LaggedLoad.java
+++ b/src/main/java/io/snipeloom/standin/LaggedLoad.java
@@ -1,6 +1,6 @@
 package io.snipeloom.standin;
 
-import io.snipeloom.platform.EngineLoad;
+import io.snipeloom.client.EngineLoad;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
--- a/src/main/java/io/snipeloom/standin/LogController.java
+++ b/src/main/java/io/snipeloom/standin/LogController.java
@@ -8,8 +8,8 @@
 import io.micronaut.http.annotation.Get;
 import io.micronaut.http.annotation.Post;
 import io.micronaut.http.annotation.QueryValue;
-import io.snipeloom.platform.AppendAnswer;
-import io.snipeloom.platform.AppendRequest;
+import io.snipeloom.client.AppendAnswer;
+import io.snipeloom.client.AppendRequest;
 import io.snipeloom.transport.HttpHost;
 import java.util.concurrent.CompletableFuture;
 
--- a/src/main/java/io/snipeloom/standin/LogStream.java
+++ b/src/main/java/io/snipeloom/standin/LogStream.java
@@ -1,7 +1,7 @@
 package io.snipeloom.standin;
 
-import io.snipeloom.platform.LogPage;
-import io.snipeloom.platform.LogRecord;
+import io.snipeloom.client.LogPage;
+import io.snipeloom.client.LogRecord;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
--- a/src/main/java/io/snipeloom/standin/LogStreams.java
+++ b/src/main/java/io/snipeloom/standin/LogStreams.java
@@ -1,6 +1,6 @@
 package io.snipeloom.standin;
 
-import io.snipeloom.platform.LogPage;
+import io.snipeloom.client.LogPage;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import java.util.Map;
--- a/src/main/java/io/snipeloom/standin/PrefixCache.java
+++ b/src/main/java/io/snipeloom/standin/PrefixCache.java
@@ -1,7 +1,7 @@
 package io.snipeloom.standin;
 
-import io.snipeloom.platform.CacheEvent;
-import io.snipeloom.platform.CachePage;
+import io.snipeloom.client.CacheEvent;
+import io.snipeloom.client.CachePage;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
--- a/src/test/java/io/snipeloom/LayersTest.java
+++ b/src/test/java/io/snipeloom/LayersTest.java
@@ -22,7 +22,7 @@
         .layer("protocol")
         .definedBy("io.snipeloom.protocol..")
         .layer("platform")
-        .definedBy("io.snipeloom.platform..")
+        .definedBy("io.snipeloom.client..")
         .layer("transport")
         .definedBy("io.snipeloom.transport..")
         .layer("coordination")
--- a/src/test/java/io/snipeloom/platform/FakeLogServiceTest.java
+++ b/src/test/java/io/snipeloom/client/FakeLogServiceTest.java
@@ -1,4 +1,4 @@
-package io.snipeloom.platform;
+package io.snipeloom.client;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.hasSize;
--- a/src/test/java/io/snipeloom/coordination/FleetMembershipTest.java
+++ b/src/test/java/io/snipeloom/coordination/FleetMembershipTest.java
@@ -5,7 +5,7 @@
 import static org.hamcrest.Matchers.is;
 
 import com.codahale.metrics.MetricRegistry;
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.state.Urgency;
--- a/src/test/java/io/snipeloom/coordination/FleetSlopes.java
+++ b/src/test/java/io/snipeloom/coordination/FleetSlopes.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.protocol.Message;
 import io.snipeloom.protocol.MessageCodec;
 import io.snipeloom.state.AttemptId;
--- a/src/test/java/io/snipeloom/coordination/LogWriterTest.java
+++ b/src/test/java/io/snipeloom/coordination/LogWriterTest.java
@@ -5,8 +5,8 @@
 import static org.hamcrest.Matchers.is;
 
 import com.codahale.metrics.MetricRegistry;
-import io.snipeloom.platform.LogPage;
-import io.snipeloom.platform.LogService;
+import io.snipeloom.client.LogPage;
+import io.snipeloom.client.LogService;
 import io.snipeloom.state.DecisionRecord;
 import io.snipeloom.state.Incarnation;
 import io.snipeloom.state.RecordBatch;
--- a/src/test/java/io/snipeloom/coordination/SubsetPlanTest.java
+++ b/src/test/java/io/snipeloom/coordination/SubsetPlanTest.java
@@ -6,7 +6,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.state.InstanceId;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/test/java/io/snipeloom/coordination/TcpSidecarLinkTest.java
+++ b/src/test/java/io/snipeloom/coordination/TcpSidecarLinkTest.java
@@ -5,7 +5,7 @@
 import static org.hamcrest.Matchers.is;
 
 import com.codahale.metrics.MetricRegistry;
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.protocol.CallState;
 import io.snipeloom.protocol.Message;
 import io.snipeloom.protocol.Messages;
--- a/src/test/java/io/snipeloom/coordination/TrialReplica.java
+++ b/src/test/java/io/snipeloom/coordination/TrialReplica.java
@@ -1,6 +1,6 @@
 package io.snipeloom.coordination;
 
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
--- a/src/test/java/io/snipeloom/daemon/LocalFleet.java
+++ b/src/test/java/io/snipeloom/daemon/LocalFleet.java
@@ -1,6 +1,6 @@
 package io.snipeloom.daemon;
 
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.standin.EngineSettings;
 import io.snipeloom.standin.EngineStandin;
 import io.snipeloom.standin.InstancesStandin;
--- a/src/test/java/io/snipeloom/daemon/SidecarDaemonTest.java
+++ b/src/test/java/io/snipeloom/daemon/SidecarDaemonTest.java
@@ -10,7 +10,7 @@
 import io.snipeloom.coordination.AnswerListener;
 import io.snipeloom.coordination.LinkSettings;
 import io.snipeloom.coordination.TcpSidecarLink;
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.Instance;
 import io.snipeloom.protocol.Header;
 import io.snipeloom.protocol.HttpCall;
 import io.snipeloom.protocol.Message;
--- a/src/test/java/io/snipeloom/standin/InstancesStandinTest.java
+++ b/src/test/java/io/snipeloom/standin/InstancesStandinTest.java
@@ -8,8 +8,8 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
-import io.snipeloom.platform.HttpInstanceList;
-import io.snipeloom.platform.Instance;
+import io.snipeloom.client.HttpInstanceList;
+import io.snipeloom.client.Instance;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.InstanceId;
 import io.snipeloom.state.UpstreamId;
--- a/src/test/java/io/snipeloom/standin/LogStandinTest.java
+++ b/src/test/java/io/snipeloom/standin/LogStandinTest.java
@@ -9,8 +9,8 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
-import io.snipeloom.platform.HttpLogService;
-import io.snipeloom.platform.LogPage;
+import io.snipeloom.client.HttpLogService;
+import io.snipeloom.client.LogPage;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.RunState;
 import io.snipeloom.state.SnipeloomException;
--- a/src/test/java/io/snipeloom/standin/PrefixCacheTest.java
+++ b/src/test/java/io/snipeloom/standin/PrefixCacheTest.java
@@ -6,10 +6,10 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
-import io.snipeloom.platform.CacheEvent;
-import io.snipeloom.platform.CachePage;
-import io.snipeloom.platform.EngineLoad;
-import io.snipeloom.platform.PrefixHashes;
+import io.snipeloom.client.CacheEvent;
+import io.snipeloom.client.CachePage;
+import io.snipeloom.client.EngineLoad;
+import io.snipeloom.client.PrefixHashes;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
--- a/src/test/java/io/snipeloom/standin/StandinFixture.java
+++ b/src/test/java/io/snipeloom/standin/StandinFixture.java
@@ -1,6 +1,6 @@
 package io.snipeloom.standin;
 
-import io.snipeloom.platform.ClientTimeouts;
+import io.snipeloom.client.ClientTimeouts;
 import io.snipeloom.state.SnipeloomException;
 import java.net.URI;
 import java.time.Duration;
--- a/src/test/java/io/snipeloom/standin/WeightsStandinTest.java
+++ b/src/test/java/io/snipeloom/standin/WeightsStandinTest.java
@@ -7,7 +7,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
-import io.snipeloom.platform.HttpWeightStore;
+import io.snipeloom.client.HttpWeightStore;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import java.time.Duration;
