--- a/src/main/java/io/snipeloom/coordination/BudgetHolders.java
+++ b/src/main/java/io/snipeloom/coordination/BudgetHolders.java
@@ -1,5 +1,6 @@
 package io.snipeloom.coordination;
 
+import io.snipeloom.routing.Rendezvous;
 import io.snipeloom.state.BudgetId;
 import io.snipeloom.state.InstanceId;
 import java.util.Collection;
@@ -25,11 +26,11 @@
    * @return the holders, the preferred one first
    */
   public static List<InstanceId> of(BudgetId budget, Collection<InstanceId> instances) {
-    long hash = RendezvousHash.of(budget.value());
+    long hash = Rendezvous.of(budget.value());
     return instances.stream()
         .sorted(
             Comparator.<InstanceId>comparingLong(
-                    id -> RendezvousHash.weight(RendezvousHash.of(id.value()), hash))
+                    id -> Rendezvous.weight(Rendezvous.of(id.value()), hash))
                 .reversed()
                 .thenComparing(Comparator.naturalOrder()))
         .limit(HOLDERS_PER_REGION)
--- a/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
+++ b/src/main/java/io/snipeloom/daemon/SidecarDaemon.java
@@ -2,12 +2,12 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
+import io.snipeloom.client.HttpLogService;
 import io.snipeloom.coordination.LogReplica;
 import io.snipeloom.coordination.LogWriter;
 import io.snipeloom.coordination.LogWriterSettings;
 import io.snipeloom.coordination.Sidecar;
 import io.snipeloom.coordination.SidecarLimits;
-import io.snipeloom.client.HttpLogService;
 import io.snipeloom.state.Incarnation;
 import io.snipeloom.state.LogLine;
 import io.snipeloom.transport.FrameServer;
--- a/src/main/java/io/snipeloom/daemon/TcpLinkFactory.java
+++ b/src/main/java/io/snipeloom/daemon/TcpLinkFactory.java
@@ -1,11 +1,11 @@
 package io.snipeloom.daemon;
 
 import com.codahale.metrics.MetricRegistry;
+import io.snipeloom.client.Instance;
 import io.snipeloom.coordination.LinkSettings;
 import io.snipeloom.coordination.SidecarLink;
 import io.snipeloom.coordination.SidecarLinkFactory;
 import io.snipeloom.coordination.TcpSidecarLink;
-import io.snipeloom.client.Instance;
 import io.snipeloom.transport.FrameClient;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
--- /dev/null
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -0,0 +1,378 @@
+package io.snipeloom.edge;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.snipeloom.forwarding.Fleet;
+import io.snipeloom.forwarding.FrontServer;
+import io.snipeloom.forwarding.HttpCaller;
+import io.snipeloom.platform.ConfigurationDecoder;
+import io.snipeloom.platform.PlatformStore;
+import io.snipeloom.platform.PlatformTopics;
+import io.snipeloom.platform.ReplicaDecoder;
+import io.snipeloom.routing.FleetConfiguration;
+import io.snipeloom.routing.Replica;
+import io.snipeloom.routing.ReplicaId;
+import io.snipeloom.routing.RetryAllowance;
+import io.snipeloom.spend.ClaimPolicy;
+import io.snipeloom.spend.SpendControl;
+import io.snipeloom.spend.SpendEvents;
+import io.snipeloom.state.CustomerId;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.store.KeyedLedger;
+import io.snipeloom.store.KeyedLog;
+import io.snipeloom.store.KeyedRecord;
+import io.snipeloom.store.StoreAnswer;
+import io.snipeloom.store.TopicWatch;
+import io.snipeloom.telemetry.EventLog;
+import io.snipeloom.telemetry.FleetMetrics;
+import io.snipeloom.transport.MetricsText;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs an edge instance: follows configuration and replicas, serves callers, and drains on stop.
+ *
+ * <p>{@link #start} and {@link #stop} may be called from any thread; everything else runs on one
+ * event loop.
+ */
+public final class EdgeDaemon {
+  private static final String LEDGER_TOPIC = "keyed.ledger";
+
+  /** Tokens in hand last through an outage of the store of this length, in seconds. */
+  private static final double CLAIM_HORIZON_SECONDS = 12;
+
+  /** How long a read waits; bounds the time to notice a silent connection to the store. */
+  private static final long WATCH_WAIT_MILLIS = 700;
+
+  /** Replicas write often; their records are read in batches this far apart. */
+  private static final long REPLICA_BATCH_MILLIS = 250;
+
+  private static final long TICK_MILLIS = 50;
+  private static final long HEARTBEAT_MILLIS = 5_000;
+
+  /** The balancer needs two failed probes a second apart before it sends no new connections. */
+  private static final long BALANCER_NANOS = 2_600_000_000L;
+
+  /** Kept free before the kill, for the last answers and log lines. */
+  private static final double KILL_MARGIN_SECONDS = 0.4;
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final EdgeSettings settings;
+  private final EventLog log;
+  private final FleetMetrics metrics = new FleetMetrics();
+  private final String incarnation;
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final LoopTimer timer;
+  private final KeyedLog store;
+  private final Fleet fleet;
+  private final FrontServer front;
+  private final CountDownLatch drained = new CountDownLatch(1);
+  private int fleetSize = FleetMembers.ASSUMED_SIZE;
+  private boolean storeAnswers = true;
+  private boolean draining;
+  private boolean drainDone;
+  private long drainNanos;
+
+  private EdgeDaemon(EdgeSettings settings, String incarnation, EventLog log) {
+    this.settings = settings;
+    this.incarnation = incarnation;
+    this.log = log;
+    this.timer = new LoopTimer(loop, log);
+    this.store = new PlatformStore(new HttpCaller(loop, settings.store()));
+    SpendControl spend =
+        new SpendControl(
+            incarnation,
+            new KeyedLedger(store, LEDGER_TOPIC),
+            settings.storePartitions(),
+            new ClaimPolicy(CLAIM_HORIZON_SECONDS, fleetSize),
+            new ClaimLog());
+    this.fleet = new Fleet(loop, settings.zone(), spend, this::newAllowance);
+    this.front = new FrontServer(loop, fleet, log, metrics);
+  }
+
+  /**
+   * Returns a daemon that does not run yet.
+   *
+   * @param settings the settings
+   * @param incarnation names this start of the instance; no other start ever has the same name
+   * @param log the log
+   * @return the daemon
+   */
+  public static EdgeDaemon of(EdgeSettings settings, String incarnation, EventLog log) {
+    return new EdgeDaemon(settings, incarnation, log);
+  }
+
+  /** Starts to serve. */
+  public void start() {
+    log.start();
+    log.log("start", "instance", settings.instance(), "incarnation", incarnation);
+    new OperationsServer(loop, this::readiness).start(settings.readiness());
+    new OperationsServer(loop, this::metricsText).start(settings.metrics());
+    front.start(settings.callers());
+    loop.execute(this::follow);
+    timer.every(this::tick, TICK_MILLIS, TICK_MILLIS);
+  }
+
+  /** Finishes the requests under way, returns the tokens in hand, and stops. */
+  public void stop() {
+    loop.execute(this::drain);
+    try {
+      drained.await((long) (settings.graceSeconds() * 1_000), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    log.log("stop", "instance", settings.instance(), "open_requests", front.openRequests());
+    log.stop();
+  }
+
+  /**
+   * Takes note of settings that changed; all but the retry bounds need a restart.
+   *
+   * @param changed the settings
+   */
+  public void reload(EdgeSettings changed) {
+    log.log("reload", "instance", settings.instance(), "same", changed.equals(settings));
+  }
+
+  private void follow() {
+    new TopicWatch(
+            store,
+            PlatformTopics.CONFIGURATION,
+            WATCH_WAIT_MILLIS,
+            0,
+            timer,
+            new ConfigurationListener())
+        .start();
+    new TopicWatch(
+            store,
+            PlatformTopics.REPLICAS,
+            WATCH_WAIT_MILLIS,
+            REPLICA_BATCH_MILLIS,
+            timer,
+            new ReplicaListener())
+        .start();
+    FleetMembers members = new FleetMembers(store, settings.instance(), this::onFleetSize);
+    timer.every(() -> members.beat(incarnation), 0, HEARTBEAT_MILLIS);
+  }
+
+  private void tick() {
+    long now = System.nanoTime();
+    front.tick(now);
+    fleet.spend().tick(now);
+    front.closeOverdue();
+    fleet.closeStaleConnections();
+    for (Replica dropped : fleet.directory().dropLapsed(now)) {
+      fleet.forget(dropped.id());
+      log.log("replica_gone", "replica", dropped.id(), "reason", "entry did not come back");
+    }
+    if (draining) {
+      continueDrain(now);
+    }
+  }
+
+  private void drain() {
+    draining = true;
+    drainNanos = System.nanoTime();
+    log.log("drain", "open_requests", front.openRequests());
+    front.drain();
+    fleet.spend().returnAll(drainNanos);
+  }
+
+  private void continueDrain(long now) {
+    long elapsed = now - drainNanos;
+    if (drainDone || elapsed < BALANCER_NANOS) {
+      return;
+    }
+    front.closeIdle();
+    boolean quiet = front.openRequests() == 0 && fleet.spend().isSettled();
+    double limit = (settings.graceSeconds() - KILL_MARGIN_SECONDS) * NANOS_PER_SECOND;
+    if (quiet || elapsed > limit) {
+      drainDone = true;
+      front.stopAccepting();
+      drained.countDown();
+    }
+  }
+
+  private RetryAllowance newAllowance() {
+    return new RetryAllowance(
+        settings.retryRatio(),
+        settings.retrySlack() / fleetSize,
+        (long) (settings.retryWindowSeconds() * NANOS_PER_SECOND));
+  }
+
+  private void onFleetSize(int size) {
+    if (size != fleetSize) {
+      log.log("fleet_size", "before", fleetSize, "now", size);
+      fleetSize = size;
+      if (!draining) {
+        fleet.spend().use(new ClaimPolicy(CLAIM_HORIZON_SECONDS, size));
+      }
+    }
+  }
+
+  private OperationsServer.Answer readiness() {
+    boolean ready = !draining && fleet.configuration().isPresent() && fleet.directory().size() > 0;
+    return new OperationsServer.Answer(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+  }
+
+  private OperationsServer.Answer metricsText() {
+    return new OperationsServer.Answer(200, MetricsText.of(metrics.registry()));
+  }
+
+  private void onStoreAnswer(StoreAnswer answer) {
+    boolean answers = answer.isInService();
+    if (answers) {
+      fleet.directory().onRegistryAnswered(System.nanoTime());
+    } else {
+      fleet.directory().onRegistryLost();
+    }
+    if (answers != storeAnswers) {
+      storeAnswers = answers;
+      log.log(answers ? "store_regained" : "store_lost", "answer", answer);
+    }
+  }
+
+  /** Applies configurations. */
+  private final class ConfigurationListener implements TopicWatch.Listener {
+    @Override
+    public void onListed(List<KeyedRecord> records) {
+      records.forEach(this::apply);
+    }
+
+    @Override
+    public void onAppended(List<KeyedRecord> records) {
+      records.forEach(this::apply);
+    }
+
+    @Override
+    public void onAnswer(StoreAnswer answer) {
+      onStoreAnswer(answer);
+    }
+
+    private void apply(KeyedRecord record) {
+      if (!record.key().equals(PlatformTopics.CONFIGURATION_KEY) || record.isRemoval()) {
+        return;
+      }
+      try {
+        FleetConfiguration configuration = ConfigurationDecoder.decode(record.value());
+        boolean applied = fleet.apply(configuration);
+        log.log(
+            "configuration",
+            "version",
+            configuration.version(),
+            "applied",
+            applied,
+            "bytes",
+            record.value().length);
+      } catch (SnipeloomException e) {
+        log.log("configuration_refused", "reason", e.getMessage());
+      }
+    }
+  }
+
+  /** Applies entries of replicas. */
+  private final class ReplicaListener implements TopicWatch.Listener {
+    @Override
+    public void onListed(List<KeyedRecord> records) {
+      List<Replica> replicas = new ArrayList<>();
+      for (KeyedRecord record : records) {
+        Replica replica = decoded(record);
+        if (replica != null) {
+          replicas.add(replica);
+          put(replica);
+        }
+      }
+      fleet.directory().replaceAll(replicas, System.nanoTime());
+    }
+
+    @Override
+    public void onAppended(List<KeyedRecord> records) {
+      for (KeyedRecord record : records) {
+        if (record.isRemoval()) {
+          remove(new ReplicaId(record.key()));
+          continue;
+        }
+        Replica replica = decoded(record);
+        if (replica != null) {
+          put(replica);
+        }
+      }
+    }
+
+    @Override
+    public void onAnswer(StoreAnswer answer) {
+      onStoreAnswer(answer);
+    }
+
+    private Replica decoded(KeyedRecord record) {
+      if (record.isRemoval()) {
+        return null;
+      }
+      try {
+        return ReplicaDecoder.decode(record.key(), record.value());
+      } catch (SnipeloomException e) {
+        log.log("replica_entry_refused", "replica", record.key(), "reason", e.getMessage());
+        return null;
+      }
+    }
+
+    private void put(Replica replica) {
+      if (fleet.put(replica)) {
+        log.log(
+            "replica",
+            "replica",
+            replica.id(),
+            "service",
+            replica.service(),
+            "address",
+            replica.address(),
+            "state",
+            replica.state(),
+            "born",
+            replica.bornMillis());
+      }
+    }
+
+    private void remove(ReplicaId id) {
+      boolean atOnce = fleet.directory().remove(id, System.nanoTime());
+      if (atOnce) {
+        fleet.forget(id);
+      }
+      log.log("replica_entry_removed", "replica", id, "out_of_use", atOnce);
+    }
+  }
+
+  /** Logs claims. */
+  private final class ClaimLog implements SpendEvents {
+    @Override
+    public void onGranted(CustomerId customer, long tokens, long claimedTokens, long limit) {
+      metrics.count("claims");
+      log.log(
+          "claim_granted",
+          "customer",
+          customer,
+          "tokens",
+          tokens,
+          "claimed",
+          claimedTokens,
+          "limit",
+          limit);
+    }
+
+    @Override
+    public void onReturned(CustomerId customer, long tokens) {
+      log.log("claim_returned", "customer", customer, "tokens", tokens);
+    }
+
+    @Override
+    public void onClaimLost(CustomerId customer, long tokens) {
+      log.log("claim_lost", "customer", customer, "tokens", tokens);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/edge/EdgeMain.java
@@ -0,0 +1,61 @@
+package io.snipeloom.edge;
+
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.telemetry.EventLog;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.UUID;
+
+/** Starts an edge instance without the command line, which would triple the time of a start. */
+public final class EdgeMain {
+  private static final String SETTINGS_VARIABLE = "SNIPELOOM_SETTINGS";
+  private static final int EXIT_INVALID_SETTINGS = 1;
+  private static final int EXIT_USAGE = 2;
+
+  private EdgeMain() {}
+
+  /**
+   * Runs until the process is told to stop.
+   *
+   * @param args the path of the settings file, unless the variable SNIPELOOM_SETTINGS holds it
+   */
+  public static void main(String[] args) {
+    String path = args.length > 0 ? args[0] : System.getenv(SETTINGS_VARIABLE);
+    if (path == null) {
+      System.err.println("usage: edge SETTINGS, or set " + SETTINGS_VARIABLE);
+      System.exit(EXIT_USAGE);
+    }
+    EventLog log = EventLog.to(new PrintStream(new FileOutputStream(FileDescriptor.out)));
+    Path file = Path.of(path);
+    EdgeSettings settings;
+    try {
+      settings = EdgeSettings.parse(file);
+    } catch (SnipeloomException e) {
+      System.err.println("error: code=" + e.code().text() + " message=\"" + e.getMessage() + "\"");
+      System.exit(EXIT_INVALID_SETTINGS);
+      return;
+    }
+    EdgeDaemon daemon = EdgeDaemon.of(settings, UUID.randomUUID().toString(), log);
+    reloadOnHangUp(daemon, file, log);
+    Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "shutdown"));
+    daemon.start();
+  }
+
+  private static void reloadOnHangUp(EdgeDaemon daemon, Path file, EventLog log) {
+    try {
+      HangUpSignal.handle(() -> reload(daemon, file, log));
+    } catch (ReflectiveOperationException e) {
+      log.log("hang_up_not_handled", "reason", e.toString());
+    }
+  }
+
+  private static void reload(EdgeDaemon daemon, Path file, EventLog log) {
+    try {
+      daemon.reload(EdgeSettings.parse(file));
+    } catch (SnipeloomException e) {
+      log.log("reload_refused", "reason", e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/forwarding/FrontServer.java
@@ -0,0 +1,152 @@
+package io.snipeloom.forwarding;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.snipeloom.routing.FleetConfiguration;
+import io.snipeloom.routing.RequestLimits;
+import io.snipeloom.telemetry.EventLog;
+import io.snipeloom.telemetry.FleetMetrics;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * Accepts the connections of callers.
+ *
+ * <p>Belongs to its event loop.
+ */
+public final class FrontServer {
+  private static final int BACKLOG = 1_024;
+  private static final int WRITE_BUFFER_HIGH_BYTES = 262_144;
+  private static final int WRITE_BUFFER_LOW_BYTES = 65_536;
+
+  private final EventLoop loop;
+  private final Fleet fleet;
+  private final EventLog log;
+  private final FleetMetrics metrics;
+  private final Set<FrontConnection> connections = new HashSet<>();
+  private Channel listener;
+  private boolean draining;
+  private long lastTickNanos = System.nanoTime();
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param loop the event loop
+   * @param fleet what this instance believes
+   * @param log the log
+   * @param metrics the metrics
+   */
+  public FrontServer(EventLoop loop, Fleet fleet, EventLog log, FleetMetrics metrics) {
+    this.loop = loop;
+    this.fleet = fleet;
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address where
+   */
+  public void start(InetSocketAddress address) {
+    listener =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new io.netty.channel.WriteBufferWaterMark(
+                    WRITE_BUFFER_LOW_BYTES, WRITE_BUFFER_HIGH_BYTES))
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    addHandlers(channel);
+                  }
+                })
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  private void addHandlers(Channel channel) {
+    HttpDecoderConfig config =
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(limits().maxHeaderBytes())
+            .setMaxHeaderSize(limits().maxHeaderBytes());
+    FrontConnection connection = new FrontConnection(this, loop, fleet, log, metrics);
+    channel.pipeline().addLast(new HttpRequestDecoder(config));
+    channel.pipeline().addLast(new HttpResponseEncoder());
+    channel.pipeline().addLast(connection);
+    connections.add(connection);
+  }
+
+  /** Announces the end to callers: each answer from now on closes its connection. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Closes the connections without a request. */
+  public void closeIdle() {
+    new ArrayList<>(connections).forEach(FrontConnection::closeIfIdle);
+  }
+
+  /**
+   * Takes note that the event loop runs; called regularly.
+   *
+   * @param nowNanos the time
+   */
+  public void tick(long nowNanos) {
+    lastTickNanos = nowNanos;
+  }
+
+  /** Closes the connections that exceed the time limits for headers, bodies or idleness. */
+  public void closeOverdue() {
+    long now = System.nanoTime();
+    new ArrayList<>(connections).forEach(connection -> connection.closeIfOverdue(now));
+  }
+
+  /** Stops to accept connections. */
+  public void stopAccepting() {
+    ChannelFuture unused = listener.close();
+  }
+
+  /**
+   * Returns the requests that are under way.
+   *
+   * @return the number
+   */
+  public long openRequests() {
+    return connections.stream().filter(FrontConnection::isBusy).count();
+  }
+
+  /** Returns whether the event loop has stood still for some time and not caught up yet. */
+  boolean isStalled(long limitNanos) {
+    return System.nanoTime() - lastTickNanos > limitNanos;
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  RequestLimits limits() {
+    return fleet.configuration().map(FleetConfiguration::limits).orElse(RequestLimits.DEFAULT);
+  }
+
+  void onClosed(FrontConnection connection) {
+    connections.remove(connection);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/platform/PlatformHeaders.java
@@ -0,0 +1,267 @@
+package io.snipeloom.platform;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.snipeloom.routing.AnswerTerms;
+import io.snipeloom.routing.ForwardTerms;
+import io.snipeloom.routing.Prompt;
+import io.snipeloom.routing.PromptPart;
+import io.snipeloom.routing.RequestTerms;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.SnipeloomException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * Translates the headers of the platform's requests and answers.
+ *
+ * <p>Thread-safe, without state.
+ */
+public final class PlatformHeaders {
+  private static final String ATTEMPT_ID = "Snipeloom-Attempt-Id";
+  private static final String DEADLINE_MS = "Snipeloom-Deadline-Ms";
+  private static final String CREDENTIAL = "Snipeloom-Credential";
+  private static final String TENANT = "Snipeloom-Tenant";
+  private static final String TOKEN_COUNTS = "Snipeloom-Token-Counts";
+  private static final String PROMPT_PREFIX = "Snipeloom-Prompt-Prefix";
+  private static final String LAST_EVENT_ID = "Last-Event-Id";
+  private static final String EXPECT_REPLICA = "Snipeloom-Expect-Replica";
+  private static final String REQUEST_PRIORITY = "Snipeloom-Request-Priority";
+  private static final String SIGNATURE = "Snipeloom-Replica-Signature";
+  private static final String NOT_EXECUTED = "Snipeloom-Not-Executed";
+  private static final String REPLICA_LOAD = "Snipeloom-Replica-Load";
+  private static final String KEEP_ALIVE = "Keep-Alive";
+
+  private static final int MISDIRECTED = 421;
+  private static final int MAX_PARTS = 256;
+
+  /** Headers that concern one connection only. */
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
+          "expect");
+
+  /** Headers that only this system may set on a request. */
+  private static final Set<String> SET_BY_SYSTEM =
+      Set.of(
+          "snipeloom-credential",
+          "snipeloom-tenant",
+          "snipeloom-deadline-ms",
+          "snipeloom-expect-replica",
+          "snipeloom-expect-version",
+          "snipeloom-request-priority",
+          "snipeloom-hold",
+          "snipeloom-pin-ms",
+          "snipeloom-kv-backup",
+          "kv-from",
+          "kv-fetch");
+
+  private PlatformHeaders() {}
+
+  /**
+   * Decodes what a caller states.
+   *
+   * @param headers the headers of its request
+   * @return the terms
+   * @throws SnipeloomException with {@link ErrorCode#INVALID_REQUEST} if a header is malformed
+   */
+  public static RequestTerms requestTerms(HttpHeaders headers) {
+    String attemptId = headers.get(ATTEMPT_ID, "");
+    if (attemptId.isBlank()) {
+      throw invalid("no attempt id");
+    }
+    return new RequestTerms(
+        attemptId,
+        timeout(headers.get(DEADLINE_MS)),
+        Optional.ofNullable(headers.get(CREDENTIAL)),
+        prompt(headers.get(TOKEN_COUNTS), headers.get(PROMPT_PREFIX)),
+        Optional.ofNullable(headers.get(LAST_EVENT_ID)));
+  }
+
+  /**
+   * Returns the headers with which a request goes to a replica.
+   *
+   * @param source the headers of the caller
+   * @param terms what this instance states
+   * @param bodyBytes the length of the body
+   * @return the headers
+   */
+  public static HttpHeaders forwarded(HttpHeaders source, ForwardTerms terms, int bodyBytes) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    Set<String> named = namedByConnection(source);
+    for (Map.Entry<String, String> header : source) {
+      String name = header.getKey().toLowerCase(Locale.ROOT);
+      if (!HOP_BY_HOP.contains(name) && !SET_BY_SYSTEM.contains(name) && !named.contains(name)) {
+        headers.add(header.getKey(), header.getValue());
+      }
+    }
+    headers.set(DEADLINE_MS, terms.timeoutMillis());
+    headers.set(EXPECT_REPLICA, terms.replica().value());
+    headers.set(REQUEST_PRIORITY, terms.urgency());
+    terms.customer().ifPresent(customer -> headers.set(TENANT, customer));
+    terms.lastEventId().ifPresent(id -> headers.set(LAST_EVENT_ID, id));
+    if (bodyBytes > 0 || source.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
+    }
+    return headers;
+  }
+
+  /**
+   * Decodes what a replica states.
+   *
+   * @param status the status of its answer
+   * @param headers the headers of its answer
+   * @return the terms
+   */
+  public static AnswerTerms answerTerms(int status, HttpHeaders headers) {
+    return new AnswerTerms(
+        headers.get(ATTEMPT_ID, ""),
+        headers.contains(SIGNATURE),
+        headers.contains(NOT_EXECUTED) || status == MISDIRECTED,
+        load(headers.get(REPLICA_LOAD)));
+  }
+
+  /**
+   * Returns the headers of a replica's answer for the caller.
+   *
+   * @param source the headers of the replica
+   * @return the headers without those of its connection
+   */
+  public static HttpHeaders answered(HttpHeaders source) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    Set<String> named = namedByConnection(source);
+    for (Map.Entry<String, String> header : source) {
+      String name = header.getKey().toLowerCase(Locale.ROOT);
+      if (!HOP_BY_HOP.contains(name)
+          && !named.contains(name)
+          && !name.equals(REPLICA_LOAD.toLowerCase(Locale.ROOT))) {
+        headers.add(header.getKey(), header.getValue());
+      }
+    }
+    return headers;
+  }
+
+  /**
+   * Returns the headers of an answer that this instance gives itself.
+   *
+   * @param attemptId the attempt, empty if unknown
+   * @return the headers
+   */
+  public static HttpHeaders own(String attemptId) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    if (!attemptId.isEmpty()) {
+      headers.set(ATTEMPT_ID, attemptId);
+    }
+    return headers;
+  }
+
+  /**
+   * Returns how long an idle connection stays open at its other end.
+   *
+   * @param headers the headers of the last answer
+   * @return the time in milliseconds, empty if it was not stated
+   */
+  public static OptionalLong keepAliveMillis(HttpHeaders headers) {
+    String value = headers.get(KEEP_ALIVE, "");
+    for (String field : value.split(",", -1)) {
+      String trimmed = field.trim();
+      if (trimmed.startsWith("timeout=")) {
+        OptionalLong seconds = number(trimmed.substring("timeout=".length()));
+        return seconds.isPresent() ? OptionalLong.of(seconds.getAsLong() * 1_000) : seconds;
+      }
+    }
+    return OptionalLong.empty();
+  }
+
+  private static Set<String> namedByConnection(HttpHeaders headers) {
+    String value = headers.get(HttpHeaderNames.CONNECTION);
+    if (value == null) {
+      return Set.of();
+    }
+    return Set.of(value.toLowerCase(Locale.ROOT).split("\\s*,\\s*", 2));
+  }
+
+  private static OptionalLong timeout(String value) {
+    if (value == null) {
+      return OptionalLong.empty();
+    }
+    OptionalLong millis = number(value);
+    if (millis.isEmpty()) {
+      throw invalid("the time limit is no number");
+    }
+    return millis;
+  }
+
+  private static Optional<Prompt> prompt(String counts, String prefix) {
+    if (counts == null) {
+      return Optional.empty();
+    }
+    String[] fields = counts.split(",", -1);
+    OptionalLong input = number(fields[0]);
+    OptionalLong output = fields.length == 2 ? number(fields[1]) : OptionalLong.empty();
+    if (input.isEmpty() || output.isEmpty()) {
+      throw invalid("the token counts are malformed");
+    }
+    return Optional.of(new Prompt(input.getAsLong(), output.getAsLong(), parts(prefix)));
+  }
+
+  private static List<PromptPart> parts(String prefix) {
+    List<PromptPart> parts = new ArrayList<>();
+    if (prefix == null || prefix.isBlank()) {
+      return parts;
+    }
+    for (String entry : prefix.split(",", MAX_PARTS)) {
+      int colon = entry.indexOf(':');
+      OptionalLong tokens = colon < 0 ? OptionalLong.empty() : number(entry.substring(colon + 1));
+      if (tokens.isEmpty()) {
+        throw invalid("the prompt parts are malformed");
+      }
+      parts.add(new PromptPart(entry.substring(0, colon).trim(), tokens.getAsLong()));
+    }
+    return parts;
+  }
+
+  private static Optional<AnswerTerms.Load> load(String value) {
+    if (value == null) {
+      return Optional.empty();
+    }
+    String[] fields = value.split(",", -1);
+    if (fields.length < 2) {
+      return Optional.empty();
+    }
+    OptionalLong running = number(fields[0]);
+    OptionalLong waiting = number(fields[1]);
+    if (running.isEmpty() || waiting.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(new AnswerTerms.Load((int) running.getAsLong(), (int) waiting.getAsLong()));
+  }
+
+  private static OptionalLong number(String text) {
+    try {
+      long value = Long.parseLong(text.trim());
+      return value < 0 ? OptionalLong.empty() : OptionalLong.of(value);
+    } catch (NumberFormatException e) {
+      return OptionalLong.empty();
+    }
+  }
+
+  private static SnipeloomException invalid(String message) {
+    return SnipeloomException.of(ErrorCode.INVALID_REQUEST, message).withPlace("decode", "caller");
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/platform/PlatformStore.java
@@ -0,0 +1,187 @@
+package io.snipeloom.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import io.snipeloom.forwarding.HttpCaller;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.store.KeyedLog;
+import io.snipeloom.store.KeyedRecord;
+import io.snipeloom.store.RecordPage;
+import io.snipeloom.store.StoreAnswer;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** Makes the calls of the platform's metadata store. Belongs to its event loop. */
+public final class PlatformStore implements KeyedLog {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** The time limit of a call that does not wait; a slow store answers in under half a second. */
+  private static final long CALL_TIMEOUT_MILLIS = 1_200;
+
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int GONE = 410;
+  private static final int PRECONDITION_FAILED = 412;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int SERVICE_UNAVAILABLE = 503;
+  private static final int INSUFFICIENT_STORAGE = 507;
+  private static final int OFFSETS_BYTES = 16;
+
+  private final HttpCaller caller;
+
+  /**
+   * Creates a client.
+   *
+   * @param caller makes calls to the store
+   */
+  public PlatformStore(HttpCaller caller) {
+    this.caller = caller;
+  }
+
+  @Override
+  public void newest(
+      String topic, int partition, String afterKey, BiConsumer<StoreAnswer, RecordPage> listener) {
+    String after =
+        afterKey.isEmpty() ? "" : "&after=" + URLEncoder.encode(afterKey, StandardCharsets.UTF_8);
+    String uri = "/api/log-newest?topic=%s&part=%d%s".formatted(topic, partition, after);
+    caller.call(
+        HttpMethod.GET,
+        uri,
+        Unpooled.EMPTY_BUFFER,
+        CALL_TIMEOUT_MILLIS,
+        paged(listener, PlatformStore::listing));
+  }
+
+  @Override
+  public void read(
+      String topic,
+      int partition,
+      long from,
+      long waitMillis,
+      BiConsumer<StoreAnswer, RecordPage> listener) {
+    String uri =
+        "/api/log-read?topic=%s&part=%d&from=%d&waitMs=%d"
+            .formatted(topic, partition, from, waitMillis);
+    caller.call(
+        HttpMethod.GET,
+        uri,
+        Unpooled.EMPTY_BUFFER,
+        CALL_TIMEOUT_MILLIS + waitMillis,
+        paged(listener, PlatformStore::records));
+  }
+
+  @Override
+  public void append(
+      String topic,
+      int partition,
+      long at,
+      List<KeyedRecord> records,
+      Consumer<StoreAnswer> listener) {
+    append(
+        "/api/log-append?topic=%s&part=%d&at=%d".formatted(topic, partition, at),
+        records,
+        listener);
+  }
+
+  @Override
+  public void append(
+      String topic, int partition, KeyedRecord record, Consumer<StoreAnswer> listener) {
+    append(
+        "/api/log-append?topic=%s&part=%d".formatted(topic, partition), List.of(record), listener);
+  }
+
+  private void append(String uri, List<KeyedRecord> records, Consumer<StoreAnswer> listener) {
+    caller.call(
+        HttpMethod.POST,
+        uri,
+        RecordFraming.encode(records),
+        CALL_TIMEOUT_MILLIS,
+        new HttpCaller.Listener() {
+          @Override
+          public void onAnswer(int status, ByteBuf body) {
+            listener.accept(answer(status));
+          }
+
+          @Override
+          public void onFailed(boolean sent) {
+            listener.accept(sent ? StoreAnswer.UNKNOWN : StoreAnswer.REFUSED);
+          }
+        });
+  }
+
+  /** Decodes the body of a read. */
+  private interface PageDecoder {
+    RecordPage decode(ByteBuf body) throws IOException;
+  }
+
+  private static HttpCaller.Listener paged(
+      BiConsumer<StoreAnswer, RecordPage> listener, PageDecoder decoder) {
+    return new HttpCaller.Listener() {
+      @Override
+      public void onAnswer(int status, ByteBuf body) {
+        if (status == NOT_FOUND) {
+          listener.accept(StoreAnswer.DONE, new RecordPage(List.of(), 0, ""));
+          return;
+        }
+        if (status != OK) {
+          listener.accept(answer(status), null);
+          return;
+        }
+        RecordPage page;
+        try {
+          page = decoder.decode(body);
+        } catch (IOException | SnipeloomException | IllegalArgumentException e) {
+          listener.accept(StoreAnswer.UNKNOWN, null);
+          return;
+        }
+        listener.accept(StoreAnswer.DONE, page);
+      }
+
+      @Override
+      public void onFailed(boolean sent) {
+        listener.accept(sent ? StoreAnswer.UNKNOWN : StoreAnswer.REFUSED, null);
+      }
+    };
+  }
+
+  private static StoreAnswer answer(int status) {
+    return switch (status) {
+      case OK -> StoreAnswer.DONE;
+      case PRECONDITION_FAILED -> StoreAnswer.CONFLICT;
+      case GONE -> StoreAnswer.EXPIRED;
+      case TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE, INSUFFICIENT_STORAGE -> StoreAnswer.REFUSED;
+      default -> StoreAnswer.UNKNOWN;
+    };
+  }
+
+  private static RecordPage listing(ByteBuf body) throws IOException {
+    JsonNode root = MAPPER.readTree(ByteBufUtil.getBytes(body));
+    List<KeyedRecord> records = new ArrayList<>();
+    for (JsonNode item : root.path("items")) {
+      byte[] value = Base64.getDecoder().decode(item.path("value").asText());
+      records.add(new KeyedRecord(item.path("key").asText(), value));
+    }
+    boolean hasMore = root.path("hasMore").asBoolean() && !records.isEmpty();
+    String lastKey = hasMore ? records.get(records.size() - 1).key() : "";
+    return new RecordPage(records, root.path("end").asLong(), lastKey);
+  }
+
+  private static RecordPage records(ByteBuf body) throws IOException {
+    if (body.readableBytes() < OFFSETS_BYTES) {
+      throw new IOException("offsets are missing");
+    }
+    long end = body.readLong();
+    body.skipBytes(Long.BYTES);
+    return new RecordPage(RecordFraming.decode(body), end, "");
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/platform/RecordFraming.java
@@ -0,0 +1,49 @@
+package io.snipeloom.platform;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.store.KeyedRecord;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The byte layout of keyed records: length in four bytes, length of the key in one, key, value.
+ *
+ * <p>Thread-safe, without state.
+ */
+final class RecordFraming {
+  private RecordFraming() {}
+
+  static ByteBuf encode(List<KeyedRecord> records) {
+    ByteBuf bytes = Unpooled.buffer();
+    for (KeyedRecord record : records) {
+      byte[] key = record.key().getBytes(StandardCharsets.UTF_8);
+      bytes.writeInt(1 + key.length + record.value().length);
+      bytes.writeByte(key.length);
+      bytes.writeBytes(key);
+      bytes.writeBytes(record.value());
+    }
+    return bytes;
+  }
+
+  static List<KeyedRecord> decode(ByteBuf bytes) {
+    List<KeyedRecord> records = new ArrayList<>();
+    try {
+      while (bytes.isReadable()) {
+        ByteBuf record = bytes.readSlice(bytes.readInt());
+        ByteBuf key = record.readSlice(record.readUnsignedByte());
+        records.add(
+            new KeyedRecord(key.toString(StandardCharsets.UTF_8), ByteBufUtil.getBytes(record)));
+      }
+    } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
+      throw SnipeloomException.of(ErrorCode.MALFORMED_RECORD, "records cannot be decoded")
+          .withPlace("read", "store")
+          .withCause(e);
+    }
+    return records;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/routing/ForwardTerms.java
@@ -0,0 +1,19 @@
+package io.snipeloom.routing;
+
+import java.util.Optional;
+
+/**
+ * What this instance states about a request that it forwards.
+ *
+ * @param replica the replica that may run it; any other one refuses it
+ * @param timeoutMillis the time that is left, in milliseconds
+ * @param customer the name of the customer, if the route needs a key
+ * @param urgency the rank among the requests of the replica, 0 is the first
+ * @param lastEventId the event to resume after, if it differs from what the caller stated
+ */
+public record ForwardTerms(
+    ReplicaId replica,
+    long timeoutMillis,
+    Optional<String> customer,
+    int urgency,
+    Optional<String> lastEventId) {}
--- a/src/main/java/io/snipeloom/coordination/RendezvousHash.java
+++ b/src/main/java/io/snipeloom/routing/Rendezvous.java
@@ -1,11 +1,11 @@
-package io.snipeloom.coordination;
+package io.snipeloom.routing;
 
 /** The hash functions behind every choice that all instances must make alike. */
-final class RendezvousHash {
+public final class Rendezvous {
   private static final long FNV_OFFSET = 0xcbf29ce484222325L;
   private static final long FNV_PRIME = 0x100000001b3L;
 
-  private RendezvousHash() {}
+  private Rendezvous() {}
 
   /**
    * Returns a hash of a text that does not depend on the process.
@@ -13,7 +13,7 @@
    * @param text the text
    * @return the hash
    */
-  static long of(String text) {
+  public static long of(String text) {
     long hash = FNV_OFFSET;
     for (int i = 0; i < text.length(); i++) {
       hash = (hash ^ text.charAt(i)) * FNV_PRIME;
@@ -28,7 +28,7 @@
    * @param right the hash of the other part
    * @return the weight
    */
-  static long weight(long left, long right) {
+  public static long weight(long left, long right) {
     return mix(left ^ Long.rotateLeft(right, 32));
   }
 
@@ -38,9 +38,20 @@
    * @param value the number
    * @return the mixed number
    */
-  static long mix(long value) {
+  public static long mix(long value) {
     long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
     mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
     return mixed ^ (mixed >>> 31);
   }
+
+  /**
+   * Returns the weight of a member for a key; the members with the largest weights hold the key.
+   *
+   * @param member the text form of the member
+   * @param key the text form of the key
+   * @return the weight
+   */
+  public static long weightOf(String member, String key) {
+    return weight(of(member), of(key));
+  }
 }
--- /dev/null
+++ b/src/main/java/io/snipeloom/spend/SpendEvents.java
@@ -0,0 +1,33 @@
+package io.snipeloom.spend;
+
+import io.snipeloom.state.CustomerId;
+
+/** Takes note of what happens to claims, for logs and metrics. */
+public interface SpendEvents {
+
+  /**
+   * A claim was granted.
+   *
+   * @param customer the customer
+   * @param tokens the tokens
+   * @param claimedTokens the claimed total of all instances
+   * @param limit the prepaid tokens
+   */
+  void onGranted(CustomerId customer, long tokens, long claimedTokens, long limit);
+
+  /**
+   * Tokens are on their way back to the ledger.
+   *
+   * @param customer the customer
+   * @param tokens the tokens
+   */
+  void onReturned(CustomerId customer, long tokens);
+
+  /**
+   * The outcome of a write can no longer be found out; its tokens count as claimed if it was done.
+   *
+   * @param customer the customer
+   * @param tokens the change of the claimed total
+   */
+  void onClaimLost(CustomerId customer, long tokens);
+}
--- /dev/null
+++ b/src/main/java/io/snipeloom/store/KeyedLedger.java
@@ -0,0 +1,98 @@
+package io.snipeloom.store;
+
+import io.snipeloom.spend.LedgerPage;
+import io.snipeloom.spend.LedgerRecord;
+import io.snipeloom.spend.LedgerStore;
+import io.snipeloom.state.CustomerId;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Keeps the ledger of prepaid tokens in a keyed topic, with one key a customer. */
+public final class KeyedLedger implements LedgerStore {
+  private final KeyedLog log;
+  private final String topic;
+
+  /**
+   * Creates a ledger.
+   *
+   * @param log the log
+   * @param topic the topic that holds the ledger alone
+   */
+  public KeyedLedger(KeyedLog log, String topic) {
+    this.log = log;
+    this.topic = topic;
+  }
+
+  @Override
+  public void list(int partition, PageListener listener) {
+    listFrom(partition, "", new ArrayList<>(), -1, listener);
+  }
+
+  /** Pages are no snapshot, so the listing counts only up to the end that its first page saw. */
+  private void listFrom(
+      int partition,
+      String afterKey,
+      List<LedgerRecord> records,
+      long firstEnd,
+      PageListener listener) {
+    log.newest(
+        topic,
+        partition,
+        afterKey,
+        (answer, page) -> {
+          if (answer != StoreAnswer.DONE) {
+            listener.onFailed();
+            return;
+          }
+          records.addAll(decoded(page));
+          long end = firstEnd < 0 ? page.end() : firstEnd;
+          if (page.hasMore()) {
+            listFrom(partition, page.lastKey(), records, end, listener);
+          } else {
+            listener.onPage(new LedgerPage(records, end));
+          }
+        });
+  }
+
+  @Override
+  public void read(int partition, long from, PageListener listener) {
+    log.read(
+        topic,
+        partition,
+        from,
+        0,
+        (answer, page) -> {
+          switch (answer) {
+            case DONE -> listener.onPage(new LedgerPage(decoded(page), page.end()));
+            case EXPIRED -> listener.onExpired();
+            default -> listener.onFailed();
+          }
+        });
+  }
+
+  @Override
+  public void append(int partition, long at, List<LedgerRecord> records, AppendListener listener) {
+    List<KeyedRecord> encoded =
+        records.stream()
+            .map(record -> new KeyedRecord(record.customer().value(), record.toBytes()))
+            .toList();
+    log.append(
+        topic,
+        partition,
+        at,
+        encoded,
+        answer -> {
+          switch (answer) {
+            case DONE -> listener.onAppended();
+            case CONFLICT -> listener.onConflict();
+            default -> listener.onUnknown();
+          }
+        });
+  }
+
+  private static List<LedgerRecord> decoded(RecordPage page) {
+    return page.records().stream()
+        .map(record -> LedgerRecord.parse(CustomerId.of(record.key()), record.value()))
+        .toList();
+  }
+}
--- a/src/test/java/io/snipeloom/daemon/SidecarDaemonTest.java
+++ b/src/test/java/io/snipeloom/daemon/SidecarDaemonTest.java
@@ -7,10 +7,10 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.micronaut.http.client.HttpClient;
+import io.snipeloom.client.Instance;
 import io.snipeloom.coordination.AnswerListener;
 import io.snipeloom.coordination.LinkSettings;
 import io.snipeloom.coordination.TcpSidecarLink;
-import io.snipeloom.client.Instance;
 import io.snipeloom.protocol.Header;
 import io.snipeloom.protocol.HttpCall;
 import io.snipeloom.protocol.Message;
