Tokens are claimed ahead by the share of use, not evenly

Cause: a customer's callers mostly reach one instance, which held an eighth of what was left and refused during the cuts from the store. Ruled out: more tokens ahead for all, which strands them.

--- a/src/main/java/io/snipeloom/spend/CustomerAccount.java
+++ b/src/main/java/io/snipeloom/spend/CustomerAccount.java
@@ -51,6 +51,10 @@
     return available;
   }
 
+  long granted() {
+    return granted;
+  }
+
   long spent() {
     return spent;
   }
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -248,7 +248,9 @@
       return -returned;
     }
     long unclaimed = unclaimed(account);
-    long target = policy.target(account.tokensPerSecond(nowNanos), unclaimed, account.available());
+    long target =
+        policy.target(
+            account.tokensPerSecond(nowNanos), useShare(account), unclaimed, account.available());
     long ahead = policy.isLow(account.available(), target) ? target - account.available() : 0;
     long missing = account.missing();
     if (missing > unclaimed) {
@@ -274,6 +276,11 @@
     }
   }
 
+  private double useShare(CustomerAccount account) {
+    long total = total(account.customer());
+    return total == 0 ? 1 : Math.min(1, (double) account.granted() / total);
+  }
+
   private long unclaimed(CustomerAccount account) {
     return Math.max(0, account.limit() - total(account.customer()));
   }
--- a/src/main/java/io/snipeloom/spend/SpendControl.java
+++ b/src/main/java/io/snipeloom/spend/SpendControl.java
@@ -133,7 +133,7 @@
    */
   public void returnAll(long nowNanos) {
     returning = true;
-    use(new ClaimPolicy(Double.MIN_NORMAL, policy.fleetSize()));
+    use(new ClaimPolicy(0, policy.fleetSize()));
     accounts.values().forEach(CustomerAccount::wantReturn);
     tick(nowNanos);
   }
