--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -7,6 +7,7 @@
 import io.snipeloom.forwarding.FrontServer;
 import io.snipeloom.forwarding.HttpCaller;
 import io.snipeloom.platform.ConfigurationDecoder;
+import io.snipeloom.platform.PlatformHeaders;
 import io.snipeloom.platform.PlatformStore;
 import io.snipeloom.platform.PlatformTopics;
 import io.snipeloom.platform.ReplicaDecoder;
@@ -39,10 +40,10 @@
  * event loop.
  */
 public final class EdgeDaemon {
-  private static final String LEDGER_TOPIC = "keyed.ledger";
+  private static final String LEDGER_TOPIC = "ledger";
 
   /** Tokens in hand last through an outage of the store of this length, in seconds. */
-  private static final double CLAIM_HORIZON_SECONDS = 12;
+  private static final double CLAIM_HORIZON_SECONDS = 10;
 
   /** How long a read waits; bounds the time to notice a silent connection to the store. */
   private static final long WATCH_WAIT_MILLIS = 700;
@@ -92,7 +93,7 @@
             settings.storePartitions(),
             new ClaimPolicy(CLAIM_HORIZON_SECONDS, fleetSize),
             new ClaimLog());
-    this.fleet = new Fleet(loop, settings.zone(), spend, this::newAllowance);
+    this.fleet = new Fleet(loop, new PlatformHeaders(), settings.zone(), spend, this::newAllowance);
     this.front = new FrontServer(loop, fleet, log, metrics);
   }
 
@@ -234,6 +235,7 @@
     }
     if (answers != storeAnswers) {
       storeAnswers = answers;
+      fleet.storeReachable(answers);
       log.log(answers ? "store_regained" : "store_lost", "answer", answer);
     }
   }
--- a/src/main/java/io/snipeloom/edge/FleetMembers.java
+++ b/src/main/java/io/snipeloom/edge/FleetMembers.java
@@ -22,7 +22,7 @@
   /** A heartbeat that did not change over this many looks is of an instance that is gone. */
   private static final int MISSED_LOOKS = 3;
 
-  private static final String TOPIC = "keyed.members";
+  private static final String TOPIC = "members";
 
   private final KeyedLog log;
   private final String instance;
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
-import io.snipeloom.platform.PlatformHeaders;
 import io.snipeloom.routing.CustomerTerms;
 import io.snipeloom.routing.FleetConfiguration;
 import io.snipeloom.routing.ForwardTerms;
@@ -119,7 +118,10 @@
     if (current.isEmpty()) {
       answer(
           OwnAnswer.notRun(
-              ErrorCode.NOT_READY, "no configuration yet", OwnAnswer.START_PAUSE_MILLIS));
+              ErrorCode.NOT_READY,
+              "no configuration yet",
+              OwnAnswer.START_PAUSE_MILLIS,
+              Long.MAX_VALUE));
       return;
     }
     configuration = current.get();
@@ -130,7 +132,7 @@
       return;
     }
     route = found.get();
-    terms = PlatformHeaders.requestTerms(request.headers());
+    terms = fleet.codec().requestTerms(request.headers());
     if (!configuration.customers().isEmpty() && !route.anonymous()) {
       customer = terms.apiKey().flatMap(configuration::customerOf);
       if (customer.isEmpty()) {
@@ -173,7 +175,7 @@
             customer.get().id(),
             tokens,
             now,
-            now + RESERVE_WAIT_NANOS,
+            fleet.isStoreReachable() ? now + RESERVE_WAIT_NANOS : now,
             outcome -> onReserved(outcome, tokens, now));
   }
 
@@ -200,7 +202,8 @@
               OwnAnswer.notRun(
                   ErrorCode.BUDGET_UNAVAILABLE,
                   "tokens cannot be claimed now",
-                  OwnAnswer.OUTAGE_PAUSE_MILLIS));
+                  OwnAnswer.OUTAGE_PAUSE_MILLIS,
+                  leftMillis()));
     }
   }
 
@@ -284,8 +287,8 @@
       answer(OwnAnswer.of(code, reason));
     } else {
       boolean full = sends > 0 && connectFailures == 0;
-      long pause = full ? OwnAnswer.FULL_PAUSE_MILLIS : OwnAnswer.OUTAGE_PAUSE_MILLIS;
-      answer(OwnAnswer.notRun(ErrorCode.NO_UPSTREAM, reason, Math.min(pause, leftMillis() / 3)));
+      long pause = full ? OwnAnswer.FULL_PAUSE_MILLIS : OwnAnswer.CRASH_PAUSE_MILLIS;
+      answer(OwnAnswer.notRun(ErrorCode.NO_UPSTREAM, reason, pause, leftMillis()));
     }
   }
 
@@ -313,7 +316,7 @@
   }
 
   private void answer(OwnAnswer own) {
-    HttpHeaders headers = PlatformHeaders.own(terms == null ? "" : terms.attemptId());
+    HttpHeaders headers = fleet.codec().own(terms == null ? "" : terms.attemptId());
     headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
     if (own.retryAfterMillis() > 0) {
       headers.set(HttpHeaderNames.RETRY_AFTER, String.valueOf(own.retryAfterMillis() / 1000.0));
@@ -428,7 +431,7 @@
               urgency(),
               events.lastEventId());
       HttpHeaders headers =
-          PlatformHeaders.forwarded(request.headers(), forward, request.body().readableBytes());
+          fleet.codec().forwarded(request.headers(), forward, request.body().readableBytes());
       opened.send(
           request.method(), request.uri(), headers, request.body().retainedDuplicate(), this);
     }
@@ -506,7 +509,7 @@
       lastHeardNanos = System.nanoTime();
       status = head.status().code();
       answerHeaders = head.headers();
-      var stated = PlatformHeaders.answerTerms(status, answerHeaders);
+      var stated = fleet.codec().answerTerms(status, answerHeaders);
       boolean named = !stated.attemptId().isEmpty();
       if (named ? !stated.attemptId().equals(terms.attemptId()) : !stated.notExecuted()) {
         log.log(
@@ -576,7 +579,7 @@
       if (!headSent) {
         headSent = true;
         metrics.firstByte((System.nanoTime() - request.arrivedNanos()) / NANOS_PER_MILLI);
-        caller.sendHead(status, PlatformHeaders.answered(answerHeaders));
+        caller.sendHead(status, fleet.codec().answered(answerHeaders));
       }
     }
 
@@ -615,7 +618,7 @@
         return;
       }
       metrics.firstByte((System.nanoTime() - request.arrivedNanos()) / NANOS_PER_MILLI);
-      caller.sendWhole(status, PlatformHeaders.answered(answerHeaders), body);
+      caller.sendWhole(status, fleet.codec().answered(answerHeaders), body);
       finish("served", status, "");
     }
 
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -1,7 +1,6 @@
 package io.snipeloom.forwarding;
 
 import io.netty.channel.EventLoop;
-import io.snipeloom.platform.PlatformHeaders;
 import io.snipeloom.routing.CustomerTerms;
 import io.snipeloom.routing.EngineTraits;
 import io.snipeloom.routing.FleetConfiguration;
@@ -28,6 +27,7 @@
  */
 public final class Fleet {
   private final EventLoop loop;
+  private final HeaderCodec codec;
   private final ReplicaPicker picker;
   private final ReplicaDirectory directory = new ReplicaDirectory();
   private final SpendControl spend;
@@ -36,18 +36,25 @@
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
   private final Map<String, RetryAllowance> allowances = new HashMap<>();
   private FleetConfiguration configuration;
+  private boolean storeReachable = true;
 
   /**
    * Creates a fleet of which nothing is known yet.
    *
    * @param loop the event loop
+   * @param codec translates headers
    * @param zone the availability zone of this instance
    * @param spend the prepaid tokens
    * @param newAllowance creates the allowance of a service
    */
   public Fleet(
-      EventLoop loop, String zone, SpendControl spend, Supplier<RetryAllowance> newAllowance) {
+      EventLoop loop,
+      HeaderCodec codec,
+      String zone,
+      SpendControl spend,
+      Supplier<RetryAllowance> newAllowance) {
     this.loop = loop;
+    this.codec = codec;
     this.picker = new ReplicaPicker(zone);
     this.spend = spend;
     this.newAllowance = newAllowance;
@@ -128,11 +135,28 @@
     return spend;
   }
 
+  /**
+   * Takes note of whether the store answers; while it does not, no claim is waited for.
+   *
+   * @param reachable whether it answers
+   */
+  public void storeReachable(boolean reachable) {
+    storeReachable = reachable;
+  }
+
+  boolean isStoreReachable() {
+    return storeReachable;
+  }
+
   /** Closes connections that have been idle for long. */
   public void closeStaleConnections() {
     pools.values().forEach(ConnectionPool::closeStale);
   }
 
+  HeaderCodec codec() {
+    return codec;
+  }
+
   ReplicaPicker picker() {
     return picker;
   }
@@ -161,9 +185,7 @@
         replica.address(),
         address ->
             new ConnectionPool(
-                loop,
-                address,
-                connection -> PlatformHeaders.keepAliveMillis(connection.lastHeaders())));
+                loop, address, connection -> codec.keepAliveMillis(connection.lastHeaders())));
   }
 
   RetryAllowance allowanceOf(String service) {
--- a/src/main/java/io/snipeloom/forwarding/OwnAnswer.java
+++ b/src/main/java/io/snipeloom/forwarding/OwnAnswer.java
@@ -17,14 +17,22 @@
   /** A full replica has room again after about one request. */
   static final long FULL_PAUSE_MILLIS = 150;
 
-  /** A replica that crashed or a store that is away is back after seconds. */
-  static final long OUTAGE_PAUSE_MILLIS = 1_000;
+  /** Another replica takes over from one that crashed within about half a second. */
+  static final long CRASH_PAUSE_MILLIS = 500;
+
+  /** A store that is away is back after seconds. */
+  static final long OUTAGE_PAUSE_MILLIS = 2_000;
+
+  /** Callers come back after at most this part of the time that is left. */
+  private static final int PAUSE_PART = 3;
 
   static OwnAnswer of(ErrorCode code, String reason) {
     return new OwnAnswer(code, code.httpStatus(), reason, 0);
   }
 
-  static OwnAnswer notRun(ErrorCode code, String reason, long retryAfterMillis) {
-    return new OwnAnswer(code, code.httpStatus(), reason, retryAfterMillis);
+  /** Returns a refusal of a request that did not run; callers come back while time is left. */
+  static OwnAnswer notRun(ErrorCode code, String reason, long pauseMillis, long leftMillis) {
+    long retryAfter = Math.max(1, Math.min(pauseMillis, leftMillis / PAUSE_PART));
+    return new OwnAnswer(code, code.httpStatus(), reason, retryAfter);
   }
 }
--- a/src/main/java/io/snipeloom/platform/PlatformHeaders.java
+++ b/src/main/java/io/snipeloom/platform/PlatformHeaders.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.snipeloom.forwarding.HeaderCodec;
 import io.snipeloom.routing.AnswerTerms;
 import io.snipeloom.routing.ForwardTerms;
 import io.snipeloom.routing.Prompt;
@@ -23,7 +24,7 @@
  *
  * <p>Thread-safe, without state.
  */
-public final class PlatformHeaders {
+public final class PlatformHeaders implements HeaderCodec {
   private static final String ATTEMPT_ID = "Snipeloom-Attempt-Id";
   private static final String DEADLINE_MS = "Snipeloom-Deadline-Ms";
   private static final String CREDENTIAL = "Snipeloom-Credential";
@@ -71,16 +72,8 @@
           "kv-from",
           "kv-fetch");
 
-  private PlatformHeaders() {}
-
-  /**
-   * Decodes what a caller states.
-   *
-   * @param headers the headers of its request
-   * @return the terms
-   * @throws SnipeloomException with {@link ErrorCode#INVALID_REQUEST} if a header is malformed
-   */
-  public static RequestTerms requestTerms(HttpHeaders headers) {
+  @Override
+  public RequestTerms requestTerms(HttpHeaders headers) {
     String attemptId = headers.get(ATTEMPT_ID, "");
     if (attemptId.isBlank()) {
       throw invalid("no attempt id");
@@ -93,15 +86,8 @@
         Optional.ofNullable(headers.get(LAST_EVENT_ID)));
   }
 
-  /**
-   * Returns the headers with which a request goes to a replica.
-   *
-   * @param source the headers of the caller
-   * @param terms what this instance states
-   * @param bodyBytes the length of the body
-   * @return the headers
-   */
-  public static HttpHeaders forwarded(HttpHeaders source, ForwardTerms terms, int bodyBytes) {
+  @Override
+  public HttpHeaders forwarded(HttpHeaders source, ForwardTerms terms, int bodyBytes) {
     HttpHeaders headers = new DefaultHttpHeaders();
     Set<String> named = namedByConnection(source);
     for (Map.Entry<String, String> header : source) {
@@ -121,14 +107,8 @@
     return headers;
   }
 
-  /**
-   * Decodes what a replica states.
-   *
-   * @param status the status of its answer
-   * @param headers the headers of its answer
-   * @return the terms
-   */
-  public static AnswerTerms answerTerms(int status, HttpHeaders headers) {
+  @Override
+  public AnswerTerms answerTerms(int status, HttpHeaders headers) {
     return new AnswerTerms(
         headers.get(ATTEMPT_ID, ""),
         headers.contains(SIGNATURE),
@@ -136,13 +116,8 @@
         load(headers.get(REPLICA_LOAD)));
   }
 
-  /**
-   * Returns the headers of a replica's answer for the caller.
-   *
-   * @param source the headers of the replica
-   * @return the headers without those of its connection
-   */
-  public static HttpHeaders answered(HttpHeaders source) {
+  @Override
+  public HttpHeaders answered(HttpHeaders source) {
     HttpHeaders headers = new DefaultHttpHeaders();
     Set<String> named = namedByConnection(source);
     for (Map.Entry<String, String> header : source) {
@@ -156,13 +131,8 @@
     return headers;
   }
 
-  /**
-   * Returns the headers of an answer that this instance gives itself.
-   *
-   * @param attemptId the attempt, empty if unknown
-   * @return the headers
-   */
-  public static HttpHeaders own(String attemptId) {
+  @Override
+  public HttpHeaders own(String attemptId) {
     HttpHeaders headers = new DefaultHttpHeaders();
     if (!attemptId.isEmpty()) {
       headers.set(ATTEMPT_ID, attemptId);
@@ -170,13 +140,8 @@
     return headers;
   }
 
-  /**
-   * Returns how long an idle connection stays open at its other end.
-   *
-   * @param headers the headers of the last answer
-   * @return the time in milliseconds, empty if it was not stated
-   */
-  public static OptionalLong keepAliveMillis(HttpHeaders headers) {
+  @Override
+  public OptionalLong keepAliveMillis(HttpHeaders headers) {
     String value = headers.get(KEEP_ALIVE, "");
     for (String field : value.split(",", -1)) {
       String trimmed = field.trim();
--- a/src/main/java/io/snipeloom/platform/PlatformStore.java
+++ b/src/main/java/io/snipeloom/platform/PlatformStore.java
@@ -28,6 +28,9 @@
   /** The time limit of a call that does not wait; a slow store answers in under half a second. */
   private static final long CALL_TIMEOUT_MILLIS = 1_200;
 
+  /** Topics with this prefix keep the newest record of each key for good. */
+  private static final String KEYED = "keyed.";
+
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int GONE = 410;
@@ -53,7 +56,7 @@
       String topic, int partition, String afterKey, BiConsumer<StoreAnswer, RecordPage> listener) {
     String after =
         afterKey.isEmpty() ? "" : "&after=" + URLEncoder.encode(afterKey, StandardCharsets.UTF_8);
-    String uri = "/api/log-newest?topic=%s&part=%d%s".formatted(topic, partition, after);
+    String uri = "/api/log-newest?topic=%s&part=%d%s".formatted(KEYED + topic, partition, after);
     caller.call(
         HttpMethod.GET,
         uri,
@@ -71,7 +74,7 @@
       BiConsumer<StoreAnswer, RecordPage> listener) {
     String uri =
         "/api/log-read?topic=%s&part=%d&from=%d&waitMs=%d"
-            .formatted(topic, partition, from, waitMillis);
+            .formatted(KEYED + topic, partition, from, waitMillis);
     caller.call(
         HttpMethod.GET,
         uri,
@@ -88,7 +91,7 @@
       List<KeyedRecord> records,
       Consumer<StoreAnswer> listener) {
     append(
-        "/api/log-append?topic=%s&part=%d&at=%d".formatted(topic, partition, at),
+        "/api/log-append?topic=%s&part=%d&at=%d".formatted(KEYED + topic, partition, at),
         records,
         listener);
   }
@@ -97,7 +100,9 @@
   public void append(
       String topic, int partition, KeyedRecord record, Consumer<StoreAnswer> listener) {
     append(
-        "/api/log-append?topic=%s&part=%d".formatted(topic, partition), List.of(record), listener);
+        "/api/log-append?topic=%s&part=%d".formatted(KEYED + topic, partition),
+        List.of(record),
+        listener);
   }
 
   private void append(String uri, List<KeyedRecord> records, Consumer<StoreAnswer> listener) {
--- a/src/main/java/io/snipeloom/spend/CustomerAccount.java
+++ b/src/main/java/io/snipeloom/spend/CustomerAccount.java
@@ -19,6 +19,8 @@
 final class CustomerAccount {
   private final CustomerId customer;
   private final SpendRate rate = new SpendRate();
+  private final SpendRate ownClaims = new SpendRate();
+  private final SpendRate otherClaims = new SpendRate();
   private final Deque<Waiter> waiters = new ArrayDeque<>();
   private long limit;
   private long granted;
@@ -51,8 +53,18 @@
     return available;
   }
 
-  long granted() {
-    return granted;
+  /** Takes note of a change of the claimed total. */
+  void onClaimed(long tokens, boolean own, long nowNanos) {
+    if (tokens > 0) {
+      (own ? ownClaims : otherClaims).add(tokens, nowNanos);
+    }
+  }
+
+  /** Returns the share of this instance in what was claimed lately, 1 if nothing was. */
+  double useShare(long nowNanos) {
+    double own = ownClaims.tokensPerSecond(nowNanos);
+    double all = own + otherClaims.tokensPerSecond(nowNanos);
+    return all == 0 ? 1 : own / all;
   }
 
   long spent() {
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -97,7 +97,7 @@
             known = true;
             end = page.end();
             freshNanos = nowNanos;
-            page.records().forEach(LedgerPartition.this::apply);
+            page.records().forEach(record -> apply(record, nowNanos));
             pump(nowNanos);
           }
 
@@ -127,7 +127,7 @@
             open = null;
             end = batch.at() + batch.records().size();
             freshNanos = nowNanos;
-            batch.records().forEach(LedgerPartition.this::apply);
+            batch.records().forEach(record -> apply(record, nowNanos));
             grant(batch, nowNanos);
             pump(nowNanos);
           }
@@ -175,7 +175,7 @@
 
   private void onRecords(LedgerPage page, long nowNanos) {
     Batch batch = open;
-    page.records().forEach(this::apply);
+    page.records().forEach(record -> apply(record, nowNanos));
     end += page.records().size();
     if (batch != null && end > batch.at()) {
       open = null;
@@ -194,8 +194,13 @@
     return record.writer().equals(writer) && record.sequence() == batch.records().get(0).sequence();
   }
 
-  private void apply(LedgerRecord record) {
-    totals.put(record.customer(), record.claimedTokens());
+  private void apply(LedgerRecord record, long nowNanos) {
+    Long before = totals.put(record.customer(), record.claimedTokens());
+    CustomerAccount account = accounts.get(record.customer());
+    if (before != null && account != null) {
+      boolean own = record.writer().equals(writer);
+      account.onClaimed(record.claimedTokens() - before, own, nowNanos);
+    }
   }
 
   private void grant(Batch batch, long nowNanos) {
@@ -241,16 +246,22 @@
 
   /** Returns the tokens to claim, negative to return tokens, 0 to leave it. */
   private long change(CustomerAccount account, long nowNanos) {
-    long returned = Math.min(account.takeReturn(), total(account.customer()));
+    long unclaimed = unclaimed(account);
+    long target =
+        policy.target(
+            account.tokensPerSecond(nowNanos),
+            account.useShare(nowNanos),
+            unclaimed,
+            account.available(),
+            account.limit());
+    long unneeded =
+        account.hasWaiters() ? 0 : policy.surplus(account.available(), target, account.limit());
+    long returned = Math.min(Math.max(account.takeReturn(), unneeded), total(account.customer()));
     if (returned > 0) {
       account.giveBack(returned);
       events.onReturned(account.customer(), returned);
       return -returned;
     }
-    long unclaimed = unclaimed(account);
-    long target =
-        policy.target(
-            account.tokensPerSecond(nowNanos), useShare(account), unclaimed, account.available());
     long ahead = policy.isLow(account.available(), target) ? target - account.available() : 0;
     long missing = account.missing();
     if (missing > unclaimed) {
@@ -276,11 +287,6 @@
     }
   }
 
-  private double useShare(CustomerAccount account) {
-    long total = total(account.customer());
-    return total == 0 ? 1 : Math.min(1, (double) account.granted() / total);
-  }
-
   private long unclaimed(CustomerAccount account) {
     return Math.max(0, account.limit() - total(account.customer()));
   }
--- /dev/null
+++ b/src/test/java/io/snipeloom/PlatformBoundaryTest.java
@@ -0,0 +1,53 @@
+package io.snipeloom;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.not;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+class PlatformBoundaryTest {
+  private static final Path SOURCES = Path.of("src/main/java/io/snipeloom");
+  private static final Path ADAPTER = SOURCES.resolve("platform");
+
+  /** Names on the wire of the users' platform. */
+  private static final Pattern NAMES =
+      Pattern.compile(
+          "Snipeloom-(Attempt|Expect|Deadline|Credential|Tenant|Prompt|Token|Replica|Request|Not)"
+              + "|/api/log-|log-(append|newest|read)|keyed\\.|Last-Event-Id|trafficSplit|apiKeys"
+              + "|kvCapacityTokens|targetLatencyMs");
+
+  @Test
+  void onlyTheAdapterKnowsTheNamesOfThePlatform() throws IOException {
+    assertThat(namingFiles(false), empty());
+  }
+
+  @Test
+  void theSearchFindsTheNamesWhereTheyBelong() throws IOException {
+    assertThat(namingFiles(true), not(empty()));
+  }
+
+  private static List<Path> namingFiles(boolean inAdapter) throws IOException {
+    try (Stream<Path> files = Files.walk(SOURCES)) {
+      return files
+          .filter(file -> file.toString().endsWith(".java"))
+          .filter(file -> file.startsWith(ADAPTER) == inAdapter)
+          .filter(PlatformBoundaryTest::namesThePlatform)
+          .toList();
+    }
+  }
+
+  private static boolean namesThePlatform(Path file) {
+    try {
+      return NAMES.matcher(Files.readString(file)).find();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/edge/EdgeDaemonTest.java
@@ -0,0 +1,423 @@
+package io.snipeloom.edge;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import io.snipeloom.platform.ReplicaStandin;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The rules that callers, replicas and operators see on their sockets, with a real instance. */
+@Timeout(60)
+class EdgeDaemonTest {
+  private static final String TOKENS =
+      "Snipeloom-Token-Counts: 1000,100\r\nSnipeloom-Prompt-Prefix: aa:1000\r\n";
+  private static final String STREAM_HEAD =
+      "Snipeloom-Replica-Signature: %s\r\nContent-Type: text/event-stream\r\n"
+          + "Transfer-Encoding: chunked\r\n\r\n";
+
+  private EdgeFixture edge;
+
+  @BeforeEach
+  void startInstance() throws IOException {
+    edge = new EdgeFixture();
+  }
+
+  @AfterEach
+  void stopInstance() {
+    edge.close();
+  }
+
+  @Test
+  void answerOfTheReplicaReachesTheCallerUnchanged() throws Exception {
+    final ReplicaStandin replica = app("i-1", ok("sealed"));
+    ready();
+    String answer = edge.send("/vote/1?x=%41", "a1", "");
+    assertThat(answer, allOf(startsWith("HTTP/1.1 200"), endsWith("\r\n\r\nsealed")));
+    assertThat(answer, containsString("Snipeloom-Replica-Signature: s"));
+    ReplicaStandin.Request seen = replica.requests().get(0);
+    assertThat(seen.line(), is("POST /vote/1?x=%41 HTTP/1.1"));
+    assertThat(seen.body(), is("body"));
+    assertThat(seen.headers().get("Snipeloom-Tenant"), is("customer"));
+    assertThat(seen.headers().containsKey("Snipeloom-Credential"), is(false));
+  }
+
+  @Test
+  void requestsWithoutKnownConfigurationAreRefusedAsNotRunAndNotAsUnknownKeys() throws Exception {
+    String answer = edge.send("/vote/1", "a1", "");
+    assertThat(answer, allOf(startsWith("HTTP/1.1 503"), containsString("retry-after: 0.4")));
+  }
+
+  @Test
+  void unknownKeysAndRoutesAreRefused() throws Exception {
+    app("i-1", ok("x"));
+    ready();
+    String request = EdgeFixture.request("/vote/1", "a1", "", true).replace("key", "other");
+    try (Socket socket = edge.open()) {
+      ReplicaStandin.write(socket, request);
+      assertThat(EdgeFixture.readAll(socket.getInputStream()), startsWith("HTTP/1.1 401"));
+    }
+    assertThat(edge.send("/none/1", "a2", ""), startsWith("HTTP/1.1 404"));
+  }
+
+  @Test
+  void voteWhoseAnswerIsLostIsNeitherRepeatedNorCalledNotRun() throws Exception {
+    final ReplicaStandin replica = app("i-1", (request, socket) -> false);
+    app("i-2", (request, socket) -> false);
+    ready();
+    String answer = edge.send("/vote/1", "a1", "");
+    assertThat(answer, startsWith("HTTP/1.1 502"));
+    assertThat(answer, not(containsString("retry-after")));
+    assertThat(replica.requests().size() <= 1, is(true));
+  }
+
+  @Test
+  void voteThatOneReplicaRefusesRunsAtAnother() throws Exception {
+    ReplicaStandin.Script full =
+        (request, socket) -> {
+          ReplicaStandin.write(
+              socket,
+              "HTTP/1.1 503 Full\r\nSnipeloom-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+          return true;
+        };
+    final ReplicaStandin first = app("i-1", full);
+    app("i-2", ok("sealed"));
+    ready();
+    for (int i = 0; i < 4; i++) {
+      assertThat(edge.send("/vote/1", "a" + i, ""), endsWith("sealed"));
+    }
+    assertThat(first.requests().isEmpty(), is(false));
+  }
+
+  @Test
+  void statusThatFailsIsReadFromAnotherReplica() throws Exception {
+    app(
+        "i-1",
+        (request, socket) -> {
+          ReplicaStandin.write(socket, ReplicaStandin.whole(request.attempt(), 500, "no"));
+          return true;
+        });
+    app("i-2", ok("read"));
+    ready();
+    for (int i = 0; i < 4; i++) {
+      assertThat(edge.send("/status/1", "a" + i, ""), endsWith("read"));
+    }
+  }
+
+  /** Pattern: a replica sends a second answer on a kept connection. */
+  @Test
+  void extraAnswersOnKeptConnectionsReachNobody() throws Exception {
+    AtomicInteger count = new AtomicInteger();
+    app(
+        "i-1",
+        (request, socket) -> {
+          String answer = ReplicaStandin.whole(request.attempt(), 200, "for " + request.attempt());
+          ReplicaStandin.write(socket, answer);
+          if (count.incrementAndGet() % 2 == 1) {
+            Thread.sleep(30);
+            ReplicaStandin.write(socket, answer);
+          }
+          return true;
+        });
+    ready();
+    for (int i = 0; i < 12; i++) {
+      assertThat(edge.send("/vote/1", "a" + i, ""), endsWith("for a" + i));
+    }
+  }
+
+  /** Pattern: the answer to an earlier request arrives where that to the next is expected. */
+  @Test
+  void answerWithAnotherIdIsSkipped() throws Exception {
+    app(
+        "i-1",
+        (request, socket) -> {
+          ReplicaStandin.write(socket, ReplicaStandin.whole("other", 200, "another's"));
+          ReplicaStandin.write(socket, ReplicaStandin.whole(request.attempt(), 200, "own"));
+          return true;
+        });
+    ready();
+    assertThat(edge.send("/vote/1", "a1", ""), endsWith("own"));
+    assertThat(edge.send("/vote/1", "a2", ""), endsWith("own"));
+  }
+
+  @Test
+  void truncatedAnswersNeverLookComplete() throws Exception {
+    app(
+        "i-1",
+        (request, socket) -> {
+          String whole = ReplicaStandin.whole(request.attempt(), 200, "a long answer");
+          ReplicaStandin.write(socket, whole.substring(0, whole.length() - 3));
+          return false;
+        });
+    ready();
+    assertThat(edge.send("/vote/1", "a1", ""), startsWith("HTTP/1.1 502"));
+  }
+
+  @Test
+  void answerWithoutLengthIsCompleteOnlyWithAnOrderlyClose() throws Exception {
+    String head =
+        "HTTP/1.1 200 OK\r\nSnipeloom-Replica-Signature: s\r\nSnipeloom-Attempt-Id: %s\r\n\r\n";
+    app(
+        "i-1",
+        (request, socket) -> {
+          ReplicaStandin.write(socket, head.formatted(request.attempt()) + "unframed");
+          if (request.attempt().startsWith("reset")) {
+            Thread.sleep(50);
+            socket.setSoLinger(true, 0);
+          }
+          return false;
+        });
+    ready();
+    assertThat(edge.send("/vote/1", "a1", ""), endsWith("unframed"));
+    assertThat(edge.send("/vote/1", "reset-1", ""), startsWith("HTTP/1.1 502"));
+  }
+
+  @Test
+  void brokenStreamIsResumedAfterItsLastWholeEvent() throws Exception {
+    ReplicaStandin.Script script =
+        (request, socket) -> {
+          String last = request.headers().get("Last-Event-Id");
+          boolean first = last == null;
+          ReplicaStandin.write(
+              socket,
+              "HTTP/1.1 200 OK\r\nSnipeloom-Attempt-Id: "
+                  + request.attempt()
+                  + "\r\n"
+                  + STREAM_HEAD.formatted(first ? "one" : "two"));
+          if (first) {
+            ReplicaStandin.write(socket, chunk("id: 1\ndata: a\n\nid: 2\nda"));
+            Thread.sleep(50);
+            return false;
+          }
+          assertThat(last, is("1"));
+          ReplicaStandin.write(socket, chunk("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
+          ReplicaStandin.write(socket, "0\r\n\r\n");
+          return true;
+        };
+    engine("e-1", script);
+    engine("e-2", script);
+    ready();
+    String answer = edge.send("/draft/1", "a1", TOKENS);
+    assertThat(answer, containsString("Snipeloom-Replica-Signature: one"));
+    assertThat(answer, not(containsString("two")));
+    assertThat(
+        answer.replaceAll("\r\n[0-9a-f]+\r\n", ""),
+        containsString("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
+    assertThat(answer, endsWith("0\r\n\r\n"));
+  }
+
+  @Test
+  void replicaIsToldWithinHalfSecondThatTheCallerLeft() throws Exception {
+    CountDownLatch started = new CountDownLatch(1);
+    CompletableFuture<Boolean> closed = new CompletableFuture<>();
+    engine(
+        "e-1",
+        (request, socket) -> {
+          started.countDown();
+          long from = System.nanoTime();
+          int end = socket.getInputStream().read();
+          closed.complete(end < 0 && System.nanoTime() - from < 5_000_000_000L);
+          return false;
+        });
+    ready();
+    try (Socket caller = edge.open()) {
+      ReplicaStandin.write(caller, EdgeFixture.request("/draft/1", "a1", TOKENS, false));
+      started.await();
+    }
+    assertThat(closed.get(10, TimeUnit.SECONDS), is(true));
+  }
+
+  @Test
+  void spendNeverExceedsThePrepaidTotalAcrossRestarts() throws Exception {
+    engine("e-1", stream(20));
+    edge.configure(1, 5_000);
+    edge.awaitReady();
+    int served = 0;
+    for (int i = 0; i < 8; i++) {
+      served += edge.send("/draft/1", "a" + i, TOKENS).startsWith("HTTP/1.1 200") ? 1 : 0;
+    }
+    assertThat("requests of 1,100 tokens in 5,000", served, is(4));
+    assertThat(edge.send("/draft/1", "b", TOKENS), startsWith("HTTP/1.1 402"));
+    edge.configure(2, 6_200);
+    edge.awaitLog("version=2 applied=true");
+    assertThat(edge.send("/draft/1", "c", TOKENS), startsWith("HTTP/1.1 200"));
+  }
+
+  @Test
+  void requestIsRefusedAsNotRunWhileTokensCannotBeClaimed() throws Exception {
+    engine("e-1", stream(1));
+    edge.configure(1, 5_000);
+    edge.awaitReady();
+    edge.store.down(true);
+    edge.awaitLog("store_lost");
+    String answer = edge.send("/draft/1", "a1", TOKENS);
+    assertThat(answer, allOf(startsWith("HTTP/1.1 503"), containsString("retry-after")));
+    edge.store.down(false);
+    edge.awaitLog("store_regained");
+    assertThat(edge.send("/draft/1", "a2", TOKENS), startsWith("HTTP/1.1 200"));
+  }
+
+  @Test
+  void claimWhoseAnswerIsLostIsGrantedOnce() throws Exception {
+    engine("e-1", stream(20));
+    edge.configure(1, 2_200);
+    edge.awaitReady();
+    edge.store.loseAnswers(1);
+    int served = 0;
+    for (int i = 0; i < 6; i++) {
+      served += edge.send("/draft/1", "a" + i, TOKENS).startsWith("HTTP/1.1 200") ? 1 : 0;
+    }
+    assertThat("requests of 1,100 tokens in 2,200", served, is(2));
+  }
+
+  @Test
+  void configurationNeverGoesBack() throws Exception {
+    app("i-1", ok("x"));
+    edge.configure(5, 1_000);
+    edge.awaitReady();
+    edge.configure(4, 9_000);
+    edge.awaitLog("version=4 applied=false");
+    edge.store.put("keyed.op", "config", "not json");
+    edge.awaitLog("configuration_refused");
+    edge.store.forget("keyed.op");
+    edge.configure(6, 1_000);
+    edge.awaitLog("version=6 applied=true");
+    assertThat(edge.send("/vote/1", "a1", ""), endsWith("x"));
+  }
+
+  @Test
+  void drainingReplicaGetsNoNewRequests() throws Exception {
+    final ReplicaStandin leaving = app("i-1", ok("x"));
+    app("i-2", ok("x"));
+    ready();
+    edge.register("i-1", "app", leaving, "draining");
+    edge.awaitLog("state=DRAINING");
+    for (int i = 0; i < 6; i++) {
+      edge.send("/vote/1", "a" + i, "");
+    }
+    assertThat(leaving.requests(), hasSize(0));
+  }
+
+  @Test
+  void stopFinishesTheStreamUnderWay() throws Exception {
+    CountDownLatch started = new CountDownLatch(1);
+    engine(
+        "e-1",
+        (request, socket) -> {
+          ReplicaStandin.write(
+              socket,
+              "HTTP/1.1 200 OK\r\nSnipeloom-Attempt-Id: "
+                  + request.attempt()
+                  + "\r\n"
+                  + STREAM_HEAD.formatted("s"));
+          started.countDown();
+          for (int i = 0; i < 20; i++) {
+            ReplicaStandin.write(socket, chunk("id: " + i + "\ndata: x\n\n"));
+            Thread.sleep(50);
+          }
+          ReplicaStandin.write(socket, "0\r\n\r\n");
+          return true;
+        });
+    ready();
+    CompletableFuture<String> answer =
+        CompletableFuture.supplyAsync(
+            () -> {
+              try {
+                return edge.send("/draft/1", "a1", TOKENS);
+              } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+              }
+            });
+    started.await();
+    edge.stop();
+    assertThat(answer.get(), allOf(containsString("id: 19"), endsWith("0\r\n\r\n")));
+    edge.awaitLog("event=claim_returned customer=customer");
+  }
+
+  @Test
+  void malformedAndOversizedRequestsGetClearAnswers() throws Exception {
+    app("i-1", ok("x"));
+    ready();
+    assertThat(raw("NONSENSE\r\n\r\n"), startsWith("HTTP/1.1 400"));
+    assertThat(
+        raw("GET /vote/ HTTP/1.1\r\nHost: h.example\r\nX: " + "y".repeat(20_000) + "\r\n\r\n"),
+        startsWith("HTTP/1.1 431"));
+    assertThat(
+        raw("POST /vote/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999\r\n\r\n"),
+        startsWith("HTTP/1.1 413"));
+  }
+
+  @Test
+  void metricsCountRequestsByOutcome() throws Exception {
+    app("i-1", ok("x"));
+    ready();
+    edge.send("/vote/1", "a1", "");
+    assertThat(edge.metrics(), containsString("snipeloom_request_served_total"));
+  }
+
+  private String raw(String bytes) throws IOException {
+    try (Socket socket = edge.open()) {
+      ReplicaStandin.write(socket, bytes);
+      return EdgeFixture.readAll(socket.getInputStream());
+    }
+  }
+
+  private void ready() throws Exception {
+    edge.configure(1, 1_000_000);
+    edge.awaitReady();
+  }
+
+  private ReplicaStandin app(String id, ReplicaStandin.Script script) throws IOException {
+    ReplicaStandin replica = ReplicaStandin.start(script);
+    edge.register(id, "app", replica, "ready");
+    return replica;
+  }
+
+  private void engine(String id, ReplicaStandin.Script script) throws IOException {
+    edge.register(id, "llm", ReplicaStandin.start(script), "ready");
+  }
+
+  private static ReplicaStandin.Script ok(String body) {
+    return (request, socket) -> {
+      ReplicaStandin.write(socket, ReplicaStandin.whole(request.attempt(), 200, body));
+      return true;
+    };
+  }
+
+  /** A stream of events of five tokens each. */
+  private static ReplicaStandin.Script stream(int events) {
+    return (request, socket) -> {
+      ReplicaStandin.write(
+          socket,
+          "HTTP/1.1 200 OK\r\nSnipeloom-Attempt-Id: "
+              + request.attempt()
+              + "\r\n"
+              + STREAM_HEAD.formatted("s"));
+      for (int i = 0; i < events; i++) {
+        ReplicaStandin.write(socket, chunk("id: " + i + "\ndata: x\n\n"));
+      }
+      ReplicaStandin.write(socket, "0\r\n\r\n");
+      return true;
+    };
+  }
+
+  private static String chunk(String text) {
+    int length = text.getBytes(StandardCharsets.ISO_8859_1).length;
+    return Integer.toHexString(length) + "\r\n" + text + "\r\n";
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -0,0 +1,163 @@
+package io.snipeloom.edge;
+
+import io.snipeloom.platform.ReplicaStandin;
+import io.snipeloom.platform.StoreStandin;
+import io.snipeloom.telemetry.EventLog;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.UUID;
+
+/** An edge instance with a store; replicas and callers are the test's. */
+final class EdgeFixture implements AutoCloseable {
+  private static final long READY_MILLIS = 10_000;
+
+  final StoreStandin store;
+  final ByteArrayOutputStream log = new ByteArrayOutputStream();
+  private final EdgeDaemon daemon;
+  private final EdgeSettings settings;
+
+  EdgeFixture() throws IOException {
+    store = StoreStandin.start();
+    settings =
+        new EdgeSettings(
+            "edge-1", "zone-a", free(), free(), free(), store.address(), 3, 0.2, 40, 10, 5);
+    daemon =
+        EdgeDaemon.of(
+            settings,
+            UUID.randomUUID().toString(),
+            EventLog.to(new PrintStream(log, true, StandardCharsets.UTF_8)));
+    daemon.start();
+  }
+
+  /** Writes a configuration with a plain, a vote and a stream route, and one prepaid customer. */
+  void configure(int version, long prepaid) {
+    store.put(
+        "keyed.op",
+        "config",
+        """
+        {"version":%d,"routes":[%s,%s,%s],
+         "services":[{"name":"app","maxConnections":96},
+          {"name":"llm","engine":{"slots":64,"kvCapacityTokens":400000,"stride":5}}],
+         "tenants":[{"name":"customer","apiKeys":["key"],"prepaid":%d}]}
+        """
+            .formatted(
+                version,
+                route("/status/", "idempotent", "app", 2, false),
+                route("/vote/", "non_idempotent", "app", 1, false),
+                route("/draft/", "streaming", "llm", 2, true),
+                prepaid));
+  }
+
+  private static String route(
+      String prefix, String type, String service, int attempts, boolean resume) {
+    return ("{\"name\":\"r%s\",\"host\":\"h.example\",\"pathPrefix\":\"%s\",\"type\":\"%s\","
+            + "\"timeoutMs\":3000,\"targetLatencyMs\":100,\"service\":\"%s\",\"maxAttempts\":%d,"
+            + "\"streamResume\":%s}")
+        .formatted(prefix, prefix, type, service, attempts, resume);
+  }
+
+  /** Registers a replica. */
+  void register(String id, String service, ReplicaStandin replica, String state) {
+    store.put(
+        "keyed.servers",
+        id,
+        ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"zone-a\",\"slots\":6,"
+                + "\"state\":\"%s\",\"born\":1}")
+            .formatted(service, replica.port(), state));
+  }
+
+  /** Waits until the instance says that it is ready. */
+  void awaitReady() throws IOException, InterruptedException {
+    long until = System.currentTimeMillis() + READY_MILLIS;
+    while (!get(settings.readiness(), "/").startsWith("HTTP/1.1 200")) {
+      if (System.currentTimeMillis() > until) {
+        throw new IllegalStateException("not ready: " + log);
+      }
+      Thread.sleep(20);
+    }
+  }
+
+  /** Waits until the log holds a text. */
+  void awaitLog(String text) throws InterruptedException {
+    long until = System.currentTimeMillis() + READY_MILLIS;
+    while (!log.toString(StandardCharsets.UTF_8).contains(text)) {
+      if (System.currentTimeMillis() > until) {
+        throw new IllegalStateException("not logged: " + text + " in " + log);
+      }
+      Thread.sleep(10);
+    }
+  }
+
+  String metrics() throws IOException {
+    return get(settings.metrics(), "/metrics");
+  }
+
+  /** Sends a request on a connection of its own and returns all bytes of the answer. */
+  String send(String path, String attempt, String extraHeaders) throws IOException {
+    return exchange(settings.callers(), request(path, attempt, extraHeaders, true));
+  }
+
+  /** Opens a connection of a caller. */
+  Socket open() throws IOException {
+    Socket socket = new Socket(settings.callers().getAddress(), settings.callers().getPort());
+    socket.setSoTimeout(8_000);
+    return socket;
+  }
+
+  static String request(String path, String attempt, String extraHeaders, boolean close) {
+    return "POST "
+        + path
+        + " HTTP/1.1\r\nHost: h.example\r\nSnipeloom-Attempt-Id: "
+        + attempt
+        + "\r\nSnipeloom-Credential: key\r\nSnipeloom-Deadline-Ms: 3000\r\n"
+        + extraHeaders
+        + (close ? "Connection: close\r\n" : "")
+        + "Content-Length: 4\r\n\r\nbody";
+  }
+
+  void stop() {
+    daemon.stop();
+  }
+
+  @Override
+  public void close() {
+    daemon.stop();
+    store.stop();
+  }
+
+  private static String get(InetSocketAddress address, String path) throws IOException {
+    return exchange(address, "GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  }
+
+  private static String exchange(InetSocketAddress address, String request) throws IOException {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(8_000);
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      return readAll(socket.getInputStream());
+    }
+  }
+
+  static String readAll(InputStream in) throws IOException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      in.transferTo(out);
+    } catch (java.net.SocketException e) {
+      // A connection that is reset ends the answer as well.
+      return out.toString(StandardCharsets.ISO_8859_1);
+    }
+    return out.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  private static InetSocketAddress free() throws IOException {
+    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/edge/EdgeSettingsTest.java
@@ -0,0 +1,63 @@
+package io.snipeloom.edge;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.snipeloom.state.SnipeloomException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class EdgeSettingsTest {
+  private static final String VALID =
+      """
+      {"instance": "edge-1", "zone": "zone-a", "callers": "127.0.0.1:8227",
+       "readiness": "127.0.0.1:8220", "metrics": "127.0.0.1:7340", "store": "127.0.0.1:8223",
+       "storePartitions": 12, "retryRatio": 0.2, "retrySlack": 52, "retryWindowSeconds": 10,
+       "graceSeconds": 8}
+      """;
+
+  @TempDir private Path folder;
+
+  @Test
+  void settingsAreRead() throws IOException {
+    assertThat(parse(VALID).callers().getPort(), is(8227));
+  }
+
+  @Test
+  void eachWrongFieldIsNamed() {
+    SnipeloomException error =
+        assertThrows(
+            SnipeloomException.class,
+            () ->
+                parse(
+                    VALID
+                        .replace("\"zone-a\"", "7")
+                        .replace("127.0.0.1:8227", "nowhere")
+                        .replace(": 12", ": 0")
+                        .replace("\"retryRatio\"", "\"retryRation\"")));
+    assertThat(
+        error.getMessage(),
+        allOf(
+            containsString("zone must be a text"),
+            containsString("callers must be an address"),
+            containsString("storePartitions must be a number"),
+            containsString("retryRation is unknown")));
+  }
+
+  @Test
+  void brokenFileIsRefused() {
+    assertThrows(SnipeloomException.class, () -> parse("{"));
+  }
+
+  private EdgeSettings parse(String text) throws IOException {
+    Path file = folder.resolve("settings.json");
+    Files.writeString(file, text);
+    return EdgeSettings.parse(file);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/platform/PlatformCodecTest.java
@@ -0,0 +1,208 @@
+package io.snipeloom.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.snipeloom.routing.AnswerTerms;
+import io.snipeloom.routing.FleetConfiguration;
+import io.snipeloom.routing.ForwardTerms;
+import io.snipeloom.routing.PromptPart;
+import io.snipeloom.routing.Replica;
+import io.snipeloom.routing.ReplicaId;
+import io.snipeloom.routing.ReplicaState;
+import io.snipeloom.routing.RequestTerms;
+import io.snipeloom.routing.Route;
+import io.snipeloom.routing.RouteType;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.store.KeyedRecord;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** The examples of the platform's pages, decoded and encoded. */
+class PlatformCodecTest {
+  private static final String CONFIGURATION =
+      """
+      {"version":7,"routes":[
+       {"name":"r-2yhvz3p","host":"ficu95.example","pathPrefix":"/lohu930/","type":"streaming",
+        "timeoutMs":8000,"targetLatencyMs":600,"priority":1,
+        "trafficSplit":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],
+        "maxAttempts":2,"anonymous":false,"sessionAffinity":true,"streamResume":true,
+        "targetGapMs":400}],
+       "services":[{"name":"huvo11a","healthPath":"/healthz","maxConnections":360,
+        "engine":{"slots":64,"kvCapacityTokens":401764,"stride":5}}],
+       "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+        "idleTimeoutMs":15000},
+       "tenants":[{"name":"hule930","apiKeys":["n2ctnfzs989anu6wsjnb"],"priority":1,
+        "prepaid":2762546}]}
+      """;
+
+  private static final String ENTRY =
+      """
+      {"service":"huvo11a","address":"10.128.0.9:8080","zone":"dar-a","version":"v1","slots":64,
+       "state":"ready","coldRemainingMs":0,"stage":"prefill_decode","sequence":4,
+       "born":1773013534061}
+      """;
+
+  private final PlatformHeaders codec = new PlatformHeaders();
+
+  @Test
+  void configurationIsDecoded() {
+    FleetConfiguration configuration = ConfigurationDecoder.decode(bytes(CONFIGURATION));
+    Route route = configuration.route("ficu95.example", "/lohu930/2f").orElseThrow();
+    assertThat(configuration.version(), is(7L));
+    assertThat(route.type(), is(RouteType.STREAMING));
+    assertThat(route.resumable(), is(true));
+    assertThat(route.serviceFor(0.95), is("wuno96b"));
+    assertThat(
+        configuration.customerOf("n2ctnfzs989anu6wsjnb").orElseThrow().prepaidTokens().orElse(0),
+        is(2_762_546L));
+    assertThat(configuration.customerOf("other").isPresent(), is(false));
+  }
+
+  @Test
+  void brokenConfigurationIsRefusedWhole() {
+    String[] broken = {
+      "",
+      "{}",
+      "[1]",
+      CONFIGURATION.replace("\"streaming\"", "\"other\""),
+      CONFIGURATION.replace("/lohu930/", "lohu930"),
+      CONFIGURATION.substring(0, 200)
+    };
+    for (String document : broken) {
+      assertThrows(
+          SnipeloomException.class, () -> ConfigurationDecoder.decode(bytes(document)), document);
+    }
+  }
+
+  @Test
+  void entryOfReplicaIsDecoded() {
+    Replica replica = ReplicaDecoder.decode("i-7f3a91c2", bytes(ENTRY));
+    assertThat(replica.state(), is(ReplicaState.READY));
+    assertThat(replica.bornMillis(), is(1_773_013_534_061L));
+    assertThat(replica.address().getPort(), is(8080));
+  }
+
+  @Test
+  void spoiltEntriesNameNoReplica() {
+    String[] spoilt = {
+      "",
+      "\u0000\u0001",
+      "{}",
+      "[]",
+      "7",
+      ENTRY.replace("\"ready\"", "\"resting\""),
+      ENTRY.replace("\"10.128.0.9:8080\"", "\"host:8080\""),
+      ENTRY.replace("\"10.128.0.9:8080\"", "5"),
+      ENTRY.replace(":64,", ":\"many\","),
+      ENTRY.replace(":64,", ":-1,"),
+      ENTRY.replace("\"zone\":\"dar-a\",", "")
+    };
+    for (String entry : spoilt) {
+      assertThrows(
+          SnipeloomException.class, () -> ReplicaDecoder.decode("i-1", bytes(entry)), entry);
+    }
+  }
+
+  @Test
+  void requestIsDecoded() {
+    RequestTerms terms = codec.requestTerms(request());
+    assertThat(terms.attemptId(), is("9c41d07be2a35f68"));
+    assertThat(terms.timeoutMillis().orElse(0), is(8_000L));
+    assertThat(terms.prompt().orElseThrow().maxTokens(), is(1_540L));
+    assertThat(terms.prompt().orElseThrow().parts().get(1), is(new PromptPart("91bd3f06", 410)));
+  }
+
+  @Test
+  void malformedTermsAreRefused() {
+    for (String counts : List.of("1460", "1460,", "-1,80", "a,b", "1,2,3")) {
+      HttpHeaders headers = request().set("Snipeloom-Token-Counts", counts);
+      assertThrows(SnipeloomException.class, () -> codec.requestTerms(headers), counts);
+    }
+    HttpHeaders headers = request().set("Snipeloom-Prompt-Prefix", "5c1e07a2");
+    assertThrows(SnipeloomException.class, () -> codec.requestTerms(headers));
+  }
+
+  @Test
+  void forwardedRequestCarriesWhatTheSystemSetsAndNotWhatCallersForge() {
+    HttpHeaders source = request();
+    source.set("Snipeloom-Tenant", "forged");
+    source.set("Snipeloom-Hold", "forged");
+    source.set("Snipeloom-Pin-Ms", "4000");
+    source.set("Snipeloom-Kv-Backup", "10.0.0.1:1");
+    source.set("Kv-From", "10.0.0.1:1/h");
+    source.set("Connection", "keep-alive, X-Private");
+    source.set("X-Private", "1");
+    ForwardTerms terms =
+        new ForwardTerms(
+            new ReplicaId("i-7f3a91c2"), 7_990, Optional.of("hule930"), 1, Optional.empty());
+    HttpHeaders headers = codec.forwarded(source, terms, 12);
+    assertThat(headers.get("Snipeloom-Attempt-Id"), is("9c41d07be2a35f68"));
+    assertThat(headers.get("Snipeloom-Expect-Replica"), is("i-7f3a91c2"));
+    assertThat(headers.get("Snipeloom-Deadline-Ms"), is("7990"));
+    assertThat(headers.get("Snipeloom-Tenant"), is("hule930"));
+    assertThat(headers.get("Last-Event-Id"), is("12"));
+    assertThat(headers.get("Snipeloom-Model"), is("m"));
+    for (String name :
+        List.of(
+            "Snipeloom-Credential",
+            "Snipeloom-Hold",
+            "Snipeloom-Pin-Ms",
+            "Snipeloom-Kv-Backup",
+            "Kv-From",
+            "X-Private")) {
+      assertThat(name, headers.get(name), nullValue());
+    }
+  }
+
+  @Test
+  void onlyTheReplicasOwnWordSaysThatRequestsDidNotRun() {
+    HttpHeaders shed = new DefaultHttpHeaders().set("Snipeloom-Not-Executed", "1");
+    assertThat(codec.answerTerms(503, shed).notExecuted(), is(true));
+    assertThat(codec.answerTerms(503, new DefaultHttpHeaders()).notExecuted(), is(false));
+    assertThat(codec.answerTerms(421, new DefaultHttpHeaders()).notExecuted(), is(true));
+  }
+
+  @Test
+  void loadOfReplicaIsDecoded() {
+    HttpHeaders headers = new DefaultHttpHeaders().set("Snipeloom-Replica-Load", "3,0,8");
+    assertThat(codec.answerTerms(200, headers).load(), is(Optional.of(new AnswerTerms.Load(3, 0))));
+  }
+
+  @Test
+  void recordsAreFramedAsOnThePage() {
+    byte[] encoded =
+        ByteBufUtil.getBytes(
+            RecordFraming.encode(List.of(new KeyedRecord("ab", new byte[] {'c'}))));
+    assertThat(encoded, is(new byte[] {0, 0, 0, 4, 2, 'a', 'b', 'c'}));
+    assertThat(
+        RecordFraming.decode(io.netty.buffer.Unpooled.wrappedBuffer(encoded)).get(0).key(),
+        is("ab"));
+    assertThrows(
+        SnipeloomException.class,
+        () -> RecordFraming.decode(io.netty.buffer.Unpooled.wrappedBuffer(encoded, 0, 7)));
+  }
+
+  private static HttpHeaders request() {
+    return new DefaultHttpHeaders()
+        .set("Host", "ficu95.example")
+        .set("Snipeloom-Attempt-Id", "9c41d07be2a35f68")
+        .set("Last-Event-Id", "12")
+        .set("Snipeloom-Model", "m")
+        .set("Snipeloom-Token-Counts", "1460,80")
+        .set("Snipeloom-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+        .set("Snipeloom-Deadline-Ms", "8000")
+        .set("Snipeloom-Credential", "n2ctnfzs989anu6wsjnb");
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/platform/ReplicaStandin.java
@@ -0,0 +1,138 @@
+package io.snipeloom.platform;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * A replica whose answers a test writes byte by byte.
+ *
+ * <p>Thread-safe.
+ */
+public final class ReplicaStandin implements AutoCloseable {
+  private final ServerSocket listener;
+  private final Script script;
+  private final CopyOnWriteArrayList<Request> requests = new CopyOnWriteArrayList<>();
+
+  /** A request as it arrived. */
+  public record Request(String line, Map<String, String> headers, String body) {
+    /** Returns the attempt that the request belongs to. */
+    public String attempt() {
+      return headers.get("Snipeloom-Attempt-Id");
+    }
+  }
+
+  /** Answers a request; the connection is closed when it returns false. */
+  public interface Script {
+    /** Writes the answer. */
+    boolean answer(Request request, Socket socket) throws IOException, InterruptedException;
+  }
+
+  private ReplicaStandin(ServerSocket listener, Script script) {
+    this.listener = listener;
+    this.script = script;
+  }
+
+  /** Starts a replica on a free port. */
+  public static ReplicaStandin start(Script script) throws IOException {
+    ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    ReplicaStandin standin = new ReplicaStandin(listener, script);
+    daemon(standin::accept);
+    return standin;
+  }
+
+  /** Returns the port. */
+  public int port() {
+    return listener.getLocalPort();
+  }
+
+  /** Returns the requests so far. */
+  public java.util.List<Request> requests() {
+    return requests;
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+  }
+
+  /** Returns a complete answer with the headers of a replica. */
+  public static String whole(String attempt, int status, String body) {
+    return "HTTP/1.1 %d X\r\nSnipeloom-Attempt-Id: %s\r\nSnipeloom-Replica-Signature: s\r\n"
+            .formatted(status, attempt)
+        + "Content-Length: %d\r\n\r\n%s".formatted(body.length(), body);
+  }
+
+  /** Writes text. */
+  public static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        daemon(() -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      while (true) {
+        Request request = read(in);
+        if (request == null) {
+          return;
+        }
+        requests.add(request);
+        if (!script.answer(request, socket)) {
+          return;
+        }
+      }
+    } catch (IOException | InterruptedException e) {
+      // The other end closed the connection, which ends this one.
+      return;
+    }
+  }
+
+  private static Request read(InputStream in) throws IOException {
+    String line = line(in);
+    if (line.isEmpty()) {
+      return null;
+    }
+    Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+    for (String header = line(in); !header.isEmpty(); header = line(in)) {
+      int colon = header.indexOf(':');
+      headers.put(header.substring(0, colon), header.substring(colon + 1).trim());
+    }
+    int length = Integer.parseInt(headers.getOrDefault("Content-Length", "0"));
+    return new Request(
+        line, headers, new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+  }
+
+  private static String line(InputStream in) throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    for (int b = in.read(); b >= 0 && b != '\n'; b = in.read()) {
+      line.write(b);
+    }
+    return line.toString(StandardCharsets.ISO_8859_1).strip();
+  }
+
+  private static void daemon(Runnable task) {
+    Thread thread = new Thread(task, "replica");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/platform/StoreStandin.java
@@ -0,0 +1,199 @@
+package io.snipeloom.platform;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.stream.Collectors;
+
+/**
+ * A stand-in of the platform's store: keyed topics, appends at an offset, waiting reads, outages,
+ * lost answers and forgotten history.
+ *
+ * <p>Thread-safe.
+ */
+public final class StoreStandin {
+  private final HttpServer server;
+  private final Map<String, List<byte[]>> partitions = new HashMap<>();
+  private final Map<String, Integer> kept = new HashMap<>();
+  private boolean down;
+  private int answersToLose;
+
+  private StoreStandin(HttpServer server) {
+    this.server = server;
+  }
+
+  /** Starts a store on a free port. */
+  public static StoreStandin start() throws IOException {
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    StoreStandin standin = new StoreStandin(HttpServer.create(any, 100));
+    standin.server.setExecutor(
+        Executors.newCachedThreadPool(
+            task -> {
+              Thread thread = new Thread(task, "store");
+              thread.setDaemon(true);
+              return thread;
+            }));
+    standin.server.createContext("/api/log-append", standin::append);
+    standin.server.createContext("/api/log-read", standin::read);
+    standin.server.createContext("/api/log-newest", standin::newest);
+    standin.server.start();
+    return standin;
+  }
+
+  /** Returns where the store listens. */
+  public InetSocketAddress address() {
+    return server.getAddress();
+  }
+
+  /** Stops the store. */
+  public void stop() {
+    server.stop(0);
+  }
+
+  /** Refuses all calls from now on, or answers again. */
+  public synchronized void down(boolean isDown) {
+    down = isDown;
+  }
+
+  /** Carries out the next appends without an answer. */
+  public synchronized void loseAnswers(int count) {
+    answersToLose = count;
+  }
+
+  /** Drops the records of a topic; the newest of each key stay in its listing. */
+  public synchronized void forget(String topic) {
+    kept.put(topic + "/0", records(topic + "/0").size());
+  }
+
+  /** Writes a record. */
+  public synchronized void put(String topic, String key, String value) {
+    byte[] name = key.getBytes(StandardCharsets.UTF_8);
+    byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+    ByteBuffer record = ByteBuffer.allocate(1 + name.length + bytes.length);
+    record.put((byte) name.length).put(name).put(bytes);
+    records(topic + "/0").add(record.array());
+    notifyAll();
+  }
+
+  private List<byte[]> records(String partition) {
+    return partitions.computeIfAbsent(partition, key -> new ArrayList<>());
+  }
+
+  private synchronized void append(HttpExchange exchange) throws IOException {
+    Map<String, String> query = query(exchange);
+    ByteBuffer body = ByteBuffer.wrap(exchange.getRequestBody().readAllBytes());
+    if (down) {
+      answer(exchange, 503, new byte[0]);
+      return;
+    }
+    List<byte[]> records = records(query.get("topic") + "/" + query.get("part"));
+    int offset = records.size();
+    if (query.containsKey("at") && Long.parseLong(query.get("at")) != offset) {
+      answer(exchange, 412, "{\"end\":%d}".formatted(offset).getBytes(StandardCharsets.UTF_8));
+      return;
+    }
+    while (body.hasRemaining()) {
+      byte[] record = new byte[body.getInt()];
+      body.get(record);
+      records.add(record);
+    }
+    notifyAll();
+    if (answersToLose > 0) {
+      answersToLose--;
+      exchange.close();
+      return;
+    }
+    String done = "{\"offset\":%d,\"end\":%d}".formatted(offset, records.size());
+    answer(exchange, 200, done.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private synchronized void read(HttpExchange exchange) throws IOException {
+    Map<String, String> query = query(exchange);
+    String partition = query.get("topic") + "/" + query.get("part");
+    int from = Integer.parseInt(query.get("from"));
+    awaitRecord(partition, from, Long.parseLong(query.getOrDefault("waitMs", "0")));
+    if (down) {
+      answer(exchange, 503, new byte[0]);
+      return;
+    }
+    int first = kept.getOrDefault(partition, 0);
+    if (from < first) {
+      answer(exchange, 410, "{\"first\":%d}".formatted(first).getBytes(StandardCharsets.UTF_8));
+      return;
+    }
+    List<byte[]> records = records(partition);
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    out.write(ByteBuffer.allocate(16).putLong(records.size()).putLong(first).array());
+    for (byte[] record : records.subList(Math.min(from, records.size()), records.size())) {
+      out.write(ByteBuffer.allocate(4).putInt(record.length).array());
+      out.write(record);
+    }
+    answer(exchange, 200, out.toByteArray());
+  }
+
+  private void awaitRecord(String partition, int from, long waitMillis) {
+    long until = System.nanoTime() + waitMillis * 1_000_000;
+    try {
+      while (!down && records(partition).size() <= from) {
+        long left = (until - System.nanoTime()) / 1_000_000;
+        if (left <= 0) {
+          return;
+        }
+        wait(left);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private synchronized void newest(HttpExchange exchange) throws IOException {
+    Map<String, String> query = query(exchange);
+    if (down) {
+      answer(exchange, 503, new byte[0]);
+      return;
+    }
+    List<byte[]> records = records(query.get("topic") + "/" + query.get("part"));
+    Map<String, String> newest = new LinkedHashMap<>();
+    for (byte[] record : records) {
+      String key = new String(record, 1, record[0], StandardCharsets.UTF_8);
+      byte[] value = java.util.Arrays.copyOfRange(record, 1 + record[0], record.length);
+      newest.remove(key);
+      if (value.length > 0) {
+        newest.put(key, Base64.getEncoder().encodeToString(value));
+      }
+    }
+    String items =
+        newest.entrySet().stream()
+            .map(e -> "{\"key\":\"%s\",\"value\":\"%s\"}".formatted(e.getKey(), e.getValue()))
+            .collect(Collectors.joining(","));
+    String page = "{\"items\":[%s],\"hasMore\":false,\"end\":%d}".formatted(items, records.size());
+    answer(exchange, 200, page.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static void answer(HttpExchange exchange, int status, byte[] body) throws IOException {
+    exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
+    exchange.getResponseBody().write(body);
+    exchange.close();
+  }
+
+  private static Map<String, String> query(HttpExchange exchange) {
+    Map<String, String> query = new HashMap<>();
+    for (String pair : exchange.getRequestURI().getQuery().split("&", -1)) {
+      int equals = pair.indexOf('=');
+      query.put(pair.substring(0, equals), pair.substring(equals + 1));
+    }
+    return query;
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/routing/ReplicaDirectoryTest.java
@@ -0,0 +1,74 @@
+package io.snipeloom.routing;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ReplicaDirectoryTest {
+  private static final long SECOND = 1_000_000_000L;
+  private final ReplicaDirectory directory = new ReplicaDirectory();
+
+  @Test
+  void drainingReplicaGetsNoNewWork() {
+    Replica replica = replica("a", 1, ReplicaState.READY);
+    directory.put(replica);
+    directory.put(replica("a", 1, ReplicaState.DRAINING));
+    assertThat(directory.workersOf("service"), empty());
+    assertThat(directory.isWorking(replica), is(false));
+  }
+
+  @Test
+  void replicaWhoseEntryDisappearsIsOutOfUseAtOnce() {
+    directory.put(replica("a", 1, ReplicaState.READY));
+    assertThat(directory.remove(new ReplicaId("a"), 100 * SECOND), is(true));
+    assertThat(directory.workersOf("service"), empty());
+  }
+
+  @Test
+  void entryThatLapsesDuringAnOutageStaysInUseUntilItHadTimeToComeBack() {
+    directory.put(replica("a", 1, ReplicaState.READY));
+    directory.onRegistryLost();
+    directory.remove(new ReplicaId("a"), 100 * SECOND);
+    directory.onRegistryAnswered(101 * SECOND);
+    assertThat(directory.dropLapsed(102 * SECOND), empty());
+    assertThat(directory.workersOf("service"), hasSize(1));
+    assertThat(directory.dropLapsed(104 * SECOND), hasSize(1));
+    assertThat(directory.workersOf("service"), empty());
+  }
+
+  @Test
+  void entryThatComesBackAfterAnOutageStays() {
+    Replica replica = replica("a", 1, ReplicaState.READY);
+    directory.put(replica);
+    directory.onRegistryLost();
+    directory.replaceAll(List.of(), 100 * SECOND);
+    directory.onRegistryAnswered(101 * SECOND);
+    directory.put(replica);
+    assertThat(directory.dropLapsed(110 * SECOND), empty());
+    assertThat(directory.isWorking(replica), is(true));
+  }
+
+  @Test
+  void requestForAnEarlierIncarnationIsNotSentToTheNextOne() {
+    Replica before = replica("a", 1, ReplicaState.READY);
+    directory.put(before);
+    directory.put(replica("a", 2, ReplicaState.READY));
+    assertThat(directory.isWorking(before), is(false));
+  }
+
+  static Replica replica(String id, long born, ReplicaState state) {
+    return new Replica(
+        new ReplicaId(id),
+        born,
+        "service",
+        new InetSocketAddress("127.0.0.1", 9_000),
+        "zone",
+        64,
+        state);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/spend/ClaimPolicyTest.java
@@ -0,0 +1,43 @@
+package io.snipeloom.spend;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import org.junit.jupiter.api.Test;
+
+class ClaimPolicyTest {
+  private static final long LIMIT = 2_000_000;
+  private static final ClaimPolicy POLICY = new ClaimPolicy(10, 4);
+
+  @Test
+  void mainInstanceHoldsEnoughForAnOutageOfNineSeconds() {
+    double tokensPerSecond = LIMIT / 70.0;
+    long target = POLICY.target(tokensPerSecond, 1, LIMIT / 2, 0, LIMIT);
+    assertThat(target, greaterThanOrEqualTo((long) (9 * tokensPerSecond)));
+  }
+
+  @Test
+  void killOfOneInstanceLosesAtMostOneFixedShare() {
+    long target = POLICY.target(1e9, 1, LIMIT, 0, LIMIT);
+    assertThat(target, lessThanOrEqualTo(LIMIT * 15 / 100));
+  }
+
+  @Test
+  void lessIsHeldAsTheTotalRunsOut() {
+    long target = POLICY.target(1e9, 1, 10_000, 0, LIMIT);
+    assertThat(target, is(7_000L));
+  }
+
+  @Test
+  void tokensOfCallersThatWentOverToAnotherInstanceGoBack() {
+    assertThat(POLICY.surplus(300_000, 50_000, LIMIT), is(200_000L));
+    assertThat(POLICY.surplus(60_000, 50_000, LIMIT), is(0L));
+  }
+
+  @Test
+  void nothingIsClaimedAheadDuringDrains() {
+    assertThat(new ClaimPolicy(0, 4).target(1e9, 1, LIMIT, 0, LIMIT), is(0L));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/spend/SpendControlTest.java
@@ -0,0 +1,34 @@
+package io.snipeloom.spend;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+class SpendControlTest {
+  private static final int SEEDS = Integer.getInteger("spend.seeds", 10_000);
+
+  @Test
+  void noScheduleSpendsMoreThanThePrepaidTotal() {
+    int served = 0;
+    int refused = 0;
+    for (long seed = 0; seed < SEEDS; seed++) {
+      SpendSchedule schedule = new SpendSchedule(seed, true);
+      assertThat("overspend with seed " + seed, schedule.overspend(), is(0L));
+      served += schedule.served();
+      refused += schedule.refused();
+    }
+    assertThat("the schedules serve requests", served, greaterThan(10 * SEEDS));
+    assertThat("the schedules exhaust totals", refused, greaterThan(SEEDS));
+  }
+
+  @Test
+  void schedulesOverspendWithoutTheCheckOfTheOffset() {
+    long overspend = 0;
+    for (long seed = 0; seed < 100; seed++) {
+      overspend += new SpendSchedule(seed, false).overspend();
+    }
+    assertThat("the schedules would notice a ledger without the check", overspend, greaterThan(0L));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/spend/SpendSchedule.java
@@ -0,0 +1,136 @@
+package io.snipeloom.spend;
+
+import io.snipeloom.state.CustomerId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * Runs a few instances against one ledger by a seed: requests, outages, lost answers, kills of
+ * single instances and of all, freezes, top-ups and orderly stops.
+ */
+final class SpendSchedule {
+  private static final int STEPS = 600;
+  private static final long STEP_NANOS = 20_000_000L;
+  private static final CustomerId CUSTOMER = CustomerId.of("customer");
+  private static final SpendEvents QUIET =
+      new SpendEvents() {
+        @Override
+        public void onGranted(CustomerId id, long tokens, long claimedTokens, long limit) {}
+
+        @Override
+        public void onReturned(CustomerId id, long tokens) {}
+
+        @Override
+        public void onClaimLost(CustomerId id, long tokens) {}
+      };
+
+  private final Random random;
+  private final ScheduledLedgerStore store;
+  private final List<Instance> instances = new ArrayList<>();
+  private final Map<Instance, Integer> frozenSteps = new HashMap<>();
+  private long now;
+  private long limit = 200_000;
+  private long consumed;
+  private int refused;
+  private int served;
+  private int starts;
+
+  private final class Instance {
+    final ScheduledLedgerStore.View view = store.view();
+    final SpendControl control =
+        new SpendControl("writer-" + starts++, view, 3, new ClaimPolicy(10, 3), QUIET);
+    boolean dead;
+
+    Instance() {
+      control.limit(CUSTOMER, limit);
+    }
+
+    void request() {
+      long most = 500 + random.nextInt(8_000);
+      long used = random.nextInt((int) most + 1);
+      control.reserve(
+          CUSTOMER,
+          most,
+          now,
+          now + 400_000_000L,
+          outcome -> {
+            if (outcome != ReserveOutcome.RESERVED) {
+              refused++;
+            } else if (!dead) {
+              consumed += used;
+              served++;
+              control.settle(CUSTOMER, most, used, now);
+            }
+          });
+    }
+  }
+
+  SpendSchedule(long seed, boolean checksOffset) {
+    random = new Random(seed);
+    store = new ScheduledLedgerStore(random, checksOffset);
+    for (int i = 0; i < 3; i++) {
+      instances.add(new Instance());
+    }
+  }
+
+  /** Runs the schedule and returns what was consumed beyond the prepaid total. */
+  long overspend() {
+    long worst = 0;
+    for (int i = 0; i < STEPS; i++) {
+      now += STEP_NANOS;
+      disturb();
+      for (Instance instance : List.copyOf(instances)) {
+        if (frozenSteps.merge(instance, -1, Integer::sum) < 0) {
+          if (random.nextInt(3) == 0) {
+            instance.request();
+          }
+          instance.control.tick(now);
+        }
+      }
+      store.step();
+      store.step();
+      store.step();
+      worst = Math.max(worst, consumed - limit);
+    }
+    return Math.max(0, worst);
+  }
+
+  int served() {
+    return served;
+  }
+
+  int refused() {
+    return refused;
+  }
+
+  private void disturb() {
+    int draw = random.nextInt(200);
+    Instance any = instances.get(random.nextInt(instances.size()));
+    if (draw == 0) {
+      replace(any);
+    } else if (draw == 1 && random.nextInt(4) == 0) {
+      List.copyOf(instances).forEach(this::replace);
+    } else if (draw == 2) {
+      frozenSteps.put(any, random.nextInt(60));
+    } else if (draw == 3) {
+      store.down(true);
+    } else if (draw < 8) {
+      store.down(false);
+    } else if (draw == 8) {
+      limit += 5_000;
+      instances.forEach(instance -> instance.control.limit(CUSTOMER, limit));
+    } else if (draw == 9) {
+      any.control.returnAll(now);
+    }
+  }
+
+  private void replace(Instance instance) {
+    instance.dead = true;
+    instance.view.kill();
+    instances.remove(instance);
+    instances.add(new Instance());
+  }
+}
