--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -132,6 +132,12 @@
     log.stop();
   }
 
+  /** Ends at once, as a kill does. */
+  void halt() {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    log.stop();
+  }
+
   /**
    * Takes note of settings that changed; all but the retry bounds need a restart.
    *
@@ -203,7 +209,7 @@
   private RetryAllowance newAllowance() {
     return new RetryAllowance(
         settings.retryRatio(),
-        settings.retrySlack() / fleetSize,
+        () -> settings.retrySlack() / fleetSize,
         (long) (settings.retryWindowSeconds() * NANOS_PER_SECOND));
   }
 
--- a/src/main/java/io/snipeloom/forwarding/FrontConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/FrontConnection.java
@@ -62,6 +62,8 @@
   private HttpRequest head;
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
   private long headNanos;
+  private long headerSinceNanos;
+  private boolean inHeader;
   private long quietSinceNanos;
   private Exchange exchange;
   private boolean keepAlive;
@@ -94,6 +96,14 @@
     take((HttpObject) message);
   }
 
+  /** Takes note that bytes arrived, before they are decoded. */
+  void onBytes() {
+    if (exchange == null && head == null && !inHeader) {
+      inHeader = true;
+      headerSinceNanos = System.nanoTime();
+    }
+  }
+
   private void take(HttpObject message) {
     try {
       if (rejected) {
@@ -126,6 +136,7 @@
 
   private void onHead(HttpRequest request) {
     head = request;
+    inHeader = false;
     headNanos = System.nanoTime();
     body = Unpooled.buffer(0);
     keepAlive = HttpUtil.isKeepAlive(request);
@@ -175,6 +186,7 @@
 
   private void onExchangeDone() {
     exchange = null;
+    inHeader = false;
     quietSinceNanos = System.nanoTime();
     loop.execute(this::takeWaiting);
   }
@@ -239,6 +251,11 @@
       }
       return;
     }
+    long headerNanos = server.limits().headerTimeoutMillis() * NANOS_PER_MILLI;
+    if (inHeader && nowNanos - headerSinceNanos > headerNanos) {
+      reject(HttpResponseStatus.REQUEST_TIMEOUT, "header took too long");
+      return;
+    }
     long idleNanos = server.limits().idleTimeoutMillis() * NANOS_PER_MILLI;
     if (nowNanos - quietSinceNanos > idleNanos) {
       channel.close();
--- a/src/main/java/io/snipeloom/forwarding/FrontServer.java
+++ b/src/main/java/io/snipeloom/forwarding/FrontServer.java
@@ -3,6 +3,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -88,6 +90,7 @@
             .setMaxInitialLineLength(limits().maxHeaderBytes())
             .setMaxHeaderSize(limits().maxHeaderBytes());
     FrontConnection connection = new FrontConnection(this, loop, fleet, log, metrics);
+    channel.pipeline().addLast(new ByteWatch(connection));
     channel.pipeline().addLast(new HttpRequestDecoder(config));
     channel.pipeline().addLast(new HttpResponseEncoder());
     channel.pipeline().addLast(connection);
@@ -149,4 +152,19 @@
   void onClosed(FrontConnection connection) {
     connections.remove(connection);
   }
+
+  /** Tells a connection of bytes that are not a whole header yet. */
+  private static final class ByteWatch extends ChannelInboundHandlerAdapter {
+    private final FrontConnection connection;
+
+    ByteWatch(FrontConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+      connection.onBytes();
+      super.channelRead(context, message);
+    }
+  }
 }
--- a/src/main/java/io/snipeloom/routing/RetryAllowance.java
+++ b/src/main/java/io/snipeloom/routing/RetryAllowance.java
@@ -1,5 +1,7 @@
 package io.snipeloom.routing;
 
+import java.util.function.DoubleSupplier;
+
 /**
  * Bounds the repeats to one service to a share of its requests in any window of time.
  *
@@ -10,7 +12,7 @@
   private static final int BUCKETS = 20;
 
   private final double ratio;
-  private final double slack;
+  private final DoubleSupplier slack;
   private final long bucketNanos;
   private final int[] requests = new int[BUCKETS];
   private final int[] repeats = new int[BUCKETS];
@@ -20,10 +22,10 @@
    * Creates an allowance.
    *
    * @param ratio the repeats that each request allows
-   * @param slack the repeats in a window that need no request
+   * @param slack the repeats in a window that need no request, as of now
    * @param windowNanos the length of the window
    */
-  public RetryAllowance(double ratio, double slack, long windowNanos) {
+  public RetryAllowance(double ratio, DoubleSupplier slack, long windowNanos) {
     this.ratio = ratio;
     this.slack = slack;
     this.bucketNanos = Math.max(1, windowNanos / (BUCKETS - 1));
@@ -46,7 +48,7 @@
    */
   public boolean tryRepeat(long nowNanos) {
     int bucket = advance(nowNanos);
-    if (sum(repeats) + 1 > ratio * sum(requests) + slack) {
+    if (sum(repeats) + 1 > ratio * sum(requests) + slack.getAsDouble()) {
       return false;
     }
     repeats[bucket]++;
