A restarted instance takes over what its predecessor left unused

An instance now reports its use and binds itself to a growth with time, so that its successor on the same machine and clock can tell what is certainly unused. Ruled out: freeing by time, leases of the store (their times pause in outages).

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -16,6 +16,7 @@
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.RetryAllowance;
 import io.snipeloom.spend.ClaimPolicy;
+import io.snipeloom.spend.MachineClock;
 import io.snipeloom.spend.SpendControl;
 import io.snipeloom.spend.SpendEvents;
 import io.snipeloom.state.CustomerId;
@@ -23,6 +24,7 @@
 import io.snipeloom.store.KeyedLedger;
 import io.snipeloom.store.KeyedLog;
 import io.snipeloom.store.KeyedRecord;
+import io.snipeloom.store.KeyedUsage;
 import io.snipeloom.store.StoreAnswer;
 import io.snipeloom.store.TopicWatch;
 import io.snipeloom.telemetry.EventLog;
@@ -41,6 +43,7 @@
  */
 public final class EdgeDaemon {
   private static final String LEDGER_TOPIC = "ledger";
+  private static final String USAGE_TOPIC = "usage";
 
   /** Tokens in hand last through an outage of the store of this length, in seconds. */
   private static final double CLAIM_HORIZON_SECONDS = 10;
@@ -66,6 +69,7 @@
   private final EventLog log;
   private final FleetMetrics metrics = new FleetMetrics();
   private final String incarnation;
+  private final String boot;
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
@@ -80,16 +84,19 @@
   private boolean drainDone;
   private long drainNanos;
 
-  private EdgeDaemon(EdgeSettings settings, String incarnation, EventLog log) {
+  private EdgeDaemon(EdgeSettings settings, String incarnation, String boot, EventLog log) {
     this.settings = settings;
     this.incarnation = incarnation;
+    this.boot = boot;
     this.log = log;
     this.timer = new LoopTimer(loop, log);
     this.store = new PlatformStore(new HttpCaller(loop, settings.store()));
     SpendControl spend =
         new SpendControl(
             incarnation,
+            MachineClock.of(boot, System.currentTimeMillis(), System.nanoTime()),
             new KeyedLedger(store, LEDGER_TOPIC),
+            new KeyedUsage(store, USAGE_TOPIC, settings.instance(), settings.storePartitions()),
             settings.storePartitions(),
             new ClaimPolicy(CLAIM_HORIZON_SECONDS, fleetSize),
             new ClaimLog());
@@ -102,17 +109,19 @@
    *
    * @param settings the settings
    * @param incarnation names this start of the instance; no other start ever has the same name
+   * @param boot identifies the boot of the machine; empty if unknown
    * @param log the log
    * @return the daemon
    */
-  public static EdgeDaemon of(EdgeSettings settings, String incarnation, EventLog log) {
-    return new EdgeDaemon(settings, incarnation, log);
+  public static EdgeDaemon of(
+      EdgeSettings settings, String incarnation, String boot, EventLog log) {
+    return new EdgeDaemon(settings, incarnation, boot, log);
   }
 
   /** Starts to serve. */
   public void start() {
     log.start();
-    log.log("start", "instance", settings.instance(), "incarnation", incarnation);
+    log.log("start", "instance", settings.instance(), "incarnation", incarnation, "boot", boot);
     new OperationsServer(loop, this::readiness).start(settings.readiness());
     new OperationsServer(loop, this::metricsText).start(settings.metrics());
     front.start(settings.callers());
@@ -378,6 +387,24 @@
       log.log("claim_returned", "customer", customer, "tokens", tokens);
     }
 
+    @Override
+    public void onPredecessor(String writer, long ageNanos, boolean sameClock) {
+      log.log(
+          "predecessor",
+          "incarnation",
+          writer,
+          "report_age_ms",
+          TimeUnit.NANOSECONDS.toMillis(ageNanos),
+          "same_clock",
+          sameClock);
+    }
+
+    @Override
+    public void onInherited(CustomerId customer, long tokens) {
+      metrics.count("claims_inherited");
+      log.log("claim_inherited", "customer", customer, "tokens", tokens);
+    }
+
     @Override
     public void onClaimLost(CustomerId customer, long tokens) {
       log.log("claim_lost", "customer", customer, "tokens", tokens);
--- a/src/main/java/io/snipeloom/edge/EdgeMain.java
+++ b/src/main/java/io/snipeloom/edge/EdgeMain.java
@@ -4,13 +4,16 @@
 import io.snipeloom.telemetry.EventLog;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.UUID;
 
 /** Starts an edge instance without the command line, which would triple the time of a start. */
 public final class EdgeMain {
   private static final String SETTINGS_VARIABLE = "SNIPELOOM_SETTINGS";
+  private static final Path BOOT_ID = Path.of("/proc/sys/kernel/random/boot_id");
   private static final int EXIT_INVALID_SETTINGS = 1;
   private static final int EXIT_USAGE = 2;
 
@@ -37,12 +40,22 @@
       System.exit(EXIT_INVALID_SETTINGS);
       return;
     }
-    EdgeDaemon daemon = EdgeDaemon.of(settings, UUID.randomUUID().toString(), log);
+    EdgeDaemon daemon = EdgeDaemon.of(settings, UUID.randomUUID().toString(), bootId(log), log);
     reloadOnHangUp(daemon, file, log);
     Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "shutdown"));
     daemon.start();
   }
 
+  /** Returns the identity of the machine's boot; without it, nothing is taken over at a restart. */
+  private static String bootId(EventLog log) {
+    try {
+      return Files.readString(BOOT_ID).trim();
+    } catch (IOException e) {
+      log.log("boot_id_unknown", "reason", e);
+      return "";
+    }
+  }
+
   private static void reloadOnHangUp(EdgeDaemon daemon, Path file, EventLog log) {
     try {
       HangUpSignal.handle(() -> reload(daemon, file, log));
--- a/src/main/java/io/snipeloom/edge/StartRehearsal.java
+++ b/src/main/java/io/snipeloom/edge/StartRehearsal.java
@@ -41,7 +41,7 @@
     EdgeSettings settings =
         new EdgeSettings("rehearsal", "zone", free(), free(), free(), free(), 1, 0.1, 1, 10, 1);
     EventLog log = EventLog.to(new PrintStream(System.out));
-    EdgeDaemon daemon = EdgeDaemon.of(settings, "rehearsal", log);
+    EdgeDaemon daemon = EdgeDaemon.of(settings, "rehearsal", "", log);
     daemon.start();
     ask(settings.callers());
     ask(settings.readiness());
--- a/src/main/java/io/snipeloom/spend/CustomerAccount.java
+++ b/src/main/java/io/snipeloom/spend/CustomerAccount.java
@@ -13,10 +13,22 @@
 /**
  * The tokens of one customer that this instance has claimed.
  *
- * <p>Each claimed token is available, reserved by a running request, spent, or on its way back to
- * the ledger; the sum is checked after each change. Not thread-safe.
+ * <p>Each claimed token is available, reserved by a running request, spent, set aside for the
+ * ledger or returned to it; the sum is checked after each change. Use never exceeds what the last
+ * usage reports allow. Not thread-safe.
  */
 final class CustomerAccount {
+  /** Use between two reports: at least one request, and some time's use. */
+  private static final long MIN_BURST_TOKENS = 4_000;
+
+  private static final double BURST_SECONDS = 0.2;
+
+  /** The weight of a request in the mean size of requests. */
+  private static final int MEAN_REQUESTS = 8;
+
+  /** Use may grow this much faster than lately without an earlier report. */
+  private static final double RATE_MARGIN = 1.5;
+
   private final CustomerId customer;
   private final SpendRate rate = new SpendRate();
   private final SpendRate ownClaims = new SpendRate();
@@ -27,8 +39,20 @@
   private long available;
   private long reserved;
   private long spent;
+  private long setAside;
+  private long returned;
+  private long meanRequest;
+  private Binding confirmed;
+  private Binding pending;
   private boolean returnWanted;
 
+  /** A report that binds this instance from a moment on. */
+  private record Binding(UsageReport report, UsageReport.Use use) {
+    long room(long used, long nowNanos) {
+      return use.mostUsed(nowNanos - report.nanos()) - used;
+    }
+  }
+
   /** A request that waits for a claim. */
   record Waiter(long tokens, long untilNanos, Consumer<ReserveOutcome> listener) {}
 
@@ -77,11 +101,12 @@
 
   /** Reserves tokens in hand. */
   boolean reserve(long tokens, long nowNanos) {
-    if (tokens > available) {
+    if (tokens > available || tokens > room(nowNanos)) {
       return false;
     }
     available -= tokens;
     reserved += tokens;
+    meanRequest += (tokens - meanRequest) / MEAN_REQUESTS;
     rate.add(tokens, nowNanos);
     check();
     return true;
@@ -102,11 +127,86 @@
     check();
   }
 
-  /** Takes tokens out of hand before they are returned to the ledger. */
-  void giveBack(long tokens) {
-    granted -= tokens;
+  /** Takes tokens out of hand that are to go back to the ledger. */
+  void setAside(long tokens) {
     available -= tokens;
+    setAside += tokens;
+    check();
+  }
+
+  long setAside() {
+    return setAside;
+  }
+
+  /** Hands out the tokens that go back to the ledger, once the reports allow it. */
+  long takeSetAside(long nowNanos) {
+    if (setAside == 0 || setAside > room(nowNanos)) {
+      return 0;
+    }
+    long tokens = setAside;
+    setAside = 0;
+    returned += tokens;
     check();
+    return tokens;
+  }
+
+  /** Returns what may be used at once under the reports that bind this instance. */
+  long room(long nowNanos) {
+    long room = Long.MAX_VALUE;
+    if (confirmed != null) {
+      room = confirmed.room(used(), nowNanos);
+    }
+    if (pending != null) {
+      room = Math.min(room, pending.room(used(), nowNanos));
+    }
+    return room;
+  }
+
+  /** Returns the statement for the next report, in which some more tokens are in hand. */
+  UsageReport.Use state(long nowNanos, long inherited) {
+    double perSecond = rate.tokensPerSecond(nowNanos);
+    long burst = (long) Math.max(MIN_BURST_TOKENS, perSecond * BURST_SECONDS);
+    burst = Math.max(burst, meanRequest + waitingTokens());
+    return new UsageReport.Use(
+        customer, granted + inherited, used() + setAside, burst, (long) (perSecond * RATE_MARGIN));
+  }
+
+  private long waitingTokens() {
+    return waiters.stream().mapToLong(Waiter::tokens).sum();
+  }
+
+  /** Obeys a report from the moment at which it may be in the ledger. */
+  void bind(UsageReport report) {
+    pending = binding(report);
+  }
+
+  /** Takes note that the report is in the ledger and earlier ones count no more. */
+  void confirm(UsageReport report) {
+    confirmed = binding(report);
+    pending = null;
+  }
+
+  /** Takes note that the last report never will be in the ledger. */
+  void unbind() {
+    pending = null;
+  }
+
+  private Binding binding(UsageReport report) {
+    return report.uses().stream()
+        .filter(use -> use.customer().equals(customer))
+        .findFirst()
+        .map(use -> new Binding(report, use))
+        .orElse(null);
+  }
+
+  private long used() {
+    return spent + reserved + returned;
+  }
+
+  /** Returns whether the first request that waits has its tokens but the reports forbid it. */
+  boolean waitsForReport(long nowNanos) {
+    Waiter first = waiters.peek();
+    return first != null && first.tokens() <= available && first.tokens() > room(nowNanos);
   }
 
   void await(Waiter waiter) {
@@ -168,12 +268,12 @@
   }
 
   private void check() {
-    boolean balanced = granted == available + reserved + spent;
-    if (!balanced || available < 0 || reserved < 0) {
+    boolean balanced = granted == available + reserved + spent + setAside + returned;
+    if (!balanced || available < 0 || reserved < 0 || setAside < 0) {
       throw SnipeloomException.of(
           ErrorCode.INVARIANT_VIOLATED,
-          "account of %s: granted %d, available %d, reserved %d, spent %d"
-              .formatted(customer, granted, available, reserved, spent));
+          "account of %s: granted %d, available %d, reserved %d, spent %d, aside %d, returned %d"
+              .formatted(customer, granted, available, reserved, spent, setAside, returned));
     }
   }
 }
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -25,6 +25,7 @@
   private final String writer;
   private final LedgerStore store;
   private final SpendEvents events;
+  private final Runnable hurryReport;
   private final Map<CustomerId, CustomerAccount> accounts = new LinkedHashMap<>();
   private final Map<CustomerId, Long> totals = new HashMap<>();
   private ClaimPolicy policy;
@@ -40,7 +41,13 @@
   private record Batch(long at, List<LedgerRecord> records, Map<CustomerId, Long> changes) {}
 
   LedgerPartition(
-      int number, String writer, LedgerStore store, ClaimPolicy policy, SpendEvents events) {
+      int number,
+      String writer,
+      LedgerStore store,
+      ClaimPolicy policy,
+      SpendEvents events,
+      Runnable hurryReport) {
+    this.hurryReport = hurryReport;
     this.number = number;
     this.writer = writer;
     this.store = store;
@@ -62,7 +69,9 @@
 
   /** Returns whether a write is under way or its outcome is unknown. */
   boolean isSettled() {
-    return !busy && open == null;
+    return !busy
+        && open == null
+        && accounts.values().stream().allMatch(account -> account.setAside() == 0);
   }
 
   /** Starts the next call, if one is due and none is under way. */
@@ -211,6 +220,7 @@
               if (tokens > 0) {
                 CustomerAccount account = accounts.get(customer);
                 account.grant(tokens);
+                hurryReport.run();
                 events.onGranted(customer, tokens, total(customer), account.limit());
                 account.serveWaiters(nowNanos);
               }
@@ -256,9 +266,15 @@
             account.limit());
     long unneeded =
         account.hasWaiters() ? 0 : policy.surplus(account.available(), target, account.limit());
-    long returned = Math.min(Math.max(account.takeReturn(), unneeded), total(account.customer()));
+    long returnable = Math.max(account.takeReturn(), unneeded);
+    if (returnable > 0) {
+      account.setAside(returnable);
+    }
+    if (account.setAside() > 0 || account.waitsForReport(nowNanos)) {
+      hurryReport.run();
+    }
+    long returned = account.takeSetAside(nowNanos);
     if (returned > 0) {
-      account.giveBack(returned);
       events.onReturned(account.customer(), returned);
       return -returned;
     }
--- /dev/null
+++ b/src/main/java/io/snipeloom/spend/MachineClock.java
@@ -0,0 +1,38 @@
+package io.snipeloom.spend;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Identifies the monotonic clock of a machine, which goes on over restarts of processes but starts
+ * anew when the machine does.
+ *
+ * @param boot identifies the boot of the machine; empty if unknown
+ * @param wallOffsetMillis the time of day less the monotonic clock, in milliseconds
+ */
+public record MachineClock(String boot, long wallOffsetMillis) {
+  /** The time of day may be set by seconds while the machine runs. */
+  private static final long MAX_WALL_STEP_MILLIS = 6_000;
+
+  /**
+   * Returns the identity of the clock that a process reads.
+   *
+   * @param boot identifies the boot of the machine; empty if unknown
+   * @param wallMillis the time of day, in Unix milliseconds
+   * @param nanos the monotonic clock
+   * @return the identity
+   */
+  public static MachineClock of(String boot, long wallMillis, long nanos) {
+    return new MachineClock(boot, wallMillis - TimeUnit.NANOSECONDS.toMillis(nanos));
+  }
+
+  /**
+   * Returns whether both are certainly the same clock.
+   *
+   * @param other the other clock
+   * @return true if the machine did not start in between
+   */
+  public boolean isSame(MachineClock other) {
+    long difference = Math.abs(wallOffsetMillis - other.wallOffsetMillis);
+    return !boot.isEmpty() && boot.equals(other.boot) && difference <= MAX_WALL_STEP_MILLIS;
+  }
+}
--- a/src/main/java/io/snipeloom/spend/SpendControl.java
+++ b/src/main/java/io/snipeloom/spend/SpendControl.java
@@ -16,6 +16,7 @@
   private final SpendEvents events;
   private final LedgerPartition[] partitions;
   private final Map<CustomerId, CustomerAccount> accounts = new HashMap<>();
+  private final UsageJournal journal;
   private ClaimPolicy policy;
   private boolean returning;
 
@@ -23,18 +24,27 @@
    * Creates a control without customers.
    *
    * @param writer names this incarnation; no other one ever has the same name
+   * @param clock identifies the clock of the machine, which all times are of
    * @param store the ledger
+   * @param usage the usage reports of this instance
    * @param partitions the number of partitions of the ledger
    * @param policy how much is claimed ahead
    * @param events takes note of claims
    */
   public SpendControl(
-      String writer, LedgerStore store, int partitions, ClaimPolicy policy, SpendEvents events) {
+      String writer,
+      MachineClock clock,
+      LedgerStore store,
+      UsageStore usage,
+      int partitions,
+      ClaimPolicy policy,
+      SpendEvents events) {
     this.writer = writer;
     this.store = store;
     this.partitions = new LedgerPartition[partitions];
     this.policy = policy;
     this.events = events;
+    this.journal = new UsageJournal(writer, clock, usage, events, accounts.values(), this::inherit);
   }
 
   /**
@@ -44,13 +54,21 @@
    * @param tokens the total
    */
   public void limit(CustomerId customer, long tokens) {
+    accountOf(customer).limitTo(tokens);
+  }
+
+  private CustomerAccount accountOf(CustomerId customer) {
     CustomerAccount account = accounts.get(customer);
     if (account == null) {
-      account = new CustomerAccount(customer, tokens);
+      account = new CustomerAccount(customer, 0);
       accounts.put(customer, account);
       partitionOf(customer).add(account);
     }
-    account.limitTo(tokens);
+    return account;
+  }
+
+  private void inherit(CustomerId customer, long tokens) {
+    accountOf(customer).grant(tokens);
   }
 
   /**
@@ -90,6 +108,10 @@
     } else {
       account.await(new CustomerAccount.Waiter(tokens, untilNanos, listener));
     }
+    if (account.waitsForReport(nowNanos)) {
+      journal.hurry();
+    }
+    journal.pump(nowNanos);
     partitionOf(customer).pump(nowNanos);
   }
 
@@ -117,8 +139,10 @@
    */
   public void tick(long nowNanos) {
     for (CustomerAccount account : accounts.values()) {
+      account.serveWaiters(nowNanos);
       account.refuseExpired(nowNanos);
     }
+    journal.pump(nowNanos);
     for (LedgerPartition partition : partitions) {
       if (partition != null) {
         partition.pump(nowNanos);
@@ -135,6 +159,7 @@
     returning = true;
     use(new ClaimPolicy(0, policy.fleetSize()));
     accounts.values().forEach(CustomerAccount::wantReturn);
+    journal.hurry();
     tick(nowNanos);
   }
 
@@ -149,7 +174,7 @@
         return false;
       }
     }
-    return true;
+    return journal.isSettled();
   }
 
   /**
@@ -166,7 +191,8 @@
   private LedgerPartition partitionOf(CustomerId customer) {
     int number = Math.floorMod(customer.value().hashCode(), partitions.length);
     if (partitions[number] == null) {
-      partitions[number] = new LedgerPartition(number, writer, store, policy, events);
+      partitions[number] =
+          new LedgerPartition(number, writer, store, policy, events, journal::hurry);
     }
     return partitions[number];
   }
--- a/src/main/java/io/snipeloom/spend/SpendEvents.java
+++ b/src/main/java/io/snipeloom/spend/SpendEvents.java
@@ -30,4 +30,21 @@
    * @param tokens the change of the claimed total
    */
   void onClaimLost(CustomerId customer, long tokens);
+
+  /**
+   * Tokens that the incarnation before left unused were taken over.
+   *
+   * @param customer the customer
+   * @param tokens the tokens
+   */
+  void onInherited(CustomerId customer, long tokens);
+
+  /**
+   * The last report of the incarnation before was found.
+   *
+   * @param writer the incarnation
+   * @param ageNanos the age of the report, if it is on the same clock
+   * @param sameClock whether the age can be told, without which nothing is taken over
+   */
+  void onPredecessor(String writer, long ageNanos, boolean sameClock);
 }
--- a/src/main/java/io/snipeloom/spend/SpendRate.java
+++ b/src/main/java/io/snipeloom/spend/SpendRate.java
@@ -6,7 +6,7 @@
   private static final double NANOS_PER_SECOND = 1e9;
 
   /** A rate is not taken from less time than this, so that one request does not count as many. */
-  private static final double MIN_AGE_NANOS = 4e9;
+  private static final double MIN_AGE_NANOS = 3e9;
 
   private double decayedTokens;
   private long firstNanos;
--- /dev/null
+++ b/src/main/java/io/snipeloom/store/KeyedUsage.java
@@ -0,0 +1,88 @@
+package io.snipeloom.store;
+
+import io.snipeloom.spend.LedgerStore;
+import io.snipeloom.spend.UsageReport;
+import io.snipeloom.spend.UsageStore;
+import io.snipeloom.state.SnipeloomException;
+import java.util.List;
+import java.util.Optional;
+
+/** Keeps usage reports in a keyed topic, with one key an instance. */
+public final class KeyedUsage implements UsageStore {
+  private final KeyedLog log;
+  private final String topic;
+  private final String instance;
+  private final int partition;
+
+  /**
+   * Creates access to the reports of one instance.
+   *
+   * @param log the log
+   * @param topic the topic that holds the reports alone
+   * @param instance the name of the instance
+   * @param partitions the number of partitions of the topic
+   */
+  public KeyedUsage(KeyedLog log, String topic, String instance, int partitions) {
+    this.log = log;
+    this.topic = topic;
+    this.instance = instance;
+    this.partition = Math.floorMod(instance.hashCode(), partitions);
+  }
+
+  @Override
+  public void newest(NewestListener listener) {
+    newest("", Optional.empty(), -1, listener);
+  }
+
+  /** Pages are no snapshot, so an append goes to the end that the first page saw. */
+  private void newest(
+      String afterKey, Optional<UsageReport> found, long firstEnd, NewestListener listener) {
+    log.newest(
+        topic,
+        partition,
+        afterKey,
+        (answer, page) -> {
+          if (answer != StoreAnswer.DONE) {
+            listener.onFailed();
+            return;
+          }
+          Optional<UsageReport> report = found.or(() -> reportOf(page));
+          long end = firstEnd < 0 ? page.end() : firstEnd;
+          if (page.hasMore()) {
+            newest(page.lastKey(), report, end, listener);
+          } else {
+            listener.onReport(report, end);
+          }
+        });
+  }
+
+  /** A report that cannot be decoded is of an incompatible version, from which nothing is taken. */
+  private Optional<UsageReport> reportOf(RecordPage page) {
+    for (KeyedRecord record : page.records()) {
+      if (record.key().equals(instance)) {
+        try {
+          return Optional.of(UsageReport.parse(record.value()));
+        } catch (SnipeloomException e) {
+          return Optional.empty();
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  @Override
+  public void append(long at, UsageReport report, LedgerStore.AppendListener listener) {
+    log.append(
+        topic,
+        partition,
+        at,
+        List.of(new KeyedRecord(instance, report.toBytes())),
+        answer -> {
+          switch (answer) {
+            case DONE -> listener.onAppended();
+            case CONFLICT -> listener.onConflict();
+            default -> listener.onUnknown();
+          }
+        });
+  }
+}
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -32,6 +32,7 @@
         EdgeDaemon.of(
             settings,
             UUID.randomUUID().toString(),
+            "boot",
             EventLog.to(new PrintStream(log, true, StandardCharsets.UTF_8)));
     daemon.start();
   }
--- a/src/test/java/io/snipeloom/spend/ScheduledLedgerStore.java
+++ b/src/test/java/io/snipeloom/spend/ScheduledLedgerStore.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 
 /**
@@ -16,13 +17,35 @@
   private final boolean checksOffset;
   private final Map<Integer, List<LedgerRecord>> partitions = new LinkedHashMap<>();
   private final List<Runnable> pending = new ArrayList<>();
+  private final Map<String, UsageReport> reports = new LinkedHashMap<>();
+  private long reportsEnd;
   private boolean down;
+  private boolean hidesAllowance;
 
   ScheduledLedgerStore(Random random, boolean checksOffset) {
     this.random = random;
     this.checksOffset = checksOffset;
   }
 
+  /** Makes reports look as if their writers used no more after them. */
+  void hideAllowance() {
+    hidesAllowance = true;
+  }
+
+  private static UsageReport withoutAllowance(UsageReport report) {
+    return new UsageReport(
+        report.writer(),
+        report.sequence(),
+        report.clock(),
+        report.nanos(),
+        report.uses().stream()
+            .map(
+                use ->
+                    new UsageReport.Use(
+                        use.customer(), use.grantedTokens(), use.usedTokens(), 0, 0))
+            .toList());
+  }
+
   void down(boolean isDown) {
     down = isDown;
   }
@@ -97,6 +120,49 @@
           });
     }
 
+    /** Returns the usage reports of one instance. */
+    UsageStore usage(String instance) {
+      return new UsageStore() {
+        @Override
+        public void newest(NewestListener listener) {
+          pending.add(
+              () -> {
+                Optional<UsageReport> report = Optional.ofNullable(reports.get(instance));
+                Optional<UsageReport> seen =
+                    hidesAllowance ? report.map(ScheduledLedgerStore::withoutAllowance) : report;
+                long end = reportsEnd;
+                answer(() -> listener.onReport(seen, end), listener::onFailed);
+              });
+        }
+
+        @Override
+        public void append(long at, UsageReport report, AppendListener listener) {
+          pending.add(
+              () -> {
+                boolean late = random.nextInt(10) == 0;
+                if (down || late) {
+                  if (late) {
+                    pending.add(() -> writeReport(instance, at, report));
+                  }
+                  answer(listener::onUnknown, listener::onUnknown);
+                  return;
+                }
+                boolean done = writeReport(instance, at, report);
+                answer(done ? listener::onAppended : listener::onConflict, listener::onUnknown);
+              });
+        }
+      };
+    }
+
+    private boolean writeReport(String instance, long at, UsageReport report) {
+      if (reportsEnd != at) {
+        return false;
+      }
+      reports.put(instance, report);
+      reportsEnd++;
+      return true;
+    }
+
     private boolean write(int partition, long at, List<LedgerRecord> added) {
       List<LedgerRecord> records = records(partition);
       if (checksOffset && records.size() != at) {
--- a/src/test/java/io/snipeloom/spend/SpendControlTest.java
+++ b/src/test/java/io/snipeloom/spend/SpendControlTest.java
@@ -31,4 +31,13 @@
     }
     assertThat("the schedules would notice a ledger without the check", overspend, greaterThan(0L));
   }
+
+  @Test
+  void schedulesOverspendIfSuccessorsIgnoreUseAfterTheLastReport() {
+    long overspend = 0;
+    for (long seed = 0; seed < 2_000; seed++) {
+      overspend += new SpendSchedule(seed, true, true).overspend();
+    }
+    assertThat("the schedules would notice a takeover of too much", overspend, greaterThan(0L));
+  }
 }
--- a/src/test/java/io/snipeloom/spend/SpendSchedule.java
+++ b/src/test/java/io/snipeloom/spend/SpendSchedule.java
@@ -25,6 +25,12 @@
 
         @Override
         public void onClaimLost(CustomerId id, long tokens) {}
+
+        @Override
+        public void onPredecessor(String writer, long ageNanos, boolean sameClock) {}
+
+        @Override
+        public void onInherited(CustomerId id, long tokens) {}
       };
 
   private final Random random;
@@ -40,11 +46,17 @@
 
   private final class Instance {
     final ScheduledLedgerStore.View view = store.view();
-    final SpendControl control =
-        new SpendControl("writer-" + starts++, view, 3, new ClaimPolicy(10, 3), QUIET);
+    final String slot;
+    final String boot;
+    final SpendControl control;
     boolean dead;
 
-    Instance() {
+    Instance(String slot, String boot) {
+      this.slot = slot;
+      this.boot = boot;
+      control =
+          new SpendControl(
+              "writer-" + starts++, boot, view, view.usage(slot), 3, new ClaimPolicy(10, 3), QUIET);
       control.limit(CUSTOMER, limit);
     }
 
@@ -69,10 +81,17 @@
   }
 
   SpendSchedule(long seed, boolean checksOffset) {
+    this(seed, checksOffset, false);
+  }
+
+  SpendSchedule(long seed, boolean checksOffset, boolean hidesAllowance) {
     random = new Random(seed);
     store = new ScheduledLedgerStore(random, checksOffset);
+    if (hidesAllowance) {
+      store.hideAllowance();
+    }
     for (int i = 0; i < 3; i++) {
-      instances.add(new Instance());
+      instances.add(new Instance("slot-" + i, "boot"));
     }
   }
 
@@ -131,6 +150,7 @@
     instance.dead = true;
     instance.view.kill();
     instances.remove(instance);
-    instances.add(new Instance());
+    boolean reboot = random.nextInt(8) == 0;
+    instances.add(new Instance(instance.slot, reboot ? "boot-" + starts : instance.boot));
   }
 }
--- /dev/null
+++ b/src/test/java/io/snipeloom/spend/UsageReportTest.java
@@ -0,0 +1,45 @@
+package io.snipeloom.spend;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.snipeloom.state.CustomerId;
+import io.snipeloom.state.SnipeloomException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class UsageReportTest {
+  private static final UsageReport.Use USE =
+      new UsageReport.Use(CustomerId.of("customer"), 100_000, 20_000, 8_000, 1_000);
+  private static final UsageReport REPORT =
+      new UsageReport(
+          "writer", 3, new MachineClock("boot", 1_000_000), 5_000_000_000L, List.of(USE));
+
+  @Test
+  void reportSurvivesItsEncoding() {
+    assertThat(UsageReport.parse(REPORT.toBytes()), is(REPORT));
+  }
+
+  @Test
+  void brokenReportsAreRefused() {
+    assertThrows(SnipeloomException.class, () -> UsageReport.parse(new byte[] {1, 2}));
+    assertThrows(SnipeloomException.class, () -> UsageReport.parse(new byte[0]));
+  }
+
+  @Test
+  void lessIsUnusedTheLongerTheReportIsAgo() {
+    assertThat(USE.unused(0), is(72_000L));
+    assertThat(USE.unused(10_000_000_000L), is(62_000L));
+    assertThat(USE.unused(200_000_000_000L), is(0L));
+  }
+
+  @Test
+  void clocksDifferAfterRebootOfTheMachineOrWithoutItsIdentity() {
+    MachineClock clock = MachineClock.of("boot", 10_000, 4_000_000_000L);
+    assertThat(clock.isSame(MachineClock.of("boot", 12_500, 4_500_000_000L)), is(true));
+    assertThat(clock.isSame(MachineClock.of("other", 12_500, 4_500_000_000L)), is(false));
+    assertThat(clock.isSame(MachineClock.of("boot", 12_500, 90_000_000_000L)), is(false));
+    assertThat(new MachineClock("", 1).isSame(new MachineClock("", 1)), is(false));
+  }
+}
