--- a/src/main/java/io/snipeloom/spend/ClaimPolicy.java
+++ b/src/main/java/io/snipeloom/spend/ClaimPolicy.java
@@ -9,7 +9,7 @@
  */
 public record ClaimPolicy(double horizonSeconds, int fleetSize) {
   /** The share of the tokens that are left which the fleet takes ahead together. */
-  private static final double FLEET_SHARE = 0.7;
+  private static final double FLEET_SHARE = 0.4;
 
   /** An instance of whose use little is known yet takes this share of what is left. */
   private static final double FIRST_SHARE = 0.02;
@@ -21,7 +21,7 @@
   private static final double HAND_SHARE = 0.15;
 
   /** A surplus below this share of the prepaid total stays in hand. */
-  private static final double SURPLUS_SHARE = 0.02;
+  private static final double SURPLUS_SHARE = 0.007;
 
   /** Checks the bounds. */
   public ClaimPolicy {
--- a/src/main/java/io/snipeloom/spend/CustomerAccount.java
+++ b/src/main/java/io/snipeloom/spend/CustomerAccount.java
@@ -23,11 +23,14 @@
 
   private static final double BURST_SECONDS = 0.2;
 
+  /** The share of the tokens in hand that an outage of the store never holds back. */
+  private static final double BURST_OF_HAND = 0.5;
+
   /** The weight of a request in the mean size of requests. */
   private static final int MEAN_REQUESTS = 8;
 
   /** Use may grow this much faster than lately without an earlier report. */
-  private static final double RATE_MARGIN = 1.5;
+  private static final double RATE_MARGIN = 2;
 
   private final CustomerId customer;
   private final SpendRate rate = new SpendRate();
@@ -166,7 +169,7 @@
   UsageReport.Use state(long nowNanos, long inherited) {
     double perSecond = rate.tokensPerSecond(nowNanos);
     long burst = (long) Math.max(MIN_BURST_TOKENS, perSecond * BURST_SECONDS);
-    burst = Math.max(burst, meanRequest + waitingTokens());
+    burst = Math.max(burst, meanRequest + waitingTokens()) + (long) (available * BURST_OF_HAND);
     return new UsageReport.Use(
         customer, granted + inherited, used() + setAside, burst, (long) (perSecond * RATE_MARGIN));
   }
