--- a/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
+++ b/src/main/java/io/snipeloom/daemon/SnipeloomCommand.java
@@ -18,6 +18,7 @@
     mixinStandardHelpOptions = true,
     versionProvider = SnipeloomVersion.class,
     subcommands = {
+      EdgeCommand.class,
       RouterCommand.class,
       ConfigCommand.class,
       BudgetCommand.class,
--- a/src/test/java/io/snipeloom/spend/SpendSchedule.java
+++ b/src/test/java/io/snipeloom/spend/SpendSchedule.java
@@ -56,7 +56,13 @@
       this.boot = boot;
       control =
           new SpendControl(
-              "writer-" + starts++, boot, view, view.usage(slot), 3, new ClaimPolicy(10, 3), QUIET);
+              "writer-" + starts++,
+              new MachineClock(boot, 0),
+              view,
+              view.usage(slot),
+              3,
+              new ClaimPolicy(10, 3),
+              QUIET);
       control.limit(CUSTOMER, limit);
     }
 
