A stopping instance accepts no connections once the balancer had time to notice

An instance that was alone in its zone got new connections all through its drain, took a request 4.5 s after SIGTERM and was killed before its stream ended. Ruled out: a lost close (the request was read and passed on); refusing with 503, since a closed port sends callers elsewhere at once. EdgeDaemonTest 22 run, 0 failed; without the mend the new test waits for stopped_accepting in vain.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -57,7 +57,10 @@
   private static final long TICK_MILLIS = 50;
   private static final long HEARTBEAT_MILLIS = 5_000;
 
-  /** The balancer needs two failed probes a second apart before it sends no new connections. */
+  /**
+   * The balancer needs two failed probes a second apart before it sends no new connections. After
+   * that none is accepted, so that the last requests have time to end before the kill.
+   */
   private static final long BALANCER_NANOS = 2_600_000_000L;
 
   /** Kept free before the kill, for the last answers and log lines. */
@@ -81,6 +84,7 @@
   private int fleetSize = FleetMembers.ASSUMED_SIZE;
   private boolean storeAnswers = true;
   private boolean draining;
+  private boolean acceptingEnded;
   private boolean drainDone;
   private long drainNanos;
 
@@ -205,12 +209,16 @@
     if (drainDone || elapsed < BALANCER_NANOS) {
       return;
     }
+    if (!acceptingEnded) {
+      acceptingEnded = true;
+      front.stopAccepting();
+      log.log("stopped_accepting", "open_requests", front.openRequests());
+    }
     front.closeIdle();
     boolean quiet = front.openRequests() == 0 && fleet.spend().isSettled();
     double limit = (settings.graceSeconds() - KILL_MARGIN_SECONDS) * NANOS_PER_SECOND;
     if (quiet || elapsed > limit) {
       drainDone = true;
-      front.stopAccepting();
       drained.countDown();
     }
   }
--- a/src/test/java/io/snipeloom/edge/EdgeDaemonTest.java
+++ b/src/test/java/io/snipeloom/edge/EdgeDaemonTest.java
@@ -8,9 +8,11 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.snipeloom.platform.ReplicaStandin;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -336,6 +338,33 @@
     edge.awaitLog("event=claim_returned customer=customer");
   }
 
+  /** Pattern: a balancer without another instance goes on sending callers to one that stops. */
+  @Test
+  void requestsThatComeLateDuringStopsAreNotTaken() throws Exception {
+    CountDownLatch started = new CountDownLatch(1);
+    CountDownLatch end = new CountDownLatch(1);
+    engine(
+        "e-1",
+        (request, socket) -> {
+          ReplicaStandin.write(socket, streamHead(request, "s"));
+          started.countDown();
+          end.await();
+          ReplicaStandin.write(socket, "0\r\n\r\n");
+          return true;
+        });
+    ready();
+    try (Socket caller = edge.open()) {
+      ReplicaStandin.write(caller, EdgeFixture.request("/draft/1", "a1", TOKENS, false));
+      started.await();
+      final CompletableFuture<Void> stop = CompletableFuture.runAsync(edge::stop);
+      edge.awaitLog("event=stopped_accepting open_requests=1");
+      assertThrows(ConnectException.class, () -> edge.open().close());
+      end.countDown();
+      stop.get();
+      assertThat(EdgeFixture.readAll(caller.getInputStream()), endsWith("0\r\n\r\n"));
+    }
+  }
+
   @Test
   void malformedAndOversizedRequestsGetClearAnswers() throws Exception {
     app("i-1", ok("x"));
