Tests wait for each replica that they register; figures of the code that lands

The instance is ready as soon as it knows one replica, and the test sent before the second was read. Ruled out: the retry; a scratch run with one replica only gives the same output, and with both known 22 of 22 pass.

--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -12,6 +12,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.UUID;
 
 /** An edge instance with a store; replicas and callers are the test's. */
@@ -19,6 +21,7 @@
   private static final long READY_MILLIS = 10_000;
 
   final StoreStandin store;
+  private final List<String> registered = new ArrayList<>();
   final ByteArrayOutputStream log = new ByteArrayOutputStream();
   private final EdgeDaemon daemon;
   private final EdgeSettings settings;
@@ -66,6 +69,7 @@
 
   /** Registers a replica. */
   void register(String id, String service, ReplicaStandin replica, String state) {
+    registered.add(id);
     store.put(
         "keyed.servers",
         id,
@@ -74,7 +78,7 @@
             .formatted(service, replica.port(), state));
   }
 
-  /** Waits until the instance says that it is ready. */
+  /** Waits until the instance says that it is ready and knows each replica that was registered. */
   void awaitReady() throws IOException, InterruptedException {
     long until = System.currentTimeMillis() + READY_MILLIS;
     while (!get(settings.readiness(), "/").startsWith("HTTP/1.1 200")) {
@@ -83,6 +87,9 @@
       }
       Thread.sleep(20);
     }
+    for (String id : registered) {
+      awaitLog("event=replica replica=" + id + " ");
+    }
   }
 
   /** Waits until the log holds a text. */
