--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -152,7 +152,7 @@
   }
 
   /**
-   * Takes note of settings that changed; all but the retry bounds need a restart.
+   * Logs that the settings changed; they take effect at the next start.
    *
    * @param changed the settings
    */
--- a/src/main/java/io/snipeloom/spend/MachineClock.java
+++ b/src/main/java/io/snipeloom/spend/MachineClock.java
@@ -26,10 +26,13 @@
   }
 
   /**
-   * Returns whether both are certainly the same clock.
+   * Returns whether both are the same clock, as far as boot and time of day tell.
+   *
+   * <p>The boot alone settles it where its identity changes with each start of the machine; the
+   * time of day guards machines on which it does not.
    *
    * @param other the other clock
-   * @return true if the machine did not start in between
+   * @return true if nothing shows that the machine started in between
    */
   public boolean isSame(MachineClock other) {
     long difference = Math.abs(wallOffsetMillis - other.wallOffsetMillis);
