Returns that meet another writer are written again; instances lend tokens; tight usage reports

A probe in a scratch copy showed that instances reach each other while all are cut off from the store. - A usage report that met another instance's in its partition waited for the next interval, so a report could be seconds old, and allowed half the hand at once: a kill of all lost the hand. - A stopping instance gave its hand back at once and then refused for 2.6 s, and waited for a slow store after its last answer while three of four instances were away. Conclusion: what is left after a loss of power of all instances is their hand, which nobody can prove unused.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -6,6 +6,8 @@
 import io.snipeloom.forwarding.Fleet;
 import io.snipeloom.forwarding.FrontServer;
 import io.snipeloom.forwarding.HttpCaller;
+import io.snipeloom.peer.LoanLinks;
+import io.snipeloom.peer.LoanServer;
 import io.snipeloom.platform.ConfigurationDecoder;
 import io.snipeloom.platform.PlatformHeaders;
 import io.snipeloom.platform.PlatformStore;
@@ -30,8 +32,11 @@
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.telemetry.FleetMetrics;
 import io.snipeloom.transport.MetricsText;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -63,6 +68,12 @@
    */
   private static final long BALANCER_NANOS = 2_600_000_000L;
 
+  /**
+   * The time to return tokens after the last request. If the store does not answer, the next
+   * incarnation takes them over, which serves callers sooner than waiting.
+   */
+  private static final long RETURN_NANOS = 800_000_000L;
+
   /** Kept free before the kill, for the last answers and log lines. */
   private static final double KILL_MARGIN_SECONDS = 0.4;
 
@@ -78,6 +89,7 @@
   private final EventLoop loop = group.next();
   private final LoopTimer timer;
   private final KeyedLog store;
+  private final LoanLinks loans;
   private final Fleet fleet;
   private final FrontServer front;
   private final CountDownLatch drained = new CountDownLatch(1);
@@ -87,6 +99,7 @@
   private boolean acceptingEnded;
   private boolean drainDone;
   private long drainNanos;
+  private long quietSinceNanos;
 
   private EdgeDaemon(EdgeSettings settings, String incarnation, String boot, EventLog log) {
     this.settings = settings;
@@ -95,14 +108,18 @@
     this.log = log;
     this.timer = new LoopTimer(loop, log);
     this.store = new PlatformStore(new HttpCaller(loop, settings.store()));
+    this.loans = new LoanLinks(loop, new Random());
+    long startNanos = System.nanoTime();
     SpendControl spend =
         new SpendControl(
             incarnation,
-            MachineClock.of(boot, System.currentTimeMillis(), System.nanoTime()),
+            MachineClock.of(boot, System.currentTimeMillis(), startNanos),
+            startNanos,
             new KeyedLedger(store, LEDGER_TOPIC),
             new KeyedUsage(store, USAGE_TOPIC, settings.instance(), settings.storePartitions()),
             settings.storePartitions(),
             new ClaimPolicy(CLAIM_HORIZON_SECONDS, fleetSize),
+            loans,
             new ClaimLog());
     this.fleet = new Fleet(loop, new PlatformHeaders(), settings.zone(), spend, this::newAllowance);
     this.front = new FrontServer(loop, fleet, log, metrics);
@@ -128,6 +145,7 @@
     log.log("start", "instance", settings.instance(), "incarnation", incarnation, "boot", boot);
     new OperationsServer(loop, this::readiness).start(settings.readiness());
     new OperationsServer(loop, this::metricsText).start(settings.metrics());
+    new LoanServer(loop, fleet.spend(), log).start(settings.loans());
     front.start(settings.callers());
     loop.execute(this::follow);
     timer.every(this::tick, TICK_MILLIS, TICK_MILLIS);
@@ -177,7 +195,8 @@
             timer,
             new ReplicaListener())
         .start();
-    FleetMembers members = new FleetMembers(store, settings.instance(), this::onFleetSize);
+    FleetMembers members =
+        new FleetMembers(store, settings.instance(), settings.loans(), this::onMembers);
     timer.every(() -> members.beat(incarnation), 0, HEARTBEAT_MILLIS);
   }
 
@@ -201,7 +220,6 @@
     drainNanos = System.nanoTime();
     log.log("drain", "open_requests", front.openRequests());
     front.drain();
-    fleet.spend().returnAll(drainNanos);
   }
 
   private void continueDrain(long now) {
@@ -211,11 +229,17 @@
     }
     if (!acceptingEnded) {
       acceptingEnded = true;
+      quietSinceNanos = now;
       front.stopAccepting();
+      fleet.spend().returnAll(now);
       log.log("stopped_accepting", "open_requests", front.openRequests());
     }
     front.closeIdle();
-    boolean quiet = front.openRequests() == 0 && fleet.spend().isSettled();
+    if (front.openRequests() > 0) {
+      quietSinceNanos = now;
+    }
+    boolean settled = fleet.spend().isSettled() || now - quietSinceNanos > RETURN_NANOS;
+    boolean quiet = front.openRequests() == 0 && settled;
     double limit = (settings.graceSeconds() - KILL_MARGIN_SECONDS) * NANOS_PER_SECOND;
     if (quiet || elapsed > limit) {
       drainDone = true;
@@ -230,7 +254,8 @@
         (long) (settings.retryWindowSeconds() * NANOS_PER_SECOND));
   }
 
-  private void onFleetSize(int size) {
+  private void onMembers(int size, Map<String, InetSocketAddress> others) {
+    loans.peers(others);
     if (size != fleetSize) {
       log.log("fleet_size", "before", fleetSize, "now", size);
       fleetSize = size;
@@ -395,6 +420,18 @@
       log.log("claim_returned", "customer", customer, "tokens", tokens);
     }
 
+    @Override
+    public void onBorrowed(CustomerId customer, long tokens) {
+      metrics.count("loans_taken");
+      log.log("tokens_borrowed", "customer", customer, "tokens", tokens);
+    }
+
+    @Override
+    public void onLent(CustomerId customer, long tokens) {
+      metrics.count("loans_given");
+      log.log("tokens_lent", "customer", customer, "tokens", tokens);
+    }
+
     @Override
     public void onPredecessor(String writer, long ageNanos, boolean sameClock) {
       log.log(
--- a/src/main/java/io/snipeloom/edge/EdgeSettings.java
+++ b/src/main/java/io/snipeloom/edge/EdgeSettings.java
@@ -23,6 +23,7 @@
  * @param callers where callers connect
  * @param readiness where the balancer asks whether the instance is ready
  * @param metrics where metrics are served
+ * @param loans where other instances ask for tokens
  * @param store the address of the store
  * @param storePartitions the partitions of a topic
  * @param retryRatio the repeats that each request to a service allows
@@ -36,6 +37,7 @@
     InetSocketAddress callers,
     InetSocketAddress readiness,
     InetSocketAddress metrics,
+    InetSocketAddress loans,
     InetSocketAddress store,
     int storePartitions,
     double retryRatio,
@@ -52,6 +54,7 @@
           "callers",
           "readiness",
           "metrics",
+          "loans",
           "store",
           "storePartitions",
           "retryRatio",
@@ -81,6 +84,7 @@
             reader.address("callers"),
             reader.address("readiness"),
             reader.address("metrics"),
+            reader.address("loans"),
             reader.address("store"),
             (int) reader.number("storePartitions", 1, 10_000),
             reader.number("retryRatio", 0, 10),
--- a/src/main/java/io/snipeloom/edge/FleetMembers.java
+++ b/src/main/java/io/snipeloom/edge/FleetMembers.java
@@ -3,17 +3,20 @@
 import io.snipeloom.store.KeyedLog;
 import io.snipeloom.store.KeyedRecord;
 import io.snipeloom.store.StoreAnswer;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.IntConsumer;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
- * Counts the instances of the fleet by their heartbeats in the store.
+ * Knows the instances of the fleet by their heartbeats in the store.
  *
  * <p>An instance counts while its heartbeat changes between two looks. The count only divides
- * shares (of retries, of tokens claimed ahead), so a wrong one costs refusals but breaks no
- * promise. Belongs to its event loop.
+ * shares (of retries, of tokens claimed ahead) and the addresses only tell whom to ask for loans,
+ * so a wrong one costs refusals but breaks no promise. Belongs to its event loop.
  */
 final class FleetMembers {
   /** The count assumed before the first two looks. */
@@ -24,25 +27,52 @@
 
   private static final String TOPIC = "members";
 
+  /** The last field of a heartbeat, an IP address with a port. */
+  private static final Pattern ADDRESS = Pattern.compile(" ([0-9a-f.:]+):([0-9]{1,5})$");
+
   private final KeyedLog log;
   private final String instance;
-  private final IntConsumer onSize;
+  private final InetSocketAddress self;
+  private final Listener listener;
   private final Map<String, Seen> seen = new HashMap<>();
   private long beats;
   private int looks;
 
   private record Seen(String heartbeat, int look) {}
 
-  FleetMembers(KeyedLog log, String instance, IntConsumer onSize) {
+  /** Takes what was found. */
+  interface Listener {
+
+    /**
+     * The store was looked at.
+     *
+     * @param size the number of live instances, at least 1
+     * @param others the addresses of the others for loans, by name
+     */
+    void onMembers(int size, Map<String, InetSocketAddress> others);
+  }
+
+  /**
+   * Creates the members of a fleet of which nothing is known yet.
+   *
+   * @param log the store
+   * @param instance the name of this instance
+   * @param self the address at which it lends
+   * @param listener takes what is found
+   */
+  FleetMembers(KeyedLog log, String instance, InetSocketAddress self, Listener listener) {
     this.log = log;
     this.instance = instance;
-    this.onSize = onSize;
+    this.self = self;
+    this.listener = listener;
   }
 
   /** Sends a heartbeat and looks at those of the others. */
   void beat(String incarnation) {
     beats++;
-    byte[] value = (incarnation + " " + beats).getBytes(StandardCharsets.UTF_8);
+    String address = self.getAddress().getHostAddress() + ":" + self.getPort();
+    String heartbeat = String.join(" ", incarnation, Long.toString(beats), address);
+    byte[] value = heartbeat.getBytes(StandardCharsets.UTF_8);
     log.append(TOPIC, 0, new KeyedRecord(instance, value), answer -> look());
   }
 
@@ -56,9 +86,28 @@
             looks++;
             page.records().forEach(this::see);
             seen.values().removeIf(last -> looks - last.look() >= MISSED_LOOKS);
-            onSize.accept(Math.max(1, seen.size()));
+            listener.onMembers(Math.max(1, seen.size()), others());
+          }
+        });
+  }
+
+  private Map<String, InetSocketAddress> others() {
+    Map<String, InetSocketAddress> others = new HashMap<>();
+    seen.forEach(
+        (name, last) -> {
+          if (!name.equals(instance)) {
+            address(last.heartbeat()).ifPresent(address -> others.put(name, address));
           }
         });
+    return others;
+  }
+
+  /** Heartbeats of other versions may name no address; their instances are not asked for loans. */
+  private static Optional<InetSocketAddress> address(String heartbeat) {
+    Matcher matcher = ADDRESS.matcher(heartbeat);
+    return matcher.find()
+        ? Optional.of(new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2))))
+        : Optional.empty();
   }
 
   private void see(KeyedRecord record) {
--- a/src/main/java/io/snipeloom/edge/StartRehearsal.java
+++ b/src/main/java/io/snipeloom/edge/StartRehearsal.java
@@ -22,7 +22,7 @@
  */
 public final class StartRehearsal {
   private static final List<String> PACKAGES =
-      List.of("edge", "forwarding", "platform", "routing", "spend", "store", "telemetry");
+      List.of("edge", "forwarding", "peer", "platform", "routing", "spend", "store", "telemetry");
 
   private static final long STORE_ATTEMPTS_MILLIS = 500;
 
@@ -39,7 +39,8 @@
     decode(() -> ConfigurationDecoder.decode("{}".getBytes(StandardCharsets.UTF_8)));
     decode(() -> ReplicaDecoder.decode("replica", "{}".getBytes(StandardCharsets.UTF_8)));
     EdgeSettings settings =
-        new EdgeSettings("rehearsal", "zone", free(), free(), free(), free(), 1, 0.1, 1, 10, 1);
+        new EdgeSettings(
+            "rehearsal", "zone", free(), free(), free(), free(), free(), 1, 0.1, 1, 10, 1);
     EventLog log = EventLog.to(new PrintStream(System.out));
     EdgeDaemon daemon = EdgeDaemon.of(settings, "rehearsal", "", log);
     daemon.start();
--- /dev/null
+++ b/src/main/java/io/snipeloom/peer/LoanFrames.java
@@ -0,0 +1,60 @@
+package io.snipeloom.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.util.function.Consumer;
+
+/** Frames of a loan connection: four bytes of length, then one message. */
+final class LoanFrames {
+  private static final int LENGTH_BYTES = 4;
+  private static final int MAX_FRAME_BYTES = 4_096;
+
+  private LoanFrames() {}
+
+  /** Adds the framing and a handler; broken frames close the connection. */
+  static void addTo(Channel channel, Consumer<LoanMessage> onMessage, Runnable onClosed) {
+    channel
+        .pipeline()
+        .addLast(
+            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+        .addLast(new Handler(onMessage, onClosed));
+  }
+
+  static ChannelFuture send(Channel channel, LoanMessage message) {
+    return channel.writeAndFlush(Unpooled.wrappedBuffer(message.toBytes()));
+  }
+
+  private static final class Handler extends SimpleChannelInboundHandler<ByteBuf> {
+    private final Consumer<LoanMessage> onMessage;
+    private final Runnable onClosed;
+
+    Handler(Consumer<LoanMessage> onMessage, Runnable onClosed) {
+      this.onMessage = onMessage;
+      this.onClosed = onClosed;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+      onMessage.accept(LoanMessage.parse(ByteBufUtil.getBytes(frame)));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      onClosed.run();
+    }
+
+    /** Resets and broken frames end the connection, which {@link #channelInactive} handles. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      ChannelFuture unused = context.close();
+    }
+  }
+}
--- a/src/main/java/io/snipeloom/spend/CustomerAccount.java
+++ b/src/main/java/io/snipeloom/spend/CustomerAccount.java
@@ -13,24 +13,28 @@
 /**
  * The tokens of one customer that this instance has claimed.
  *
- * <p>Each claimed token is available, reserved by a running request, spent, set aside for the
- * ledger or returned to it; the sum is checked after each change. Use never exceeds what the last
- * usage reports allow. Not thread-safe.
+ * <p>Each granted token is available, reserved by a running request, spent, set aside for the
+ * ledger, returned to it or lent to another instance; the sum is checked after each change. Use
+ * never exceeds what the last usage reports allow. Not thread-safe.
  */
 final class CustomerAccount {
-  /** Use between two reports: at least one request, and some time's use. */
-  private static final long MIN_BURST_TOKENS = 4_000;
+  /** Prompts differ much in size; most are below this many times the mean. */
+  private static final int BURST_REQUESTS = 2;
 
-  private static final double BURST_SECONDS = 0.2;
+  /** What a report allows at once is at most this part of the tokens in hand. */
+  private static final int BURST_PART = 3;
 
-  /** The share of the tokens in hand that an outage of the store never holds back. */
-  private static final double BURST_OF_HAND = 0.5;
+  /** In an outage of the store the hand may be used up within this time, in seconds. */
+  private static final double HAND_SECONDS = 5;
 
   /** The weight of a request in the mean size of requests. */
   private static final int MEAN_REQUESTS = 8;
 
-  /** Use may grow this much faster than lately without an earlier report. */
-  private static final double RATE_MARGIN = 2;
+  /** The time after the first grant, as after a restart, in which use is still being learned. */
+  private static final long LEARNING_NANOS = 5_000_000_000L;
+
+  /** After the other instances lent nothing, none is asked for this time. */
+  private static final long LOAN_PAUSE_NANOS = 300_000_000L;
 
   private final CustomerId customer;
   private final SpendRate rate = new SpendRate();
@@ -44,20 +48,33 @@
   private long spent;
   private long setAside;
   private long returned;
+  private long lent;
   private long meanRequest;
   private Binding confirmed;
   private Binding pending;
+  private long firstGrantNanos;
   private boolean returnWanted;
+  private boolean borrowing;
+  private long loansRefusedNanos = Long.MIN_VALUE / 2;
 
   /** A report that binds this instance from a moment on. */
   private record Binding(UsageReport report, UsageReport.Use use) {
-    long room(long used, long nowNanos) {
-      return use.mostUsed(nowNanos - report.nanos()) - used;
+    /** Returns what is left of the use that was stated; tokens granted since come on top. */
+    long room(long granted, long used, long nowNanos) {
+      return use.mostUsed(nowNanos - report.nanos()) - used + granted - use.grantedTokens();
     }
   }
 
-  /** A request that waits for a claim. */
-  record Waiter(long tokens, long untilNanos, Consumer<ReserveOutcome> listener) {}
+  /**
+   * A request that waits for a claim, or for a loan if that is under way then.
+   *
+   * @param tokens the tokens that it needs
+   * @param untilNanos the time until which it waits for a claim
+   * @param loanUntilNanos the time until which it waits for a loan
+   * @param listener takes the outcome
+   */
+  record Waiter(
+      long tokens, long untilNanos, long loanUntilNanos, Consumer<ReserveOutcome> listener) {}
 
   CustomerAccount(CustomerId customer, long limit) {
     this.customer = customer;
@@ -87,6 +104,11 @@
     }
   }
 
+  /** Returns whether the recent use tells what this instance needs. */
+  boolean isUseKnown(long nowNanos) {
+    return granted > 0 && nowNanos - firstGrantNanos > LEARNING_NANOS;
+  }
+
   /** Returns the share of this instance in what was claimed lately, 1 if nothing was. */
   double useShare(long nowNanos) {
     double own = ownClaims.tokensPerSecond(nowNanos);
@@ -120,7 +142,10 @@
     check();
   }
 
-  void grant(long tokens) {
+  void grant(long tokens, long nowNanos) {
+    if (granted == 0) {
+      firstGrantNanos = nowNanos;
+    }
     granted += tokens;
     available += tokens;
     check();
@@ -149,25 +174,70 @@
     return tokens;
   }
 
+  /** Gives tokens in hand to another instance, as far as the reports allow. */
+  boolean lend(long tokens, long nowNanos) {
+    if (tokens > available || tokens > room(nowNanos)) {
+      return false;
+    }
+    available -= tokens;
+    lent += tokens;
+    check();
+    return true;
+  }
+
+  /** Gives reserved tokens to another instance. */
+  void lendReserved(long tokens) {
+    reserved -= tokens;
+    lent += tokens;
+    check();
+  }
+
+  boolean isBorrowing() {
+    return borrowing;
+  }
+
+  /** Returns whether the other instances lent nothing a moment ago. */
+  boolean areLoansRefused(long nowNanos) {
+    return nowNanos - loansRefusedNanos < LOAN_PAUSE_NANOS;
+  }
+
+  void startBorrowing() {
+    borrowing = true;
+  }
+
+  void endBorrowing(boolean refused, long nowNanos) {
+    borrowing = false;
+    if (refused) {
+      loansRefusedNanos = nowNanos;
+    }
+  }
+
+  /** Sets tokens aside again whose return another write to the ledger forestalled. */
+  void returnFailed(long tokens) {
+    returned -= tokens;
+    setAside += tokens;
+    check();
+  }
+
   /** Returns what may be used at once under the reports that bind this instance. */
   long room(long nowNanos) {
     long room = Long.MAX_VALUE;
     if (confirmed != null) {
-      room = confirmed.room(used(), nowNanos);
+      room = confirmed.room(granted, used(), nowNanos);
     }
     if (pending != null) {
-      room = Math.min(room, pending.room(used(), nowNanos));
+      room = Math.min(room, pending.room(granted, used(), nowNanos));
     }
     return room;
   }
 
   /** Returns the statement for the next report, in which some more tokens are in hand. */
   UsageReport.Use state(long nowNanos, long inherited) {
-    double perSecond = rate.tokensPerSecond(nowNanos);
-    long burst = (long) Math.max(MIN_BURST_TOKENS, perSecond * BURST_SECONDS);
-    burst = Math.max(burst, meanRequest + waitingTokens()) + (long) (available * BURST_OF_HAND);
+    long burst = Math.min(BURST_REQUESTS * meanRequest, available / BURST_PART) + waitingTokens();
+    long perSecond = Math.max(0, (long) rate.tokensPerSecond(nowNanos));
+    long inOutage = (long) (available / HAND_SECONDS);
     return new UsageReport.Use(
-        customer, granted + inherited, used() + setAside, burst, (long) (perSecond * RATE_MARGIN));
+        customer, granted + inherited, used() + setAside, burst, perSecond, inOutage);
   }
 
   private long waitingTokens() {
@@ -199,7 +269,7 @@
   }
 
   private long used() {
-    return spent + reserved + returned;
+    return spent + reserved + returned + lent;
   }
 
   /** Returns whether the first request that waits has its tokens but the reports forbid it. */
@@ -218,6 +288,12 @@
     return first == null ? 0 : Math.max(0, first.tokens() - available);
   }
 
+  /** Returns what the first request that waits lacks now, be it tokens or the reports' leave. */
+  long shortage(long nowNanos) {
+    Waiter first = waiters.peek();
+    return first == null ? 0 : Math.max(0, first.tokens() - Math.min(available, room(nowNanos)));
+  }
+
   boolean hasWaiters() {
     return !waiters.isEmpty();
   }
@@ -258,7 +334,7 @@
     Iterator<Waiter> all = waiters.iterator();
     while (all.hasNext()) {
       Waiter waiter = all.next();
-      if (nowNanos - waiter.untilNanos() >= 0) {
+      if (isExpired(waiter, nowNanos)) {
         all.remove();
         expired.add(waiter);
       }
@@ -266,13 +342,19 @@
     expired.forEach(waiter -> waiter.listener().accept(ReserveOutcome.UNAVAILABLE));
   }
 
+  private boolean isExpired(Waiter waiter, long nowNanos) {
+    boolean loanDue = borrowing && nowNanos - waiter.loanUntilNanos() < 0;
+    return nowNanos - waiter.untilNanos() >= 0 && !loanDue;
+  }
+
   private void check() {
-    boolean balanced = granted == available + reserved + spent + setAside + returned;
+    boolean balanced = granted == available + reserved + spent + setAside + returned + lent;
     if (!balanced || available < 0 || reserved < 0 || setAside < 0) {
       throw SnipeloomException.of(
           ErrorCode.INVARIANT_VIOLATED,
-          "account of %s: granted %d, available %d, reserved %d, spent %d, aside %d, returned %d"
-              .formatted(customer, granted, available, reserved, spent, setAside, returned));
+          ("account of %s: granted %d, available %d, reserved %d, spent %d, aside %d, "
+                  + "returned %d, lent %d")
+              .formatted(customer, granted, available, reserved, spent, setAside, returned, lent));
     }
   }
 }
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -19,6 +19,9 @@
   /** The pause after a call without an answer, so that an outage is not made worse. */
   private static final long PAUSE_NANOS = 150_000_000L;
 
+  /** A call that takes longer than this may never be answered; many times the usual answer. */
+  private static final long SLOW_CALL_NANOS = 120_000_000L;
+
   /** Totals older than this are read again before a request is refused for them. */
   private static final long FRESH_NANOS = 250_000_000L;
 
@@ -35,6 +38,9 @@
   private long freshNanos;
   private long pausedUntilNanos = Long.MIN_VALUE / 2;
   private boolean busy;
+  private boolean failing;
+  private long calledNanos;
+  private long latestNanos = Long.MIN_VALUE / 2;
   private Batch open;
   private long sequence;
 
@@ -80,8 +86,25 @@
         && accounts.values().stream().allMatch(account -> account.setAside() == 0);
   }
 
+  /** Returns whether the ledger does not answer, so that nothing can be claimed now. */
+  boolean isStalled(long nowNanos) {
+    boolean slow = busy && nowNanos - calledNanos > SLOW_CALL_NANOS;
+    return slow || failing;
+  }
+
+  /** Returns what the first request that waits lacks if it needs more than can be claimed. */
+  long shortage(CustomerAccount account) {
+    return known && account.missing() > unclaimed(account) ? account.missing() : 0;
+  }
+
+  /** Returns whether a number of tokens can be claimed now, as far as is known. */
+  boolean canClaim(CustomerAccount account, long tokens, long nowNanos) {
+    return known && !isStalled(nowNanos) && tokens <= unclaimed(account);
+  }
+
   /** Starts the next call, if one is due and none is under way. */
   void pump(long nowNanos) {
+    latestNanos = Math.max(latestNanos, nowNanos);
     if (busy || nowNanos - pausedUntilNanos < 0) {
       return;
     }
@@ -102,13 +125,13 @@
   }
 
   private void list(long nowNanos) {
-    busy = true;
+    startCall();
     store.list(
         number,
         new LedgerStore.PageListener() {
           @Override
           public void onPage(LedgerPage page) {
-            busy = false;
+            answered();
             known = true;
             end = page.end();
             freshNanos = nowNanos;
@@ -129,7 +152,7 @@
   }
 
   private void append(long nowNanos) {
-    busy = true;
+    startCall();
     Batch batch = open;
     store.append(
         number,
@@ -138,18 +161,18 @@
         new LedgerStore.AppendListener() {
           @Override
           public void onAppended() {
-            busy = false;
+            answered();
             open = null;
             end = batch.at() + batch.records().size();
             freshNanos = nowNanos;
             batch.records().forEach(record -> apply(record, nowNanos));
-            grant(batch, nowNanos);
+            onCarriedOut(batch, nowNanos);
             pump(nowNanos);
           }
 
           @Override
           public void onConflict() {
-            busy = false;
+            answered();
             read(nowNanos);
           }
 
@@ -161,21 +184,21 @@
   }
 
   private void read(long nowNanos) {
-    busy = true;
+    startCall();
     store.read(
         number,
         end,
         new LedgerStore.PageListener() {
           @Override
           public void onPage(LedgerPage page) {
-            busy = false;
+            answered();
             freshNanos = nowNanos;
             onRecords(page, nowNanos);
           }
 
           @Override
           public void onExpired() {
-            busy = false;
+            answered();
             known = false;
             forgetOpen();
             pump(nowNanos);
@@ -195,7 +218,9 @@
     if (batch != null && end > batch.at()) {
       open = null;
       if (page.records().stream().anyMatch(record -> isOf(record, batch))) {
-        grant(batch, nowNanos);
+        onCarriedOut(batch, nowNanos);
+      } else {
+        keepReturns(batch);
       }
     }
     if (end < page.end()) {
@@ -218,17 +243,32 @@
     }
   }
 
-  private void grant(Batch batch, long nowNanos) {
+  /** Takes note that a write was carried out. */
+  private void onCarriedOut(Batch batch, long nowNanos) {
     batch
         .changes()
         .forEach(
             (customer, tokens) -> {
               if (tokens > 0) {
                 CustomerAccount account = accounts.get(customer);
-                account.grant(tokens);
+                account.grant(tokens, nowNanos);
                 hurryReport.run();
                 events.onGranted(customer, tokens, total(customer), account.limit());
                 account.serveWaiters(nowNanos);
+              } else {
+                events.onReturned(customer, -tokens);
+              }
+            });
+  }
+
+  /** Takes back the returns of a write that certainly was not and never will be carried out. */
+  private void keepReturns(Batch batch) {
+    batch
+        .changes()
+        .forEach(
+            (customer, tokens) -> {
+              if (tokens < 0) {
+                accounts.get(customer).returnFailed(-tokens);
               }
             });
   }
@@ -240,8 +280,20 @@
     }
   }
 
+  /** Answers carry on with the time of their call, so the latest time that was heard of counts. */
+  private void startCall() {
+    busy = true;
+    calledNanos = latestNanos;
+  }
+
+  private void answered() {
+    busy = false;
+    failing = false;
+  }
+
   private void pause(long nowNanos) {
     busy = false;
+    failing = true;
     pausedUntilNanos = nowNanos + PAUSE_NANOS;
   }
 
@@ -270,9 +322,9 @@
             unclaimed,
             account.available(),
             account.limit());
-    long unneeded =
-        account.hasWaiters() ? 0 : policy.surplus(account.available(), target, account.limit());
-    long returnable = Math.max(account.takeReturn(), unneeded);
+    boolean tellsSurplus = account.isUseKnown(nowNanos) && !account.hasWaiters();
+    long surplus = tellsSurplus ? policy.surplus(account.available(), target, account.limit()) : 0;
+    long returnable = Math.max(account.takeReturn(), surplus);
     if (returnable > 0) {
       account.setAside(returnable);
     }
@@ -281,7 +333,6 @@
     }
     long returned = account.takeSetAside(nowNanos);
     if (returned > 0) {
-      events.onReturned(account.customer(), returned);
       return -returned;
     }
     long ahead = policy.isLow(account.available(), target) ? target - account.available() : 0;
@@ -302,7 +353,7 @@
         read(nowNanos);
         return;
       }
-      if (account.missing() > unclaimed(account)) {
+      if (account.missing() > unclaimed(account) && !account.isBorrowing()) {
         account.refuseFirst(ReserveOutcome.EXHAUSTED);
         account.wantReturn();
       }
--- a/src/main/java/io/snipeloom/spend/MachineClock.java
+++ b/src/main/java/io/snipeloom/spend/MachineClock.java
@@ -38,4 +38,20 @@
     long difference = Math.abs(wallOffsetMillis - other.wallOffsetMillis);
     return !boot.isEmpty() && boot.equals(other.boot) && difference <= MAX_WALL_STEP_MILLIS;
   }
+
+  /**
+   * Returns the most time that can have passed since an earlier reading of the same clock.
+   *
+   * <p>A step of the time of day ahead counts as time too, since a short absence of the machine
+   * looks the same.
+   *
+   * @param earlier the clock as it was identified then
+   * @param earlierNanos the monotonic clock then
+   * @param nowNanos the monotonic clock now
+   * @return the time in nanoseconds
+   */
+  public long mostElapsedNanos(MachineClock earlier, long earlierNanos, long nowNanos) {
+    long stepMillis = Math.max(0, wallOffsetMillis - earlier.wallOffsetMillis);
+    return nowNanos - earlierNanos + TimeUnit.MILLISECONDS.toNanos(stepMillis);
+  }
 }
--- a/src/main/java/io/snipeloom/spend/SpendControl.java
+++ b/src/main/java/io/snipeloom/spend/SpendControl.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 /**
  * Reserves and settles the tokens of requests for all customers with prepaid totals.
@@ -11,8 +12,12 @@
  * <p>Not thread-safe; belongs to one event loop, which calls {@link #tick} regularly.
  */
 public final class SpendControl {
+  /** How long a request waits for a loan; a few round trips between availability zones. */
+  private static final long LOAN_WAIT_NANOS = 100_000_000L;
+
   private final String writer;
   private final LedgerStore store;
+  private final LoanPeers peers;
   private final SpendEvents events;
   private final LedgerPartition[] partitions;
   private final Map<CustomerId, CustomerAccount> accounts = new HashMap<>();
@@ -25,26 +30,33 @@
    *
    * @param writer names this incarnation; no other one ever has the same name
    * @param clock identifies the clock of the machine, which all times are of
+   * @param startNanos a time after the end of the incarnation before
    * @param store the ledger
    * @param usage the usage reports of this instance
    * @param partitions the number of partitions of the ledger
    * @param policy how much is claimed ahead
+   * @param peers the other instances, which lend tokens while none can be claimed
    * @param events takes note of claims
    */
   public SpendControl(
       String writer,
       MachineClock clock,
+      long startNanos,
       LedgerStore store,
       UsageStore usage,
       int partitions,
       ClaimPolicy policy,
+      LoanPeers peers,
       SpendEvents events) {
     this.writer = writer;
+    this.peers = peers;
     this.store = store;
     this.partitions = new LedgerPartition[partitions];
     this.policy = policy;
     this.events = events;
-    this.journal = new UsageJournal(writer, clock, usage, events, accounts.values(), this::inherit);
+    this.journal =
+        new UsageJournal(
+            writer, clock, startNanos, usage, events, accounts.values(), this::inherit);
   }
 
   /**
@@ -67,8 +79,8 @@
     return account;
   }
 
-  private void inherit(CustomerId customer, long tokens) {
-    accountOf(customer).grant(tokens);
+  private void inherit(CustomerId customer, long tokens, long nowNanos) {
+    accountOf(customer).grant(tokens, nowNanos);
   }
 
   /**
@@ -106,13 +118,107 @@
     } else if (tokens > account.limit()) {
       listener.accept(ReserveOutcome.EXHAUSTED);
     } else {
-      account.await(new CustomerAccount.Waiter(tokens, untilNanos, listener));
+      account.await(
+          new CustomerAccount.Waiter(tokens, untilNanos, nowNanos + LOAN_WAIT_NANOS, listener));
     }
     if (account.waitsForReport(nowNanos)) {
       journal.hurry();
     }
     journal.pump(nowNanos);
+    borrowIfShort(account, nowNanos);
     partitionOf(customer).pump(nowNanos);
+    account.refuseExpired(nowNanos);
+  }
+
+  private void borrowIfShort(CustomerAccount account, long nowNanos) {
+    LedgerPartition partition = partitionOf(account.customer());
+    long missing =
+        partition.isStalled(nowNanos) ? account.shortage(nowNanos) : partition.shortage(account);
+    if (missing == 0 || account.isBorrowing() || account.areLoansRefused(nowNanos)) {
+      return;
+    }
+    account.startBorrowing();
+    long wanted = LoanPolicy.wanted(missing, account.tokensPerSecond(nowNanos));
+    LoanRequest request = new LoanRequest(account.customer(), missing, wanted);
+    peers.borrow(request, new Borrowing(account, nowNanos));
+  }
+
+  /** Takes what the other instances lend for one request. */
+  private final class Borrowing implements LoanPeers.Listener {
+    private final CustomerAccount account;
+    private final long askedNanos;
+
+    Borrowing(CustomerAccount account, long askedNanos) {
+      this.account = account;
+      this.askedNanos = askedNanos;
+    }
+
+    @Override
+    public void onLent(long tokens) {
+      account.grant(tokens, askedNanos);
+      events.onBorrowed(account.customer(), tokens);
+      account.serveWaiters(askedNanos);
+      journal.hurry();
+    }
+
+    @Override
+    public void onDone() {
+      account.endBorrowing(account.shortage(askedNanos) > 0, askedNanos);
+      account.refuseExpired(askedNanos);
+      partitionOf(account.customer()).pump(askedNanos);
+    }
+  }
+
+  /**
+   * Lends tokens to another instance, from the hand or from a claim made for it.
+   *
+   * @param request what the other instance asks for
+   * @param nowNanos the time
+   * @param listener takes the tokens that are the other instance's from then on; 0 if none
+   */
+  public void lend(LoanRequest request, long nowNanos, LongConsumer listener) {
+    CustomerAccount account = accounts.get(request.customer());
+    if (account == null) {
+      listener.accept(0);
+      return;
+    }
+    boolean refillable =
+        partitionOf(account.customer()).canClaim(account, request.wantedTokens(), nowNanos);
+    long tokens = LoanPolicy.lent(request, account.available(), refillable);
+    tokens = Math.max(0, Math.min(tokens, account.room(nowNanos)));
+    if (refillable && tokens < request.missingTokens()) {
+      claimAndLend(account, request.wantedTokens(), nowNanos, listener);
+      return;
+    }
+    handOver(account, account.lend(tokens, nowNanos) ? tokens : 0, listener);
+  }
+
+  private void claimAndLend(
+      CustomerAccount account, long tokens, long nowNanos, LongConsumer listener) {
+    account.await(
+        new CustomerAccount.Waiter(
+            tokens,
+            nowNanos + LOAN_WAIT_NANOS,
+            nowNanos + LOAN_WAIT_NANOS,
+            outcome -> {
+              boolean reserved = outcome == ReserveOutcome.RESERVED;
+              if (reserved) {
+                account.lendReserved(tokens);
+              }
+              handOver(account, reserved ? tokens : 0, listener);
+            }));
+    if (account.waitsForReport(nowNanos)) {
+      journal.hurry();
+      journal.pump(nowNanos);
+    }
+    partitionOf(account.customer()).pump(nowNanos);
+  }
+
+  private void handOver(CustomerAccount account, long tokens, LongConsumer listener) {
+    if (tokens > 0) {
+      events.onLent(account.customer(), tokens);
+    }
+    listener.accept(tokens);
   }
 
   /**
@@ -140,6 +246,7 @@
   public void tick(long nowNanos) {
     for (CustomerAccount account : accounts.values()) {
       account.serveWaiters(nowNanos);
+      borrowIfShort(account, nowNanos);
       account.refuseExpired(nowNanos);
     }
     journal.pump(nowNanos);
--- a/src/main/java/io/snipeloom/spend/SpendEvents.java
+++ b/src/main/java/io/snipeloom/spend/SpendEvents.java
@@ -16,7 +16,7 @@
   void onGranted(CustomerId customer, long tokens, long claimedTokens, long limit);
 
   /**
-   * Tokens are on their way back to the ledger.
+   * Tokens are back in the ledger.
    *
    * @param customer the customer
    * @param tokens the tokens
@@ -39,6 +39,22 @@
    */
   void onInherited(CustomerId customer, long tokens);
 
+  /**
+   * Another instance lent tokens to this one.
+   *
+   * @param customer the customer
+   * @param tokens the tokens
+   */
+  void onBorrowed(CustomerId customer, long tokens);
+
+  /**
+   * This instance lent tokens to another one.
+   *
+   * @param customer the customer
+   * @param tokens the tokens
+   */
+  void onLent(CustomerId customer, long tokens);
+
   /**
    * The last report of the incarnation before was found.
    *
--- a/src/main/java/io/snipeloom/spend/UsageJournal.java
+++ b/src/main/java/io/snipeloom/spend/UsageJournal.java
@@ -17,7 +17,7 @@
  */
 final class UsageJournal {
   /** The time between reports; what is used meanwhile is lost with a kill. */
-  private static final long INTERVAL_NANOS = 500_000_000L;
+  private static final long INTERVAL_NANOS = 250_000_000L;
 
   /** The shortest time between reports that are due earlier. */
   private static final long URGENT_INTERVAL_NANOS = 20_000_000L;
@@ -26,6 +26,7 @@
 
   private final String writer;
   private final MachineClock clock;
+  private final long startNanos;
   private final UsageStore store;
   private final SpendEvents events;
   private final Collection<CustomerAccount> accounts;
@@ -44,18 +45,20 @@
   interface Heirs {
 
     /** Adds tokens to the hand of a customer, whose prepaid total may not be known yet. */
-    void inherit(CustomerId customer, long tokens);
+    void inherit(CustomerId customer, long tokens, long nowNanos);
   }
 
   UsageJournal(
       String writer,
       MachineClock clock,
+      long startNanos,
       UsageStore store,
       SpendEvents events,
       Collection<CustomerAccount> accounts,
       Heirs heirs) {
     this.writer = writer;
     this.clock = clock;
+    this.startNanos = startNanos;
     this.store = store;
     this.events = events;
     this.accounts = accounts;
@@ -116,18 +119,20 @@
       discardOpen();
     }
     if (sequence == 0 && !own) {
-      inherited = report.map(found -> unusedOf(found, nowNanos)).orElse(inherited);
+      inherited = report.map(this::unusedOf).orElse(inherited);
     }
     pump(nowNanos);
   }
 
-  private Map<CustomerId, Long> unusedOf(UsageReport before, long nowNanos) {
-    boolean sameClock = before.clock().isSame(clock) && nowNanos >= before.nanos();
-    events.onPredecessor(before.writer(), nowNanos - before.nanos(), sameClock);
+  /** The incarnation before was dead when this one started, so its use ended by then. */
+  private Map<CustomerId, Long> unusedOf(UsageReport before) {
+    boolean sameClock = before.clock().isSame(clock) && startNanos >= before.nanos();
+    long elapsedNanos = clock.mostElapsedNanos(before.clock(), before.nanos(), startNanos);
+    events.onPredecessor(before.writer(), elapsedNanos, sameClock);
     Map<CustomerId, Long> unused = new LinkedHashMap<>();
     if (sameClock) {
       for (UsageReport.Use use : before.uses()) {
-        long tokens = use.unused(nowNanos - before.nanos());
+        long tokens = use.unused(elapsedNanos);
         if (tokens > 0) {
           unused.put(use.customer(), tokens);
         }
@@ -174,7 +179,7 @@
     inherited.forEach(
         (customer, tokens) -> {
           if (uses.stream().noneMatch(use -> use.customer().equals(customer))) {
-            uses.add(new UsageReport.Use(customer, tokens, 0, 0, 0));
+            uses.add(new UsageReport.Use(customer, tokens, 0, 0, 0, 0));
           }
         });
     urgent = false;
@@ -190,7 +195,7 @@
     sequence = confirmed.sequence();
     inherited.forEach(
         (customer, tokens) -> {
-          heirs.inherit(customer, tokens);
+          heirs.inherit(customer, tokens, nowNanos);
           events.onInherited(customer, tokens);
         });
     inherited = new LinkedHashMap<>();
@@ -198,8 +203,10 @@
     accounts.forEach(account -> account.serveWaiters(nowNanos));
   }
 
+  /** Another instance took the offset, so the report is made anew at once. */
   private void discardOpen() {
     open = null;
+    lastNanos = Long.MIN_VALUE / 2;
     accounts.forEach(CustomerAccount::unbind);
   }
 
--- a/src/main/java/io/snipeloom/spend/UsageReport.java
+++ b/src/main/java/io/snipeloom/spend/UsageReport.java
@@ -26,9 +26,16 @@
 public record UsageReport(
     String writer, long sequence, MachineClock clock, long nanos, List<Use> uses) {
   private static final int FIELDS = 6;
-  private static final int USE_FIELDS = 5;
+  private static final int USE_FIELDS = 6;
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /**
+   * Only after this time without a further report may the writer use more than its recent rate. A
+   * restarted instance is back sooner, so that little of what its predecessor held is lost; the
+   * store is away for longer if the writer still lives.
+   */
+  private static final long OUTAGE_NANOS = 1_200_000_000L;
+
   /** Copies the uses. */
   public UsageReport {
     uses = List.copyOf(uses);
@@ -42,13 +49,16 @@
    * @param usedTokens the tokens spent, reserved or returned so far
    * @param burstTokens the tokens that may be used beyond that at once
    * @param tokensPerSecond the tokens that may be used beyond that with each second
+   * @param outageTokensPerSecond the tokens that may be used beyond that with each second of an
+   *     outage of the store
    */
   public record Use(
       CustomerId customer,
       long grantedTokens,
       long usedTokens,
       long burstTokens,
-      long tokensPerSecond) {
+      long tokensPerSecond,
+      long outageTokensPerSecond) {
 
     /**
      * Returns the most tokens that are used after some time.
@@ -57,8 +67,10 @@
      * @return the tokens
      */
     public long mostUsed(long elapsedNanos) {
-      double allowed = burstTokens + tokensPerSecond * (elapsedNanos / NANOS_PER_SECOND);
-      return usedTokens + (long) Math.ceil(allowed);
+      double steady = tokensPerSecond * (elapsedNanos / NANOS_PER_SECOND);
+      double outageNanos = Math.max(0, elapsedNanos - OUTAGE_NANOS);
+      double outage = outageTokensPerSecond * (outageNanos / NANOS_PER_SECOND);
+      return usedTokens + burstTokens + (long) Math.ceil(steady + outage);
     }
 
     /**
@@ -86,6 +98,7 @@
         packer.packArrayHeader(USE_FIELDS).packString(use.customer().value());
         packer.packLong(use.grantedTokens()).packLong(use.usedTokens());
         packer.packLong(use.burstTokens()).packLong(use.tokensPerSecond());
+        packer.packLong(use.outageTokensPerSecond());
       }
       return packer.toByteArray();
     } catch (IOException e) {
@@ -130,6 +143,7 @@
         unpacker.unpackLong(),
         unpacker.unpackLong(),
         unpacker.unpackLong(),
+        unpacker.unpackLong(),
         unpacker.unpackLong());
   }
 }
--- a/src/test/java/io/snipeloom/edge/EdgeDaemonTest.java
+++ b/src/test/java/io/snipeloom/edge/EdgeDaemonTest.java
@@ -13,6 +13,7 @@
 import io.snipeloom.platform.ReplicaStandin;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -266,6 +267,24 @@
     assertThat(edge.send("/draft/1", "a2", TOKENS), startsWith("HTTP/1.1 200"));
   }
 
+  @Test
+  void instanceCutOffFromTheStoreServesWithTokensOfAnother() throws Exception {
+    engine("e-1", stream(1));
+    edge.configure(1, 1_000_000);
+    edge.awaitReady();
+    InetSocketAddress door = edge.store.addDoor();
+    try (EdgeFixture other = new EdgeFixture("edge-2", edge.store, door)) {
+      other.awaitReady();
+      other.awaitLog("event=fleet_size before=4 now=2");
+      edge.store.closeDoor(door);
+      other.awaitLog("store_lost");
+      String drafts = TOKENS.replace("1000,100", "30000,100");
+      assertThat(other.send("/draft/1", "a1", drafts), startsWith("HTTP/1.1 200"));
+      other.awaitLog("event=tokens_borrowed customer=customer");
+      edge.awaitLog("event=tokens_lent customer=customer");
+    }
+  }
+
   @Test
   void claimWhoseAnswerIsLostIsGrantedOnce() throws Exception {
     engine("e-1", stream(20));
--- /dev/null
+++ b/src/test/java/io/snipeloom/peer/LoanLinksTest.java
@@ -0,0 +1,188 @@
+package io.snipeloom.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.snipeloom.spend.LoanPeers;
+import io.snipeloom.spend.LoanRequest;
+import io.snipeloom.state.CustomerId;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Borrowing from peers that answer, answer late, break off or stay silent; peers are sockets. */
+@Timeout(30)
+class LoanLinksTest {
+  private static final LoanRequest REQUEST =
+      new LoanRequest(CustomerId.of("customer"), 1_000, 5_000);
+
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final LoanLinks links = new LoanLinks(loop, new Random(1));
+  private ServerSocket peer;
+
+  @BeforeEach
+  void listen() throws IOException {
+    peer = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    peer.close();
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+  }
+
+  @Test
+  void tokensOfAnAnswerAreTakenOnce() throws Exception {
+    serve(
+        (ask, out) -> {
+          send(out, new LoanMessage.Lent(ask.number(), 4_000));
+          send(out, new LoanMessage.Lent(ask.number(), 4_000));
+        });
+    Taken taken = borrow();
+    assertThat(taken.isDone(), is(true));
+    assertThat(borrow().tokens, contains(4_000L));
+    assertThat("the second answer belongs to no question", taken.tokens, contains(4_000L));
+  }
+
+  @Test
+  void tokensThatComeLateAreStillTaken() throws Exception {
+    CountDownLatch answer = new CountDownLatch(1);
+    serve(
+        (ask, out) -> {
+          await(answer);
+          send(out, new LoanMessage.Lent(ask.number(), 4_000));
+        });
+    Taken taken = borrow();
+    assertThat("nobody waits for a silent peer", taken.isDone(), is(true));
+    assertThat(taken.tokens, empty());
+    answer.countDown();
+    taken.first.get(10, TimeUnit.SECONDS);
+    assertThat(taken.tokens, contains(4_000L));
+  }
+
+  @Test
+  void brokenAndForeignFramesLendNothing() throws Exception {
+    serve((ask, out) -> out.write(new byte[] {0, 0, 0, 2, 9, 9}));
+    Taken taken = borrow();
+    assertThat(taken.isDone(), is(true));
+    assertThat(taken.tokens, empty());
+  }
+
+  @Test
+  void nobodyIsAskedWhereNobodyIsKnown() throws Exception {
+    Taken taken = new Taken();
+    loop.submit(() -> links.borrow(REQUEST, taken)).get(10, TimeUnit.SECONDS);
+    assertThat(taken.isDone(), is(true));
+  }
+
+  @Test
+  void peersThatRefuseConnectionsAreGivenUpAtOnce() throws Exception {
+    InetSocketAddress address = new InetSocketAddress(peer.getInetAddress(), peer.getLocalPort());
+    peer.close();
+    Taken taken = new Taken();
+    loop.submit(
+            () -> {
+              links.peers(Map.of("peer", address));
+              links.borrow(REQUEST, taken);
+            })
+        .get(10, TimeUnit.SECONDS);
+    assertThat(taken.isDone(), is(true));
+  }
+
+  private Taken borrow() throws Exception {
+    InetSocketAddress address = new InetSocketAddress(peer.getInetAddress(), peer.getLocalPort());
+    Taken taken = new Taken();
+    loop.submit(
+            () -> {
+              links.peers(Map.of("peer", address));
+              links.borrow(REQUEST, taken);
+            })
+        .get(10, TimeUnit.SECONDS);
+    taken.isDone();
+    return taken;
+  }
+
+  /** What a peer does with a question. */
+  private interface Script {
+    void answer(LoanMessage.Ask ask, DataOutputStream out) throws IOException;
+  }
+
+  private void serve(Script script) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try (Socket socket = peer.accept()) {
+                DataInputStream in = new DataInputStream(socket.getInputStream());
+                DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+                while (true) {
+                  byte[] frame = new byte[in.readInt()];
+                  in.readFully(frame);
+                  script.answer((LoanMessage.Ask) LoanMessage.parse(frame), out);
+                }
+              } catch (IOException e) {
+                // The test is over or the other end closed the connection.
+                return;
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static void send(DataOutputStream out, LoanMessage message) throws IOException {
+    byte[] bytes = message.toBytes();
+    out.writeInt(bytes.length);
+    out.write(bytes);
+    out.flush();
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await(10, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static final class Taken implements LoanPeers.Listener {
+    final List<Long> tokens = new CopyOnWriteArrayList<>();
+    final CompletableFuture<Long> first = new CompletableFuture<>();
+    private final CountDownLatch done = new CountDownLatch(1);
+
+    @Override
+    public void onLent(long lent) {
+      tokens.add(lent);
+      first.complete(lent);
+    }
+
+    @Override
+    public void onDone() {
+      done.countDown();
+    }
+
+    boolean isDone() throws InterruptedException {
+      return done.await(10, TimeUnit.SECONDS);
+    }
+  }
+}
