--- /dev/null
+++ b/src/main/java/io/snipeloom/edge/ClaimLog.java
@@ -0,0 +1,73 @@
+package io.snipeloom.edge;
+
+import io.snipeloom.spend.SpendEvents;
+import io.snipeloom.state.CustomerId;
+import io.snipeloom.telemetry.EventLog;
+import io.snipeloom.telemetry.FleetMetrics;
+import java.util.concurrent.TimeUnit;
+
+/** Logs and counts what happens to claims. Belongs to its event loop. */
+final class ClaimLog implements SpendEvents {
+  private final EventLog log;
+  private final FleetMetrics metrics;
+
+  ClaimLog(EventLog log, FleetMetrics metrics) {
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void onGranted(CustomerId customer, long tokens, long claimedTokens, long limit) {
+    metrics.count("claims");
+    log.log(
+        "claim_granted",
+        "customer",
+        customer,
+        "tokens",
+        tokens,
+        "claimed",
+        claimedTokens,
+        "limit",
+        limit);
+  }
+
+  @Override
+  public void onReturned(CustomerId customer, long tokens) {
+    log.log("claim_returned", "customer", customer, "tokens", tokens);
+  }
+
+  @Override
+  public void onBorrowed(CustomerId customer, long tokens) {
+    metrics.count("loans_taken");
+    log.log("tokens_borrowed", "customer", customer, "tokens", tokens);
+  }
+
+  @Override
+  public void onLent(CustomerId customer, long tokens) {
+    metrics.count("loans_given");
+    log.log("tokens_lent", "customer", customer, "tokens", tokens);
+  }
+
+  @Override
+  public void onPredecessor(String writer, long ageNanos, boolean sameClock) {
+    log.log(
+        "predecessor",
+        "incarnation",
+        writer,
+        "report_age_ms",
+        TimeUnit.NANOSECONDS.toMillis(ageNanos),
+        "same_clock",
+        sameClock);
+  }
+
+  @Override
+  public void onInherited(CustomerId customer, long tokens) {
+    metrics.count("claims_inherited");
+    log.log("claim_inherited", "customer", customer, "tokens", tokens);
+  }
+
+  @Override
+  public void onClaimLost(CustomerId customer, long tokens) {
+    log.log("claim_lost", "customer", customer, "tokens", tokens);
+  }
+}
--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -8,24 +8,16 @@
 import io.snipeloom.forwarding.HttpCaller;
 import io.snipeloom.peer.LoanLinks;
 import io.snipeloom.peer.LoanServer;
-import io.snipeloom.platform.ConfigurationDecoder;
 import io.snipeloom.platform.PlatformHeaders;
 import io.snipeloom.platform.PlatformStore;
 import io.snipeloom.platform.PlatformTopics;
-import io.snipeloom.platform.ReplicaDecoder;
-import io.snipeloom.routing.FleetConfiguration;
 import io.snipeloom.routing.Replica;
-import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.RetryAllowance;
 import io.snipeloom.spend.ClaimPolicy;
 import io.snipeloom.spend.MachineClock;
 import io.snipeloom.spend.SpendControl;
-import io.snipeloom.spend.SpendEvents;
-import io.snipeloom.state.CustomerId;
-import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.store.KeyedLedger;
 import io.snipeloom.store.KeyedLog;
-import io.snipeloom.store.KeyedRecord;
 import io.snipeloom.store.KeyedUsage;
 import io.snipeloom.store.StoreAnswer;
 import io.snipeloom.store.TopicWatch;
@@ -33,8 +25,6 @@
 import io.snipeloom.telemetry.FleetMetrics;
 import io.snipeloom.transport.MetricsText;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -120,7 +110,7 @@
             settings.storePartitions(),
             new ClaimPolicy(CLAIM_HORIZON_SECONDS, fleetSize),
             loans,
-            new ClaimLog());
+            new ClaimLog(log, metrics));
     this.fleet = new Fleet(loop, new PlatformHeaders(), settings.zone(), spend, this::newAllowance);
     this.front = new FrontServer(loop, fleet, log, metrics);
   }
@@ -185,7 +175,7 @@
             WATCH_WAIT_MILLIS,
             0,
             timer,
-            new ConfigurationListener())
+            new ConfigurationFeed(fleet, log, this::onStoreAnswer))
         .start();
     new TopicWatch(
             store,
@@ -193,7 +183,7 @@
             WATCH_WAIT_MILLIS,
             REPLICA_BATCH_MILLIS,
             timer,
-            new ReplicaListener())
+            new ReplicaFeed(fleet, log, this::onStoreAnswer))
         .start();
     FleetMembers members =
         new FleetMembers(store, settings.instance(), settings.loans(), this::onMembers);
@@ -287,172 +277,4 @@
       log.log(answers ? "store_regained" : "store_lost", "answer", answer);
     }
   }
-
-  /** Applies configurations. */
-  private final class ConfigurationListener implements TopicWatch.Listener {
-    @Override
-    public void onListed(List<KeyedRecord> records) {
-      records.forEach(this::apply);
-    }
-
-    @Override
-    public void onAppended(List<KeyedRecord> records) {
-      records.forEach(this::apply);
-    }
-
-    @Override
-    public void onAnswer(StoreAnswer answer) {
-      onStoreAnswer(answer);
-    }
-
-    private void apply(KeyedRecord record) {
-      if (!record.key().equals(PlatformTopics.CONFIGURATION_KEY) || record.isRemoval()) {
-        return;
-      }
-      try {
-        FleetConfiguration configuration = ConfigurationDecoder.decode(record.value());
-        boolean applied = fleet.apply(configuration);
-        log.log(
-            "configuration",
-            "version",
-            configuration.version(),
-            "applied",
-            applied,
-            "bytes",
-            record.value().length);
-      } catch (SnipeloomException e) {
-        log.log("configuration_refused", "reason", e.getMessage());
-      }
-    }
-  }
-
-  /** Applies entries of replicas. */
-  private final class ReplicaListener implements TopicWatch.Listener {
-    @Override
-    public void onListed(List<KeyedRecord> records) {
-      List<Replica> replicas = new ArrayList<>();
-      for (KeyedRecord record : records) {
-        Replica replica = decoded(record);
-        if (replica != null) {
-          replicas.add(replica);
-          put(replica);
-        }
-      }
-      fleet.directory().replaceAll(replicas, System.nanoTime());
-    }
-
-    @Override
-    public void onAppended(List<KeyedRecord> records) {
-      for (KeyedRecord record : records) {
-        if (record.isRemoval()) {
-          remove(new ReplicaId(record.key()));
-          continue;
-        }
-        Replica replica = decoded(record);
-        if (replica != null) {
-          put(replica);
-        }
-      }
-    }
-
-    @Override
-    public void onAnswer(StoreAnswer answer) {
-      onStoreAnswer(answer);
-    }
-
-    private Replica decoded(KeyedRecord record) {
-      if (record.isRemoval()) {
-        return null;
-      }
-      try {
-        return ReplicaDecoder.decode(record.key(), record.value());
-      } catch (SnipeloomException e) {
-        log.log("replica_entry_refused", "replica", record.key(), "reason", e.getMessage());
-        return null;
-      }
-    }
-
-    private void put(Replica replica) {
-      if (fleet.put(replica)) {
-        log.log(
-            "replica",
-            "replica",
-            replica.id(),
-            "service",
-            replica.service(),
-            "address",
-            replica.address(),
-            "state",
-            replica.state(),
-            "born",
-            replica.bornMillis());
-      }
-    }
-
-    private void remove(ReplicaId id) {
-      boolean atOnce = fleet.directory().remove(id, System.nanoTime());
-      if (atOnce) {
-        fleet.forget(id);
-      }
-      log.log("replica_entry_removed", "replica", id, "out_of_use", atOnce);
-    }
-  }
-
-  /** Logs claims. */
-  private final class ClaimLog implements SpendEvents {
-    @Override
-    public void onGranted(CustomerId customer, long tokens, long claimedTokens, long limit) {
-      metrics.count("claims");
-      log.log(
-          "claim_granted",
-          "customer",
-          customer,
-          "tokens",
-          tokens,
-          "claimed",
-          claimedTokens,
-          "limit",
-          limit);
-    }
-
-    @Override
-    public void onReturned(CustomerId customer, long tokens) {
-      log.log("claim_returned", "customer", customer, "tokens", tokens);
-    }
-
-    @Override
-    public void onBorrowed(CustomerId customer, long tokens) {
-      metrics.count("loans_taken");
-      log.log("tokens_borrowed", "customer", customer, "tokens", tokens);
-    }
-
-    @Override
-    public void onLent(CustomerId customer, long tokens) {
-      metrics.count("loans_given");
-      log.log("tokens_lent", "customer", customer, "tokens", tokens);
-    }
-
-    @Override
-    public void onPredecessor(String writer, long ageNanos, boolean sameClock) {
-      log.log(
-          "predecessor",
-          "incarnation",
-          writer,
-          "report_age_ms",
-          TimeUnit.NANOSECONDS.toMillis(ageNanos),
-          "same_clock",
-          sameClock);
-    }
-
-    @Override
-    public void onInherited(CustomerId customer, long tokens) {
-      metrics.count("claims_inherited");
-      log.log("claim_inherited", "customer", customer, "tokens", tokens);
-    }
-
-    @Override
-    public void onClaimLost(CustomerId customer, long tokens) {
-      log.log("claim_lost", "customer", customer, "tokens", tokens);
-    }
-  }
 }
--- /dev/null
+++ b/src/main/java/io/snipeloom/edge/ReplicaFeed.java
@@ -0,0 +1,96 @@
+package io.snipeloom.edge;
+
+import io.snipeloom.forwarding.Fleet;
+import io.snipeloom.platform.ReplicaDecoder;
+import io.snipeloom.routing.Replica;
+import io.snipeloom.routing.ReplicaId;
+import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.store.KeyedRecord;
+import io.snipeloom.store.StoreAnswer;
+import io.snipeloom.store.TopicWatch;
+import io.snipeloom.telemetry.EventLog;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Applies the entries that replicas write to the store. Belongs to its event loop. */
+final class ReplicaFeed implements TopicWatch.Listener {
+  private final Fleet fleet;
+  private final EventLog log;
+  private final Consumer<StoreAnswer> onAnswer;
+
+  ReplicaFeed(Fleet fleet, EventLog log, Consumer<StoreAnswer> onAnswer) {
+    this.fleet = fleet;
+    this.log = log;
+    this.onAnswer = onAnswer;
+  }
+
+  @Override
+  public void onListed(List<KeyedRecord> records) {
+    List<Replica> replicas = new ArrayList<>();
+    for (KeyedRecord record : records) {
+      Replica replica = decoded(record);
+      if (replica != null) {
+        replicas.add(replica);
+        put(replica);
+      }
+    }
+    fleet.directory().replaceAll(replicas, System.nanoTime());
+  }
+
+  @Override
+  public void onAppended(List<KeyedRecord> records) {
+    for (KeyedRecord record : records) {
+      if (record.isRemoval()) {
+        remove(new ReplicaId(record.key()));
+        continue;
+      }
+      Replica replica = decoded(record);
+      if (replica != null) {
+        put(replica);
+      }
+    }
+  }
+
+  @Override
+  public void onAnswer(StoreAnswer answer) {
+    onAnswer.accept(answer);
+  }
+
+  private Replica decoded(KeyedRecord record) {
+    if (record.isRemoval()) {
+      return null;
+    }
+    try {
+      return ReplicaDecoder.decode(record.key(), record.value());
+    } catch (SnipeloomException e) {
+      log.log("replica_entry_refused", "replica", record.key(), "reason", e.getMessage());
+      return null;
+    }
+  }
+
+  private void put(Replica replica) {
+    if (fleet.put(replica)) {
+      log.log(
+          "replica",
+          "replica",
+          replica.id(),
+          "service",
+          replica.service(),
+          "address",
+          replica.address(),
+          "state",
+          replica.state(),
+          "born",
+          replica.bornMillis());
+    }
+  }
+
+  private void remove(ReplicaId id) {
+    boolean atOnce = fleet.directory().remove(id, System.nanoTime());
+    if (atOnce) {
+      fleet.forget(id);
+    }
+    log.log("replica_entry_removed", "replica", id, "out_of_use", atOnce);
+  }
+}
--- a/src/test/java/io/snipeloom/spend/SpendLoad.java
+++ b/src/test/java/io/snipeloom/spend/SpendLoad.java
@@ -80,6 +80,11 @@
     }
   }
 
+  /** Asks all instances to return what they hold, as before an orderly stop. */
+  void stopAll() {
+    instances.forEach(instance -> instance.control.returnAll(now));
+  }
+
   /** Forgets what was counted so far. */
   void countAnew() {
     served = 0;
--- a/src/test/java/io/snipeloom/spend/SpendLoadTest.java
+++ b/src/test/java/io/snipeloom/spend/SpendLoadTest.java
@@ -73,6 +73,27 @@
     }
   }
 
+  @Test
+  void stopDuringAnOutageLeavesTheHandToTheNextIncarnation() {
+    double stranded = 0;
+    double held = 0;
+    for (int seed = 0; seed < SEEDS; seed++) {
+      SpendLoad load = new SpendLoad(seed, LIMIT, true, 1, 1, 1, 1);
+      load.run(20);
+      held += load.heldShare();
+      double before = load.strandedShare();
+      load.storeAway(true);
+      load.run(0.3);
+      load.stopAll();
+      load.run(0.3);
+      load.restartAll(0.4, false);
+      load.storeAway(false);
+      load.run(0.3);
+      stranded += load.strandedShare() - before;
+    }
+    assertThat(stranded, lessThan(held / 2));
+  }
+
   @Test
   void nothingIsSpentTwiceOverRestartsAndOutages() {
     for (int seed = 0; seed < SEEDS; seed++) {
