Instances that are gone no longer count as members; a report follows a claim at once

Cause: FleetMembersTest, new, failed: an instance whose heartbeat stopped was forgotten and, its last heartbeat still being in the store, counted again at the next look. Ruled out: longer waits for loans (callers are refused later).

--- a/src/main/java/io/snipeloom/edge/FleetMembers.java
+++ b/src/main/java/io/snipeloom/edge/FleetMembers.java
@@ -85,15 +85,22 @@
           if (answer == StoreAnswer.DONE) {
             looks++;
             page.records().forEach(this::see);
-            seen.values().removeIf(last -> looks - last.look() >= MISSED_LOOKS);
-            listener.onMembers(Math.max(1, seen.size()), others());
+            Map<String, Seen> live = live();
+            listener.onMembers(Math.max(1, live.size()), others(live));
           }
         });
   }
 
-  private Map<String, InetSocketAddress> others() {
+  /** Heartbeats of instances that are gone stay in the store, so they are remembered as old. */
+  private Map<String, Seen> live() {
+    Map<String, Seen> live = new HashMap<>(seen);
+    live.values().removeIf(last -> looks - last.look() >= MISSED_LOOKS);
+    return live;
+  }
+
+  private Map<String, InetSocketAddress> others(Map<String, Seen> live) {
     Map<String, InetSocketAddress> others = new HashMap<>();
-    seen.forEach(
+    live.forEach(
         (name, last) -> {
           if (!name.equals(instance)) {
             address(last.heartbeat()).ifPresent(address -> others.put(name, address));
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -29,7 +29,7 @@
   private final String writer;
   private final LedgerStore store;
   private final SpendEvents events;
-  private final Runnable hurryReport;
+  private final UsageJournal journal;
   private final Map<CustomerId, CustomerAccount> accounts = new LinkedHashMap<>();
   private final Map<CustomerId, Long> totals = new HashMap<>();
   private ClaimPolicy policy;
@@ -53,8 +53,8 @@
       LedgerStore store,
       ClaimPolicy policy,
       SpendEvents events,
-      Runnable hurryReport) {
-    this.hurryReport = hurryReport;
+      UsageJournal journal) {
+    this.journal = journal;
     this.number = number;
     this.writer = writer;
     this.store = store;
@@ -252,13 +252,16 @@
               if (tokens > 0) {
                 CustomerAccount account = accounts.get(customer);
                 account.grant(tokens, nowNanos);
-                hurryReport.run();
+                journal.hurry();
                 events.onGranted(customer, tokens, total(customer), account.limit());
                 account.serveWaiters(nowNanos);
               } else {
                 events.onReturned(customer, -tokens);
               }
             });
+    if (accounts.values().stream().anyMatch(account -> account.waitsForReport(nowNanos))) {
+      journal.pump(nowNanos);
+    }
   }
 
   /** Takes back the returns of a write that certainly was not and never will be carried out. */
@@ -329,7 +332,7 @@
       account.setAside(returnable);
     }
     if (account.setAside() > 0 || account.waitsForReport(nowNanos)) {
-      hurryReport.run();
+      journal.hurry();
     }
     long returned = account.takeSetAside(nowNanos);
     if (returned > 0) {
--- a/src/main/java/io/snipeloom/spend/SpendControl.java
+++ b/src/main/java/io/snipeloom/spend/SpendControl.java
@@ -311,8 +311,7 @@
   private LedgerPartition partitionOf(CustomerId customer) {
     int number = Math.floorMod(customer.value().hashCode(), partitions.length);
     if (partitions[number] == null) {
-      partitions[number] =
-          new LedgerPartition(number, writer, store, policy, events, journal::hurry);
+      partitions[number] = new LedgerPartition(number, writer, store, policy, events, journal);
     }
     return partitions[number];
   }
