--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -39,6 +39,7 @@
   private boolean streaming;
   private long lastReceivedNanos;
   private int status;
+  private ResponseFraming framing = ResponseFraming.NONE;
   private HttpHeaders responseHeaders = new DefaultHttpHeaders();
   private AttemptFailure responseFailure;
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -110,6 +111,11 @@
     return status;
   }
 
+  /** Returns how the end of the response is marked. */
+  ResponseFraming framing() {
+    return framing;
+  }
+
   /** Returns the response headers to be sent to the caller. */
   HttpHeaders headersForCaller() {
     return fleet.codec().responseHeaders(responseHeaders);
@@ -208,6 +214,7 @@
   public boolean onHead(HttpResponse head) {
     lastReceivedNanos = System.nanoTime();
     status = head.status().code();
+    framing = ResponseFraming.of(head);
     responseHeaders = head.headers();
     ResponseMetadata metadata = fleet.codec().responseMetadata(status, responseHeaders);
     boolean hasAttemptId = !metadata.attemptId().isEmpty();
--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -119,8 +119,7 @@
       return;
     }
     lastHeaders = head.headers();
-    boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-    reusable = framed && HttpUtil.isKeepAlive(head);
+    reusable = ResponseFraming.of(head).isExplicit() && HttpUtil.isKeepAlive(head);
     skippingResponse = !listener.onHead(head);
     outOfSync |= skippingResponse;
   }
--- a/src/main/java/io/snipeloom/forwarding/EventStream.java
+++ b/src/main/java/io/snipeloom/forwarding/EventStream.java
@@ -46,6 +46,11 @@
     return lastEventId.isEmpty() ? Optional.empty() : Optional.of(lastEventId);
   }
 
+  /** Returns the number of bytes after the last complete event. */
+  int partialBytes() {
+    return pending.readableBytes();
+  }
+
   int eventCount() {
     return eventCount;
   }
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -63,6 +63,7 @@
   private long deadlineNanos;
   private ScheduledFuture<?> deadlineTimer;
   private Attempt attempt;
+  private ResponseProgress progress = ResponseProgress.NONE;
   private long firstByteMillis = -1;
   private int sends;
   private int possibleRuns;
@@ -309,10 +310,15 @@
 
   private void onCompleted(Attempt source) {
     attempt = null;
+    recordProgress(source);
     mayHaveRun = true;
     tried.add(source.view().replica().id());
   }
 
+  private void recordProgress(Attempt ended) {
+    progress = new ResponseProgress(ended.framing(), stream.eventCount(), stream.partialBytes());
+  }
+
   private void sendHeadOnce(Attempt source) {
     if (!headSent) {
       headSent = true;
@@ -342,6 +348,7 @@
     attempt = null;
     tried.add(failed.view().replica().id());
     recordFailure(failure);
+    recordProgress(failed);
     long remainingMillis = remainingMillis();
     boolean retry =
         caller.isOpen()
@@ -349,7 +356,8 @@
                 route, failure, possibleRuns, sends, connectFailures, remainingMillis)
             && (failure == AttemptFailure.NOT_CONNECTED
                 || fleet.retryAllowanceOf(service).tryRetry(System.nanoTime()));
-    log.attemptFailed(failed.view().replica().id(), failure, reason, sends, remainingMillis, retry);
+    log.attemptFailed(
+        failed.view().replica().id(), failure, reason, progress, sends, remainingMillis, retry);
     metrics.count("attempt_failed_" + failure.name().toLowerCase(Locale.ROOT));
     if (retry) {
       stream.discardPartialEvent();
@@ -452,6 +460,7 @@
             reason,
             sends,
             tried,
+            progress,
             consumedTokens,
             firstByteMillis,
             totalMillis));
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -101,6 +101,7 @@
       ReplicaId replica,
       AttemptFailure failure,
       String reason,
+      ResponseProgress progress,
       int sends,
       long remainingMillis,
       boolean retry) {
@@ -114,6 +115,12 @@
         failure,
         "reason",
         reason,
+        "framing",
+        progress.framing(),
+        "events",
+        progress.events(),
+        "partial_bytes",
+        progress.partialBytes(),
         "sends",
         sends,
         "left_ms",
@@ -144,6 +151,12 @@
         summary.sends(),
         "replicas",
         summary.replicas(),
+        "framing",
+        summary.progress().framing(),
+        "events",
+        summary.progress().events(),
+        "partial_bytes",
+        summary.progress().partialBytes(),
         "tokens",
         summary.tokens(),
         "first_ms",
@@ -163,6 +176,7 @@
    * @param reason a description of the failure, empty if the request was served
    * @param sends how often the request was sent to a replica
    * @param replicas the replicas of all attempts that completed or failed, in order
+   * @param progress how far the response of the last attempt had come when it ended
    * @param tokens the tokens counted as consumed
    * @param firstByteMillis the time from the arrival of the request to the first byte of the
    *     response, in milliseconds; -1 if there was none
@@ -177,6 +191,7 @@
       String reason,
       int sends,
       List<ReplicaId> replicas,
+      ResponseProgress progress,
       long tokens,
       long firstByteMillis,
       long millis) {}
