--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -65,6 +65,9 @@
     /** Called with bytes of an event stream; the owner must not retain the buffer. */
     void onStreamContent(Attempt attempt, ByteBuf content);
 
+    /** Returns whether the event stream may end where the replica ended it. */
+    boolean isStreamComplete(Attempt attempt);
+
     /** Called when the event stream is complete. */
     void onStreamEnd(Attempt attempt);
 
@@ -276,6 +279,11 @@
       owner.onFailed(this, responseFailure, "replica responded with status " + status);
       return;
     }
+    if (streaming && !owner.isStreamComplete(this)) {
+      view.health().onConnectionLost();
+      owner.onFailed(this, AttemptFailure.BROKEN, "stream ended inside an event or without any");
+      return;
+    }
     view.health().onResponse(true);
     if (streaming) {
       owner.onStreamEnd(this);
--- a/src/main/java/io/snipeloom/forwarding/EventStream.java
+++ b/src/main/java/io/snipeloom/forwarding/EventStream.java
@@ -17,6 +17,7 @@
   private final ByteBuf pending = Unpooled.buffer();
   private String lastEventId = "";
   private int eventCount;
+  private int eventsBeforeAttempt;
 
   /** Appends bytes and returns the events that are now complete; the result may be empty. */
   ByteBuf append(ByteBuf content) {
@@ -30,6 +31,15 @@
     return complete;
   }
 
+  /** Returns whether the bytes after the last complete event are the beginning of another event. */
+  boolean isInsideEvent() {
+    return pending.forEachByte(EventStream::isLineBreak) >= 0;
+  }
+
+  private static boolean isLineBreak(byte value) {
+    return value == '\n' || value == '\r';
+  }
+
   /** Returns and removes the bytes after the last complete event. */
   ByteBuf takeRemainder() {
     ByteBuf remainder = Unpooled.copiedBuffer(pending);
@@ -37,9 +47,15 @@
     return remainder;
   }
 
-  /** Discards the bytes after the last complete event, before a stream is resumed. */
-  void discardPartialEvent() {
+  /** Discards the bytes after the last complete event, before the next attempt. */
+  void beginAttempt() {
     pending.clear();
+    eventsBeforeAttempt = eventCount;
+  }
+
+  /** Returns the number of complete events since the current attempt began. */
+  int eventsOfAttempt() {
+    return eventCount - eventsBeforeAttempt;
   }
 
   Optional<String> lastEventId() {
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -290,6 +290,16 @@
     }
   }
 
+  /**
+   * Returns whether the stream may end here. The end of a connection, unlike a length or a last
+   * chunk, does not show that the replica had nothing to send.
+   */
+  @Override
+  public boolean isStreamComplete(Attempt source) {
+    boolean endIsMarked = source.framing().isExplicit();
+    return !stream.isInsideEvent() && (endIsMarked || stream.eventsOfAttempt() > 0);
+  }
+
   @Override
   public void onStreamEnd(Attempt source) {
     onCompleted(source);
@@ -360,7 +370,7 @@
         failed.view().replica().id(), failure, reason, progress, sends, remainingMillis, retry);
     metrics.count("attempt_failed_" + failure.name().toLowerCase(Locale.ROOT));
     if (retry) {
-      stream.discardPartialEvent();
+      stream.beginAttempt();
       dispatch();
     } else if (failure == AttemptFailure.ERROR_ANSWER) {
       relay(failed);
--- a/src/test/java/io/snipeloom/edge/ResponseEndTest.java
+++ b/src/test/java/io/snipeloom/edge/ResponseEndTest.java
@@ -103,8 +103,7 @@
     startReplica("e-2", script);
     String response = edge.send("/draft/1", "a1", PROMPT_HEADERS);
     assertThat(
-        response.replaceAll("\r\n[0-9a-f]+\r\n", ""),
-        containsString(FIRST_EVENT + SECOND_EVENT + "0\r\n"));
+        response.replaceAll("\r\n[0-9a-f]+\r\n", ""), containsString(FIRST_EVENT + SECOND_EVENT));
     assertThat(response, endsWith(END_OF_CHUNKS));
   }
 
--- a/src/test/java/io/snipeloom/forwarding/EventStreamTest.java
+++ b/src/test/java/io/snipeloom/forwarding/EventStreamTest.java
@@ -25,11 +25,34 @@
   @Test
   void partialEventIsDiscardedBeforeResuming() {
     append("id: 1\ndata: a\n\nid: 2\nda");
-    stream.discardPartialEvent();
+    stream.beginAttempt();
     assertThat(append("id: 2\ndata: b\n\n"), is("id: 2\ndata: b\n\n"));
     assertThat(stream.eventCount(), is(2));
   }
 
+  @Test
+  void unfinishedLineOrEventIsInsideEventAndBlankLinesAreNot() {
+    assertThat(stream.isInsideEvent(), is(false));
+    append("id: 1\ndata: a\n\n");
+    assertThat(stream.isInsideEvent(), is(false));
+    append("\n");
+    assertThat(stream.isInsideEvent(), is(false));
+    append("id: 2\ndata: b\n");
+    assertThat(stream.isInsideEvent(), is(true));
+    append("\n");
+    assertThat(stream.isInsideEvent(), is(false));
+  }
+
+  @Test
+  void eventsAreCountedOverAllAttemptsAndForTheCurrentOne() {
+    append("id: 1\ndata: a\n\nid: 2\nda");
+    stream.beginAttempt();
+    assertThat(stream.eventsOfAttempt(), is(0));
+    append("id: 2\ndata: b\n\n");
+    assertThat(stream.eventsOfAttempt(), is(1));
+    assertThat(stream.eventCount(), is(2));
+  }
+
   @Test
   void bytesAfterLastCompleteEventAreKept() {
     append("id: 1\ndata: a\n\ntail");
