A failed write is not the end of a response without a length

Cause: when a write fails the transport closes the channel without an error to the reader; the decoder then ends a response without a length as complete. Now the failed write ends the attempt first. Evidence: ClientConnectionTest, 1 of 2 failed before, 0 after; EdgeDaemonTest 23 of 23. Ruled out: judging by the close alone, which looks the same for both.

--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -62,7 +62,18 @@
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1, method, uri, body, headers, new DefaultHttpHeaders());
     receiver.onSent();
-    channel.writeAndFlush(request).addListener(done -> written = done.isSuccess());
+    channel.writeAndFlush(request).addListener(done -> onWritten(done.isSuccess()));
+  }
+
+  /**
+   * Records the outcome of the write. A failed write closes the channel, and that must not count as
+   * the end of a response that ends with its connection.
+   */
+  private void onWritten(boolean succeeded) {
+    written = succeeded;
+    if (!succeeded) {
+      fail("request could not be written");
+    }
   }
 
   /** Closes the connection without notifying the listener of a pending request. */
