A listing that was cut off is not an empty topic

Cause: a response without a length whose body is empty or a part was decoded as an empty listing at offset 0; replicas or the configuration would seem gone. Reads were whole already (they continue at the number of records that arrived).

--- a/src/main/java/io/snipeloom/platform/PlatformStore.java
+++ b/src/main/java/io/snipeloom/platform/PlatformStore.java
@@ -180,6 +180,9 @@
 
   private static RecordPage decodeListing(ByteBuf body) throws IOException {
     JsonNode root = MAPPER.readTree(ByteBufUtil.getBytes(body));
+    if (!root.path("items").isArray() || !root.path("end").canConvertToLong()) {
+      throw new IOException("response body is not a whole listing");
+    }
     List<KeyedRecord> records = new ArrayList<>();
     for (JsonNode item : root.path("items")) {
       byte[] value = Base64.getDecoder().decode(item.path("value").asText());
--- /dev/null
+++ b/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
@@ -0,0 +1,60 @@
+package io.snipeloom.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.snipeloom.forwarding.AsyncHttpClient;
+import io.snipeloom.store.StoreOutcome;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests how responses of the store are judged; a script writes them to the socket. */
+class PlatformStoreTest {
+  private final MultiThreadIoEventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+  @AfterEach
+  void stopLoops() {
+    loops.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  /** Guards against a listing that was cut off and is taken for an empty topic. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "{", "{}", "{\"items\":[]}", "{\"end\":3}"})
+  void listingThatWasCutOffIsNotAnEmptyTopic(String body) throws Exception {
+    assertThat(list(body), is(StoreOutcome.UNKNOWN));
+  }
+
+  @Test
+  void wholeListingIsAccepted() throws Exception {
+    assertThat(list("{\"items\":[],\"hasMore\":false,\"end\":3}"), is(StoreOutcome.DONE));
+  }
+
+  /** Lists a topic of a store that sends a body without a length and closes the connection. */
+  private StoreOutcome list(String body) throws Exception {
+    FakeReplica.Script script =
+        (request, socket) -> {
+          FakeReplica.write(socket, "HTTP/1.1 200 OK\r\n\r\n" + body);
+          return false;
+        };
+    try (FakeReplica server = FakeReplica.start(script)) {
+      InetSocketAddress address =
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
+      PlatformStore store = new PlatformStore(new AsyncHttpClient(loops.next(), address));
+      CompletableFuture<StoreOutcome> outcome = new CompletableFuture<>();
+      loops
+          .next()
+          .execute(
+              () -> store.newest("servers", 0, "", (result, page) -> outcome.complete(result)));
+      return outcome.get(10, TimeUnit.SECONDS);
+    }
+  }
+}
