--- a/src/main/java/io/snipeloom/edge/ReplicaFeed.java
+++ b/src/main/java/io/snipeloom/edge/ReplicaFeed.java
@@ -83,6 +83,8 @@
           replica.service(),
           "address",
           replica.address(),
+          "version",
+          replica.version(),
           "state",
           replica.state(),
           "born",
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -261,7 +261,12 @@
               fleet.picker().recordPrompt(prompt, now);
               sent.view().prefixCache().recordPrompt(prompt.parts());
             });
-    log.sent(sent.view(), sent.uncachedTokens(), now, remainingMillis());
+    log.sent(sent.view(), resumePosition(), sent.uncachedTokens(), now, remainingMillis());
+  }
+
+  private ResumePosition resumePosition() {
+    String lastEventId = stream.lastEventId().or(metadata::lastEventId).orElse("");
+    return new ResumePosition(metadata.resumedAttempt().orElse(""), lastEventId);
   }
 
   @Override
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -56,13 +56,24 @@
   }
 
   /** Logs that a request is sent to a replica, with the estimated state of the replica. */
-  void sent(ReplicaView view, long uncachedTokens, long nowNanos, long remainingMillis) {
+  void sent(
+      ReplicaView view,
+      ResumePosition position,
+      long uncachedTokens,
+      long nowNanos,
+      long remainingMillis) {
     log.log(
         "sent",
         "id",
         id,
         "replica",
         view.replica().id(),
+        "version",
+        view.replica().version(),
+        "resumes",
+        position.attempt(),
+        "after_event",
+        position.lastEventId(),
         "unread_tokens",
         uncachedTokens,
         "in_flight",
--- a/src/main/java/io/snipeloom/platform/PlatformHeaders.java
+++ b/src/main/java/io/snipeloom/platform/PlatformHeaders.java
@@ -32,6 +32,7 @@
   private static final String TOKEN_COUNTS = "Snipeloom-Token-Counts";
   private static final String PROMPT_PREFIX = "Snipeloom-Prompt-Prefix";
   private static final String LAST_EVENT_ID = "Last-Event-Id";
+  private static final String RESUMES = "Resumes";
   private static final String EXPECT_REPLICA = "Snipeloom-Expect-Replica";
   private static final String REQUEST_PRIORITY = "Snipeloom-Request-Priority";
   private static final String SIGNATURE = "Snipeloom-Replica-Signature";
@@ -83,7 +84,8 @@
         timeoutMillis(headers.get(DEADLINE_MS)),
         Optional.ofNullable(headers.get(CREDENTIAL)),
         prompt(headers.get(TOKEN_COUNTS), headers.get(PROMPT_PREFIX)),
-        Optional.ofNullable(headers.get(LAST_EVENT_ID)));
+        Optional.ofNullable(headers.get(LAST_EVENT_ID)),
+        Optional.ofNullable(headers.get(RESUMES)));
   }
 
   @Override
--- a/src/main/java/io/snipeloom/platform/ReplicaDecoder.java
+++ b/src/main/java/io/snipeloom/platform/ReplicaDecoder.java
@@ -5,6 +5,7 @@
 import io.snipeloom.routing.Replica;
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.ReplicaState;
+import io.snipeloom.routing.SoftwareVersion;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import java.io.IOException;
@@ -37,6 +38,7 @@
           node.path("born").asLong(0),
           text(node, "service"),
           address(text(node, "address")),
+          new SoftwareVersion(text(node, "version")),
           text(node, "zone"),
           slots(node),
           state(text(node, "state")));
--- a/src/main/java/io/snipeloom/routing/Replica.java
+++ b/src/main/java/io/snipeloom/routing/Replica.java
@@ -10,6 +10,7 @@
  *     same ID
  * @param service the service that the replica belongs to
  * @param address the address that the replica listens on
+ * @param version the version of its software
  * @param zone the availability zone of the replica
  * @param slots the number of requests that the replica executes concurrently
  * @param state whether the replica accepts requests
@@ -19,6 +20,7 @@
     long startedAtMillis,
     String service,
     InetSocketAddress address,
+    SoftwareVersion version,
     String zone,
     int slots,
     ReplicaState state) {
--- a/src/main/java/io/snipeloom/routing/RequestMetadata.java
+++ b/src/main/java/io/snipeloom/routing/RequestMetadata.java
@@ -11,10 +11,12 @@
  * @param apiKey the API key of the customer, if stated
  * @param prompt the prompt of a model request; empty for other requests
  * @param lastEventId the last event that the caller received of a stream that it resumes
+ * @param resumedAttempt the attempt that received the first event of that stream, if stated
  */
 public record RequestMetadata(
     String attemptId,
     OptionalLong timeoutMillis,
     Optional<String> apiKey,
     Optional<Prompt> prompt,
-    Optional<String> lastEventId) {}
+    Optional<String> lastEventId,
+    Optional<String> resumedAttempt) {}
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -93,15 +93,20 @@
         .formatted(prefix, prefix, type, service, attempts, resume);
   }
 
-  /** Writes the entry of a replica to the store. */
+  /** Writes the entry of a replica of version v1 to the store. */
   void register(String id, String service, FakeReplica replica, String state) {
+    register(id, service, replica, state, "v1");
+  }
+
+  /** Writes the entry of a replica to the store. */
+  void register(String id, String service, FakeReplica replica, String state, String version) {
     registered.add(id);
     store.put(
         "keyed.servers",
         id,
         ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"zone-a\",\"slots\":6,"
-                + "\"state\":\"%s\",\"born\":1}")
-            .formatted(service, replica.port(), state));
+                + "\"version\":\"%s\",\"state\":\"%s\",\"born\":1}")
+            .formatted(service, replica.port(), version, state));
   }
 
   /** Waits until the instance reports that it is ready and has logged each registered replica. */
--- a/src/test/java/io/snipeloom/platform/PlatformCodecTest.java
+++ b/src/test/java/io/snipeloom/platform/PlatformCodecTest.java
@@ -18,6 +18,7 @@
 import io.snipeloom.routing.ResponseMetadata;
 import io.snipeloom.routing.Route;
 import io.snipeloom.routing.RouteType;
+import io.snipeloom.routing.SoftwareVersion;
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.store.KeyedRecord;
 import java.nio.charset.StandardCharsets;
@@ -88,6 +89,7 @@
     assertThat(replica.state(), is(ReplicaState.READY));
     assertThat(replica.startedAtMillis(), is(1_773_013_534_061L));
     assertThat(replica.address().getPort(), is(8080));
+    assertThat(replica.version(), is(new SoftwareVersion("v1")));
   }
 
   @Test
@@ -103,7 +105,9 @@
       ENTRY.replace("\"10.128.0.9:8080\"", "5"),
       ENTRY.replace(":64,", ":\"many\","),
       ENTRY.replace(":64,", ":-1,"),
-      ENTRY.replace("\"zone\":\"dar-a\",", "")
+      ENTRY.replace("\"zone\":\"dar-a\",", ""),
+      ENTRY.replace("\"version\":\"v1\",", ""),
+      ENTRY.replace("\"version\":\"v1\"", "\"version\":1")
     };
     for (String entry : invalid) {
       assertThrows(
--- a/src/test/java/io/snipeloom/routing/ReplicaDirectoryTest.java
+++ b/src/test/java/io/snipeloom/routing/ReplicaDirectoryTest.java
@@ -68,6 +68,7 @@
         startedAtMillis,
         "service",
         new InetSocketAddress(InetAddress.getLoopbackAddress(), 9_000),
+        new SoftwareVersion("v1"),
         "zone",
         64,
         state);
--- a/src/test/java/io/snipeloom/routing/ReplicaPickerTest.java
+++ b/src/test/java/io/snipeloom/routing/ReplicaPickerTest.java
@@ -168,6 +168,7 @@
               1,
               "service",
               new InetSocketAddress(InetAddress.getLoopbackAddress(), 9_000 + i),
+              new SoftwareVersion("v1"),
               "zone",
               64,
               ReplicaState.READY);
