--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -165,6 +165,11 @@
     daemon.stop();
   }
 
+  /** Ends the instance as a crash does; the store goes on. */
+  void halt() {
+    daemon.halt();
+  }
+
   @Override
   public void close() {
     daemon.halt();
--- /dev/null
+++ b/src/test/java/io/snipeloom/edge/StreamVersionTest.java
@@ -0,0 +1,211 @@
+package io.snipeloom.edge;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import io.snipeloom.platform.FakeReplica;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Tests that a stream goes on only at the software version that began it, within a response and
+ * over the attempts of a caller. Each event of the fake replicas names their version.
+ */
+@Timeout(60)
+class StreamVersionTest {
+  private static final String PROMPT_HEADERS =
+      "Snipeloom-Token-Counts: 1000,100\r\nSnipeloom-Prompt-Prefix: aa:1000\r\n";
+  private static final String END_OF_CHUNKS = "0\r\n\r\n";
+
+  /** Enough for both versions to begin some of the streams. */
+  private static final int STREAMS = 16;
+
+  private final List<FakeReplica> replicas = new ArrayList<>();
+  private EdgeFixture edge;
+
+  @BeforeEach
+  void startInstance() throws IOException {
+    edge = new EdgeFixture();
+  }
+
+  @AfterEach
+  void stopInstance() throws IOException {
+    edge.close();
+    for (FakeReplica replica : replicas) {
+      replica.close();
+    }
+  }
+
+  /** Guards against a stream that an instance resumes at a replica of another version. */
+  @Test
+  void brokenStreamResumesAtReplicaOfSameVersion() throws Exception {
+    startReplicas(StreamVersionTest::breakAfterFirstEvent, "v1", "v1", "v2", "v2");
+    for (int i = 0; i < STREAMS; i++) {
+      String response = edge.send("/draft/1", "a" + i, PROMPT_HEADERS);
+      String version = versionOfFirstEvent(response);
+      assertThat(response, containsString("id: 2\ndata: " + version + "\n\n"));
+      assertThat(response, endsWith(END_OF_CHUNKS));
+    }
+  }
+
+  /** Guards against another version taking over when no replica of the first one is left. */
+  @Test
+  void brokenStreamIsCutOffIfItsVersionIsGone() throws Exception {
+    startReplicas(StreamVersionTest::breakAfterFirstEvent, "v2", "v2");
+    FakeReplica last =
+        FakeReplica.start(
+            (request, socket) -> {
+              edge.register("e-9", "llm", replicas.get(replicas.size() - 1), "draining", "v1");
+              edge.awaitLog("version=v1 state=DRAINING");
+              return breakAfterFirstEvent("v1", request, socket);
+            });
+    replicas.add(last);
+    edge.register("e-9", "llm", last, "ready", "v1");
+    edge.awaitLog("version=v1 state=READY");
+    for (int i = 0; i < 2 * STREAMS && last.requests().isEmpty(); i++) {
+      String response = edge.send("/draft/1", "a" + i, PROMPT_HEADERS);
+      if (!last.requests().isEmpty()) {
+        assertThat(response, allOf(containsString("data: v1"), not(containsString("data: v2"))));
+        assertThat(response, not(endsWith(END_OF_CHUNKS)));
+      }
+    }
+    assertThat(last.requests(), hasSize(1));
+  }
+
+  /** Guards against a caller's stream that another instance resumes at another version. */
+  @Test
+  void streamTakenUpAtAnotherInstanceGoesOnAtVersionThatBeganIt() throws Exception {
+    startReplicas(StreamVersionTest::breakUnlessTakenUp, "v1", "v1", "v2", "v2");
+    try (EdgeFixture second = new EdgeFixture("edge-2", edge.store)) {
+      second.awaitReady();
+      second.awaitLog("replica=e-3 ");
+      for (int i = 0; i < STREAMS; i++) {
+        String version = versionOfFirstEvent(edge.send("/draft/1", "a" + i, PROMPT_HEADERS));
+        String response = takeUp(second, "a" + i);
+        assertThat(response, containsString("id: 2\ndata: " + version + "\n\n"));
+      }
+    }
+  }
+
+  /** Guards against the loss of what began a stream with the instance that passed it on. */
+  @Test
+  void streamTakenUpAfterCrashOfItsInstanceGoesOnAtVersionThatBeganIt() throws Exception {
+    startReplicas(StreamVersionTest::breakUnlessTakenUp, "v1", "v2");
+    List<String> versions = new ArrayList<>();
+    for (int i = 0; i < STREAMS; i++) {
+      versions.add(versionOfFirstEvent(edge.send("/draft/1", "a" + i, PROMPT_HEADERS)));
+    }
+    edge.awaitLog("event=stream_origins_recorded total=" + STREAMS);
+    edge.halt();
+    try (EdgeFixture second = new EdgeFixture("edge-2", edge.store)) {
+      second.awaitReady();
+      second.awaitLog("replica=e-1 ");
+      for (int i = 0; i < STREAMS; i++) {
+        assertThat(
+            takeUp(second, "a" + i), containsString("id: 2\ndata: " + versions.get(i) + "\n\n"));
+      }
+    }
+  }
+
+  /** Guards against a guess when nothing tells which version began a stream. */
+  @Test
+  void streamOfUnknownOriginIsRefusedWhileVersionsDiffer() throws Exception {
+    startReplicas(StreamVersionTest::breakUnlessTakenUp, "v1", "v2");
+    String response = takeUp(edge, "unknown");
+    assertThat(response, allOf(startsWith("HTTP/1.1 503"), containsString("retry-after")));
+    assertThat(replicas.get(0).requests(), hasSize(0));
+    assertThat(replicas.get(1).requests(), hasSize(0));
+  }
+
+  @Test
+  void streamOfUnknownOriginGoesOnWhileThereIsOneVersion() throws Exception {
+    startReplicas(StreamVersionTest::breakUnlessTakenUp, "v1", "v1");
+    assertThat(takeUp(edge, "unknown"), containsString("id: 2\ndata: v1\n\n"));
+  }
+
+  /** Writes the response of a replica of some version. */
+  private interface VersionScript {
+    boolean respond(String version, FakeReplica.Request request, Socket socket)
+        throws IOException, InterruptedException;
+  }
+
+  private static boolean breakAfterFirstEvent(
+      String version, FakeReplica.Request request, Socket socket) throws IOException {
+    if (request.headers().containsKey("Last-Event-Id")) {
+      return sendSecondEvent(version, request, socket);
+    }
+    sendFirstEvent(version, request, socket);
+    return false;
+  }
+
+  /** Breaks off until the caller itself takes the stream up. */
+  private static boolean breakUnlessTakenUp(
+      String version, FakeReplica.Request request, Socket socket) throws IOException {
+    if (request.headers().containsKey("Resumes")) {
+      return sendSecondEvent(version, request, socket);
+    }
+    if (!request.headers().containsKey("Last-Event-Id")) {
+      sendFirstEvent(version, request, socket);
+    }
+    return false;
+  }
+
+  private static void sendFirstEvent(String version, FakeReplica.Request request, Socket socket)
+      throws IOException {
+    FakeReplica.write(socket, head(request) + chunk("id: 1\ndata: " + version + "\n\n"));
+  }
+
+  private static boolean sendSecondEvent(String version, FakeReplica.Request request, Socket socket)
+      throws IOException {
+    String event = chunk("id: 2\ndata: " + version + "\n\n");
+    FakeReplica.write(socket, head(request) + event + END_OF_CHUNKS);
+    return true;
+  }
+
+  private static String head(FakeReplica.Request request) {
+    return "HTTP/1.1 200 OK\r\nSnipeloom-Attempt-Id: "
+        + request.attempt()
+        + "\r\nSnipeloom-Replica-Signature: s\r\nContent-Type: text/event-stream\r\n"
+        + "Transfer-Encoding: chunked\r\n\r\n";
+  }
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  private static String versionOfFirstEvent(String response) {
+    assertThat(response, startsWith("HTTP/1.1 200"));
+    boolean first = response.contains("id: 1\ndata: v1\n\n");
+    assertThat(first || response.contains("id: 1\ndata: v2\n\n"), is(true));
+    return first ? "v1" : "v2";
+  }
+
+  /** Takes up, as a caller does, the stream whose first event an earlier attempt received. */
+  private static String takeUp(EdgeFixture instance, String attempt) throws IOException {
+    String position = "Last-Event-Id: 1\r\nResumes: " + attempt + "\r\n";
+    return instance.send("/draft/1", attempt + "-again", PROMPT_HEADERS + position);
+  }
+
+  private void startReplicas(VersionScript script, String... versions) throws Exception {
+    for (String version : versions) {
+      FakeReplica replica =
+          FakeReplica.start((request, socket) -> script.respond(version, request, socket));
+      edge.register("e-" + replicas.size(), "llm", replica, "ready", version);
+      replicas.add(replica);
+    }
+    edge.configure(1, 1_000_000);
+    edge.awaitReady();
+  }
+}
