--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.routing.CustomerConfiguration;
 import io.snipeloom.routing.FleetConfiguration;
 import io.snipeloom.routing.ForwardMetadata;
@@ -58,6 +59,7 @@
   private FleetConfiguration configuration;
   private Route route;
   private String service;
+  private Optional<StreamOrigin> origin = Optional.empty();
   private Optional<CustomerConfiguration> customer = Optional.empty();
   private Reservation reservation;
   private long deadlineNanos;
@@ -205,7 +207,7 @@
 
   private void dispatch() {
     long now = System.nanoTime();
-    List<ReplicaView> candidates = Fleet.untried(fleet.availableReplicas(service), tried);
+    List<ReplicaView> candidates = candidates();
     Optional<ReplicaView> picked =
         metadata
             .prompt()
@@ -226,6 +228,20 @@
     attempt.connect();
   }
 
+  /**
+   * Returns the replicas that may get the request, of a stream that has begun those of its origin.
+   */
+  private List<ReplicaView> candidates() {
+    List<ReplicaView> available = fleet.availableReplicas(service);
+    List<ReplicaView> suitable =
+        origin
+            .map(
+                found ->
+                    available.stream().filter(view -> found.isOriginOf(view.replica())).toList())
+            .orElse(available);
+    return Fleet.untried(suitable, tried);
+  }
+
   @Override
   public boolean isCallerWaiting() {
     return !done && caller.isOpen();
@@ -288,6 +304,7 @@
     }
     mayHaveRun = true;
     source.onFirstEvent();
+    recordOrigin(source);
     sendHeadOnce(source);
     caller.sendContent(complete);
     if (!caller.isWritable()) {
@@ -295,6 +312,12 @@
     }
   }
 
+  private void recordOrigin(Attempt source) {
+    if (origin.isEmpty()) {
+      origin = Optional.of(StreamOrigin.of(source.view().replica()));
+    }
+  }
+
   /**
    * Returns whether the stream may end here. The end of a connection, unlike a length or a last
    * chunk, does not show that the replica had nothing to send.
--- a/src/main/java/io/snipeloom/routing/Replica.java
+++ b/src/main/java/io/snipeloom/routing/Replica.java
@@ -40,6 +40,7 @@
   public boolean isSameIncarnation(Replica other) {
     return id.equals(other.id)
         && startedAtMillis == other.startedAtMillis
+        && version.equals(other.version)
         && address.equals(other.address);
   }
 }
