--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -11,6 +11,7 @@
 import io.snipeloom.platform.PlatformHeaders;
 import io.snipeloom.platform.PlatformStore;
 import io.snipeloom.platform.PlatformTopics;
+import io.snipeloom.resumption.StreamContinuity;
 import io.snipeloom.routing.Replica;
 import io.snipeloom.routing.RetryAllowance;
 import io.snipeloom.spend.ClaimPolicy;
@@ -18,6 +19,7 @@
 import io.snipeloom.spend.SpendControl;
 import io.snipeloom.store.KeyedLedger;
 import io.snipeloom.store.KeyedLog;
+import io.snipeloom.store.KeyedOrigins;
 import io.snipeloom.store.KeyedUsage;
 import io.snipeloom.store.StoreOutcome;
 import io.snipeloom.store.TopicWatch;
@@ -40,6 +42,7 @@
 public final class EdgeDaemon {
   private static final String LEDGER_TOPIC = "ledger";
   private static final String USAGE_TOPIC = "usage";
+  private static final String ORIGIN_TOPIC = "streams";
 
   /** Length of a store outage that the tokens claimed ahead are meant to cover, in seconds. */
   private static final double OUTAGE_COVERAGE_SECONDS = 10;
@@ -118,7 +121,13 @@
             loanClient,
             new SpendEventLogger(log, metrics));
     this.fleet =
-        new Fleet(loop, new PlatformHeaders(), settings.zone(), spend, this::newRetryAllowance);
+        new Fleet(
+            loop,
+            new PlatformHeaders(),
+            settings.zone(),
+            spend,
+            newStreamContinuity(),
+            this::newRetryAllowance);
     this.proxyServer = new ProxyServer(loop, fleet, log, metrics);
   }
 
@@ -191,7 +200,7 @@
             READ_WAIT_MILLIS,
             REPLICA_READ_PAUSE_MILLIS,
             timer,
-            new ReplicaFeed(fleet, log, this::onStoreOutcome))
+            new ReplicaFeed(fleet, log, this::onRegistryOutcome))
         .start();
     FleetMembers members =
         new FleetMembers(store, settings.instance(), settings.loans(), this::onMembers);
@@ -202,6 +211,7 @@
     long nowNanos = System.nanoTime();
     proxyServer.tick(nowNanos);
     fleet.spend().tick(nowNanos);
+    fleet.streams().tick(fleet.directory().replicas(), nowNanos);
     proxyServer.closeTimedOut();
     fleet.closeStaleConnections();
     for (Replica expired : fleet.directory().removeMissing(nowNanos)) {
@@ -246,6 +256,15 @@
     }
   }
 
+  private StreamContinuity newStreamContinuity() {
+    OriginEventLogger events = new OriginEventLogger(log, metrics);
+    return new StreamContinuity(
+        new KeyedOrigins(store, ORIGIN_TOPIC, settings.instance(), events::onMalformed),
+        System::currentTimeMillis,
+        () -> fleetSize,
+        events);
+  }
+
   private RetryAllowance newRetryAllowance() {
     return new RetryAllowance(
         settings.retryRatio(),
@@ -273,6 +292,13 @@
     return new OperationsServer.TextResponse(200, MetricsText.of(metrics.registry()));
   }
 
+  private void onRegistryOutcome(StoreOutcome outcome) {
+    if (outcome == StoreOutcome.DONE) {
+      fleet.streams().onRegistryRead(System.nanoTime());
+    }
+    onStoreOutcome(outcome);
+  }
+
   private void onStoreOutcome(StoreOutcome outcome) {
     boolean available = outcome.isStoreAvailable();
     if (available) {
--- /dev/null
+++ b/src/main/java/io/snipeloom/edge/OriginEventLogger.java
@@ -0,0 +1,39 @@
+package io.snipeloom.edge;
+
+import io.snipeloom.resumption.StreamContinuity;
+import io.snipeloom.telemetry.EventLog;
+import io.snipeloom.telemetry.FleetMetrics;
+
+/** Logs and counts what happens to the recorded origins of streams. Thread-safe. */
+final class OriginEventLogger implements StreamContinuity.Listener {
+  private final EventLog log;
+  private final FleetMetrics metrics;
+
+  OriginEventLogger(EventLog log, FleetMetrics metrics) {
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void onRecorded(long total) {
+    metrics.count("stream_origin_recordings");
+    log.log("stream_origins_recorded", "total", total);
+  }
+
+  @Override
+  public void onRecordingFailed(int streams) {
+    metrics.count("stream_origin_recordings_failed");
+    log.log("stream_origins_not_recorded", "streams", streams);
+  }
+
+  @Override
+  public void onReadFailed() {
+    metrics.count("stream_origin_reads_failed");
+    log.log("stream_origins_not_read");
+  }
+
+  /** Logs a batch that another instance wrote and that cannot be decoded. */
+  void onMalformed(String instance) {
+    log.log("stream_origins_refused", "instance", instance);
+  }
+}
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.snipeloom.resumption.OriginLookup;
 import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.routing.CustomerConfiguration;
 import io.snipeloom.routing.FleetConfiguration;
@@ -14,6 +15,7 @@
 import io.snipeloom.routing.ReplicaView;
 import io.snipeloom.routing.RequestMetadata;
 import io.snipeloom.routing.Route;
+import io.snipeloom.routing.RouteType;
 import io.snipeloom.spend.ReserveOutcome;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
@@ -146,9 +148,54 @@
     }
     service = route.serviceFor(Math.random());
     scheduleDeadline();
+    if (takesUpStream()) {
+      findOrigin();
+    } else {
+      reserveTokens();
+    }
+  }
+
+  /** Returns whether the caller goes on with a stream of which it has received events. */
+  private boolean takesUpStream() {
+    return route.type() == RouteType.STREAMING
+        && route.resumable()
+        && metadata.lastEventId().isPresent();
+  }
+
+  private void findOrigin() {
+    fleet
+        .streams()
+        .find(metadata.resumedAttempt(), service, System.nanoTime(), this::onOriginLookup);
+  }
+
+  private void onOriginLookup(OriginLookup lookup) {
+    if (done) {
+      return;
+    }
+    log.streamOrigin(metadata.resumedAttempt().orElse(""), lookup);
+    metrics.count("stream_origin_" + lookup.source().name().toLowerCase(Locale.ROOT));
+    if (lookup.origin().filter(found -> route.leadsTo(found.service())).isEmpty()) {
+      refuseToTakeUp(lookup);
+      return;
+    }
+    origin = lookup.origin();
+    service = origin.get().service();
     reserveTokens();
   }
 
+  private void refuseToTakeUp(OriginLookup lookup) {
+    String reason =
+        lookup.origin().isEmpty()
+            ? "what began the stream is not known"
+            : "the route no longer leads to the service that began the stream";
+    long retryMillis =
+        fleet.isStoreAvailable()
+            ? LocalResponse.CRASH_RETRY_MILLIS
+            : LocalResponse.OUTAGE_RETRY_MILLIS;
+    respond(
+        LocalResponse.notExecuted(ErrorCode.NO_UPSTREAM, reason, retryMillis, remainingMillis()));
+  }
+
   private void scheduleDeadline() {
     long limitMillis =
         Math.min(route.timeoutMillis(), metadata.timeoutMillis().orElse(Long.MAX_VALUE));
@@ -314,7 +361,11 @@
 
   private void recordOrigin(Attempt source) {
     if (origin.isEmpty()) {
-      origin = Optional.of(StreamOrigin.of(source.view().replica()));
+      StreamOrigin begun = StreamOrigin.of(source.view().replica());
+      origin = Optional.of(begun);
+      if (route.resumable()) {
+        fleet.streams().onBegun(metadata.attemptId(), begun, System.nanoTime());
+      }
     }
   }
 
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -1,5 +1,7 @@
 package io.snipeloom.forwarding;
 
+import io.snipeloom.resumption.OriginLookup;
+import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.ReplicaView;
 import io.snipeloom.spend.ReserveOutcome;
@@ -55,6 +57,22 @@
         storeAvailable);
   }
 
+  /** Logs what began the stream that a caller takes up, or that nothing tells it. */
+  void streamOrigin(String resumedAttempt, OriginLookup lookup) {
+    log.log(
+        "stream_origin",
+        "id",
+        id,
+        "resumes",
+        resumedAttempt,
+        "service",
+        lookup.origin().map(StreamOrigin::service).orElse(""),
+        "version",
+        lookup.origin().map(found -> found.version().value()).orElse(""),
+        "source",
+        lookup.source());
+  }
+
   /** Logs that a request is sent to a replica, with the estimated state of the replica. */
   void sent(
       ReplicaView view,
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -1,6 +1,7 @@
 package io.snipeloom.forwarding;
 
 import io.netty.channel.EventLoop;
+import io.snipeloom.resumption.StreamContinuity;
 import io.snipeloom.routing.CustomerConfiguration;
 import io.snipeloom.routing.EngineTraits;
 import io.snipeloom.routing.FleetConfiguration;
@@ -31,6 +32,7 @@
   private final ReplicaPicker picker;
   private final ReplicaDirectory directory = new ReplicaDirectory();
   private final SpendControl spend;
+  private final StreamContinuity streams;
   private final Supplier<RetryAllowance> newRetryAllowance;
   private final Map<ReplicaId, ReplicaView> views = new HashMap<>();
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
@@ -45,6 +47,7 @@
    * @param codec encodes and decodes headers
    * @param zone the availability zone of this instance
    * @param spend controls the use of prepaid tokens
+   * @param streams knows what began the streams that callers take up again
    * @param newRetryAllowance creates the retry allowance of a service
    */
   public Fleet(
@@ -52,11 +55,13 @@
       HeaderCodec codec,
       String zone,
       SpendControl spend,
+      StreamContinuity streams,
       Supplier<RetryAllowance> newRetryAllowance) {
     this.loop = loop;
     this.codec = codec;
     this.picker = new ReplicaPicker(zone);
     this.spend = spend;
+    this.streams = streams;
     this.newRetryAllowance = newRetryAllowance;
   }
 
@@ -122,6 +127,11 @@
     }
   }
 
+  /** Returns what this instance knows of the streams that callers take up again. */
+  public StreamContinuity streams() {
+    return streams;
+  }
+
   /** Returns the control of prepaid tokens. */
   public SpendControl spend() {
     return spend;
--- a/src/main/java/io/snipeloom/platform/PlatformHeaders.java
+++ b/src/main/java/io/snipeloom/platform/PlatformHeaders.java
@@ -84,8 +84,8 @@
         timeoutMillis(headers.get(DEADLINE_MS)),
         Optional.ofNullable(headers.get(CREDENTIAL)),
         prompt(headers.get(TOKEN_COUNTS), headers.get(PROMPT_PREFIX)),
-        Optional.ofNullable(headers.get(LAST_EVENT_ID)),
-        Optional.ofNullable(headers.get(RESUMES)));
+        text(headers, LAST_EVENT_ID),
+        text(headers, RESUMES));
   }
 
   @Override
@@ -166,6 +166,11 @@
     return Set.of(value.toLowerCase(Locale.ROOT).split("\\s*,\\s*", 2));
   }
 
+  /** Returns the value of a header, empty if it is missing or blank. */
+  private static Optional<String> text(HttpHeaders headers, String name) {
+    return Optional.ofNullable(headers.get(name)).filter(value -> !value.isBlank());
+  }
+
   private static OptionalLong timeoutMillis(String value) {
     if (value == null) {
       return OptionalLong.empty();
--- a/src/main/java/io/snipeloom/platform/PlatformStore.java
+++ b/src/main/java/io/snipeloom/platform/PlatformStore.java
@@ -147,18 +147,18 @@
           listener.accept(StoreOutcome.DONE, new RecordPage(List.of(), 0, ""));
           return;
         }
-        if (status != OK) {
+        if (status != OK && status != GONE) {
           listener.accept(toOutcome(status), null);
           return;
         }
         RecordPage page;
         try {
-          page = decoder.decode(body);
+          page = status == GONE ? decodeExpired(body) : decoder.decode(body);
         } catch (IOException | SnipeloomException | IllegalArgumentException e) {
           listener.accept(StoreOutcome.UNKNOWN, null);
           return;
         }
-        listener.accept(StoreOutcome.DONE, page);
+        listener.accept(toOutcome(status), page);
       }
 
       @Override
@@ -193,6 +193,11 @@
     return new RecordPage(records, root.path("end").asLong(), lastKey);
   }
 
+  private static RecordPage decodeExpired(ByteBuf body) throws IOException {
+    JsonNode first = MAPPER.readTree(ByteBufUtil.getBytes(body)).path("first");
+    return new RecordPage(List.of(), first.asLong(), "");
+  }
+
   private static RecordPage decodeRecords(ByteBuf body) throws IOException {
     if (body.readableBytes() < OFFSETS_BYTES) {
       throw new IOException("response body is too short to hold the offsets");
--- /dev/null
+++ b/src/main/java/io/snipeloom/resumption/OriginLookup.java
@@ -0,0 +1,32 @@
+package io.snipeloom.resumption;
+
+import java.util.Optional;
+
+/**
+ * The result of looking for the origin of a stream.
+ *
+ * @param origin the origin; empty if it is unknown, so that the stream must not go on
+ * @param source where the origin was found
+ */
+public record OriginLookup(Optional<StreamOrigin> origin, Source source) {
+
+  /** Where an origin was found. */
+  public enum Source {
+    /** The stream began or was taken up at this instance. */
+    MEMORY,
+    /** The service had only one software version recently. */
+    ONLY_VERSION,
+    /** Another instance or incarnation recorded it. */
+    STORE,
+    /** Nothing tells the origin. */
+    NONE
+  }
+
+  static OriginLookup found(StreamOrigin origin, Source source) {
+    return new OriginLookup(Optional.of(origin), source);
+  }
+
+  static OriginLookup unknown() {
+    return new OriginLookup(Optional.empty(), Source.NONE);
+  }
+}
--- a/src/main/java/io/snipeloom/routing/ReplicaDirectory.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -135,6 +136,11 @@
         && current.state().acceptsRequests();
   }
 
+  /** Returns all known replicas, whatever their state. */
+  public Collection<Replica> replicas() {
+    return Collections.unmodifiableCollection(replicas.values());
+  }
+
   /** Returns the number of known replicas. */
   public int size() {
     return replicas.size();
--- a/src/main/java/io/snipeloom/routing/Route.java
+++ b/src/main/java/io/snipeloom/routing/Route.java
@@ -58,6 +58,15 @@
     return type.mayRunAgain(resumable);
   }
 
+  /**
+   * Returns whether requests may go to a service.
+   *
+   * @param service the name of the service
+   */
+  public boolean leadsTo(String service) {
+    return services.stream().anyMatch(share -> share.service().equals(service));
+  }
+
   /**
    * Chooses a service at random, by weight.
    *
--- a/src/main/java/io/snipeloom/store/KeyedLog.java
+++ b/src/main/java/io/snipeloom/store/KeyedLog.java
@@ -8,7 +8,8 @@
  * A log of keyed records. The newest record of each key is retained indefinitely.
  *
  * <p>Each operation calls its listener exactly once, on the event loop. The page passed to it is
- * null unless the outcome is {@link StoreOutcome#DONE}.
+ * null unless the outcome is {@link StoreOutcome#DONE} or {@link StoreOutcome#EXPIRED}; of the
+ * latter it has no records.
  */
 public interface KeyedLog {
 
--- /dev/null
+++ b/src/main/java/io/snipeloom/store/KeyedOrigins.java
@@ -0,0 +1,96 @@
+package io.snipeloom.store;
+
+import io.snipeloom.resumption.OriginBatch;
+import io.snipeloom.resumption.OriginStore;
+import io.snipeloom.state.SnipeloomException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Stores the origins of streams in a keyed topic, with one key per instance. The batches of all
+ * instances are read in the order of their offsets, as long as the store retains them.
+ *
+ * <p>Confined to the event loop thread.
+ */
+public final class KeyedOrigins implements OriginStore {
+  private static final int ONLY_PARTITION = 0;
+
+  private final KeyedLog log;
+  private final String topic;
+  private final String instance;
+  private final Consumer<String> onMalformed;
+  private long next;
+
+  /**
+   * Creates a store that has read nothing yet.
+   *
+   * @param log the log that contains the topic
+   * @param topic the topic, which must hold nothing but origins
+   * @param instance the name of the instance, used as key
+   * @param onMalformed receives the key of each batch that cannot be decoded
+   */
+  public KeyedOrigins(KeyedLog log, String topic, String instance, Consumer<String> onMalformed) {
+    this.log = log;
+    this.topic = topic;
+    this.instance = instance;
+    this.onMalformed = onMalformed;
+  }
+
+  @Override
+  public void append(OriginBatch batch, Consumer<Boolean> listener) {
+    log.append(
+        topic,
+        ONLY_PARTITION,
+        new KeyedRecord(instance, batch.toBytes()),
+        outcome -> listener.accept(outcome == StoreOutcome.DONE));
+  }
+
+  @Override
+  public void readNew(ReadListener listener) {
+    read(next, new ArrayList<>(), true, listener);
+  }
+
+  /** Reads from an offset to the end. The offset is kept only once everything has been read. */
+  private void read(
+      long from, List<OriginBatch> batches, boolean mayRestart, ReadListener listener) {
+    log.read(
+        topic,
+        ONLY_PARTITION,
+        from,
+        0,
+        (outcome, page) -> {
+          if (outcome == StoreOutcome.EXPIRED && mayRestart) {
+            read(page.end(), batches, false, listener);
+          } else if (outcome == StoreOutcome.DONE) {
+            onPage(from, page, batches, mayRestart, listener);
+          } else {
+            listener.onFailed();
+          }
+        });
+  }
+
+  private void onPage(
+      long from,
+      RecordPage page,
+      List<OriginBatch> batches,
+      boolean mayRestart,
+      ReadListener listener) {
+    page.records().forEach(record -> decodeInto(batches, record));
+    long following = from + page.records().size();
+    if (!page.records().isEmpty() && following < page.end()) {
+      read(following, batches, mayRestart, listener);
+    } else {
+      next = following;
+      listener.onRead(batches);
+    }
+  }
+
+  private void decodeInto(List<OriginBatch> batches, KeyedRecord record) {
+    try {
+      batches.add(OriginBatch.parse(record.value()));
+    } catch (SnipeloomException e) {
+      onMalformed.accept(record.key());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -0,0 +1,268 @@
+package io.snipeloom.resumption;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.snipeloom.resumption.OriginLookup.Source;
+import io.snipeloom.routing.Replica;
+import io.snipeloom.routing.ReplicaId;
+import io.snipeloom.routing.ReplicaState;
+import io.snipeloom.routing.SoftwareVersion;
+import io.snipeloom.state.SnipeloomException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** Tests two instances that share a store, at times that the tests choose. */
+class StreamContinuityTest {
+  private static final long TICK_NANOS = 50_000_000L;
+  private static final long SECOND_NANOS = 1_000_000_000L;
+  private static final StreamOrigin FIRST = origin("v1");
+  private static final StreamOrigin SECOND = origin("v2");
+
+  private final SharedStore store = new SharedStore();
+  private final List<StreamContinuity> instances = new ArrayList<>();
+  private final StreamContinuity first = start(2);
+  private final StreamContinuity second = start(2);
+  private List<Replica> replicas = replicas("v1", "v2");
+  private boolean registryReadable = true;
+  private long nowNanos = 5 * SECOND_NANOS;
+
+  @Test
+  void originIsKnownWhereTheStreamBegan() {
+    run(TICK_NANOS);
+    first.onBegun("a", FIRST, nowNanos);
+    assertThat(find(first, "a"), is(List.of(OriginLookup.found(FIRST, Source.MEMORY))));
+  }
+
+  @Test
+  void originReachesOtherInstancesWhileVersionsDiffer() {
+    run(TICK_NANOS);
+    first.onBegun("a", SECOND, nowNanos);
+    run(SECOND_NANOS);
+    List<OriginLookup> found = find(second, "a");
+    assertThat(found, contains(OriginLookup.found(SECOND, Source.STORE)));
+  }
+
+  /** Guards against a refusal of a stream that is taken up before its origin is recorded. */
+  @Test
+  void lookupWaitsForAnOriginThatIsBeingRecorded() {
+    run(SECOND_NANOS);
+    first.onBegun("a", SECOND, nowNanos);
+    List<OriginLookup> found = find(second, "a");
+    assertThat(found, is(empty()));
+    run(4 * TICK_NANOS);
+    assertThat(found, contains(OriginLookup.found(SECOND, Source.STORE)));
+  }
+
+  @Test
+  void originThatNobodyRecordedIsUnknownAfterTheTimeLimit() {
+    run(SECOND_NANOS);
+    List<OriginLookup> found = find(second, "a");
+    run(8 * TICK_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  @Test
+  void onlyVersionIsTheOriginAndNothingIsRecorded() {
+    replicas = replicas("v1", "v1");
+    run(TICK_NANOS);
+    first.onBegun("a", FIRST, nowNanos);
+    run(SECOND_NANOS);
+    assertThat(find(second, "a"), contains(OriginLookup.found(FIRST, Source.ONLY_VERSION)));
+    assertThat(store.batches, is(empty()));
+  }
+
+  /** Guards against streams that began before their service got its second version. */
+  @Test
+  void streamsThatBeganUnderOneVersionAreRecordedOnceAnotherAppears() {
+    replicas = replicas("v1");
+    run(TICK_NANOS);
+    first.onBegun("a", FIRST, nowNanos);
+    run(SECOND_NANOS);
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    assertThat(find(second, "a"), contains(OriginLookup.found(FIRST, Source.STORE)));
+  }
+
+  /** Guards against the last version being taken for the one that began a stream. */
+  @Test
+  void versionThatHasGoneIsRememberedAlsoByAnInstanceThatNeverSawIt() {
+    run(TICK_NANOS);
+    first.onBegun("a", FIRST, nowNanos);
+    run(SECOND_NANOS);
+    replicas = replicas("v2");
+    run(SECOND_NANOS);
+    StreamContinuity restarted = start(2);
+    run(SECOND_NANOS);
+    assertThat(find(restarted, "a"), contains(OriginLookup.found(FIRST, Source.MEMORY)));
+    List<OriginLookup> other = find(restarted, "other");
+    run(SECOND_NANOS);
+    assertThat(other, contains(OriginLookup.unknown()));
+  }
+
+  @Test
+  void versionThatWentLongAgoNoLongerCounts() {
+    run(TICK_NANOS);
+    replicas = replicas("v2");
+    run(61 * SECOND_NANOS);
+    assertThat(find(second, "a"), contains(OriginLookup.found(SECOND, Source.ONLY_VERSION)));
+  }
+
+  /** Guards against an instance that cannot see a new version and guesses the old one. */
+  @Test
+  void originIsUnknownAtOnceWhileNeitherRegistryNorStoreCanBeRead() {
+    replicas = replicas("v1");
+    run(SECOND_NANOS);
+    store.down = true;
+    registryReadable = false;
+    run(3 * SECOND_NANOS);
+    assertThat(find(second, "a"), contains(OriginLookup.unknown()));
+  }
+
+  @Test
+  void recordingThatFailedIsRepeated() {
+    run(TICK_NANOS);
+    store.down = true;
+    first.onBegun("a", FIRST, nowNanos);
+    run(SECOND_NANOS);
+    store.down = false;
+    run(SECOND_NANOS);
+    assertThat(find(second, "a"), contains(OriginLookup.found(FIRST, Source.STORE)));
+  }
+
+  @Test
+  void streamWithoutStatedAttemptIsUnknownWhileVersionsDiffer() {
+    run(SECOND_NANOS);
+    List<OriginLookup> found = new ArrayList<>();
+    second.find(Optional.empty(), "llm", nowNanos, found::add);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  @Test
+  void largeFleetRecordsAtBoundedRate() {
+    StreamContinuity member = start(500);
+    run(TICK_NANOS);
+    int before = store.batches.size();
+    for (int i = 0; i < 200; i++) {
+      member.onBegun("a" + i, FIRST, nowNanos);
+      run(TICK_NANOS);
+    }
+    assertThat(store.batches.size() - before, is(lessThanOrEqualTo(3)));
+  }
+
+  @Test
+  void batchIsDecodedAsItWasEncoded() {
+    OriginBatch batch = new OriginBatch(7, List.of(new OriginRecord("a", FIRST)));
+    assertThat(OriginBatch.parse(batch.toBytes()), is(batch));
+    assertThrows(SnipeloomException.class, () -> OriginBatch.parse(new byte[] {1, 2}));
+  }
+
+  @Test
+  void memoryIsBoundedInAge() {
+    OriginMemory memory = new OriginMemory();
+    memory.putUnrecorded("a", FIRST, 0);
+    memory.expire(OriginMemory.RETENTION_NANOS + 1);
+    assertThat(memory.find("a"), is(Optional.empty()));
+    assertThat(memory.unrecorded(Set.of("llm"), 10), hasSize(0));
+  }
+
+  private StreamContinuity start(int fleetSize) {
+    StreamContinuity instance =
+        new StreamContinuity(
+            store.reader(), () -> nowNanos / 1_000_000, () -> fleetSize, new NoListener());
+    instances.add(instance);
+    return instance;
+  }
+
+  private void run(long nanos) {
+    for (long end = nowNanos + nanos; nowNanos < end; nowNanos += TICK_NANOS) {
+      for (StreamContinuity instance : instances) {
+        if (registryReadable) {
+          instance.onRegistryRead(nowNanos);
+        }
+        instance.tick(replicas, nowNanos);
+      }
+    }
+  }
+
+  private List<OriginLookup> find(StreamContinuity instance, String attempt) {
+    List<OriginLookup> found = new ArrayList<>();
+    instance.find(Optional.of(attempt), "llm", nowNanos, found::add);
+    return found;
+  }
+
+  private static StreamOrigin origin(String version) {
+    return new StreamOrigin("llm", new SoftwareVersion(version));
+  }
+
+  private static List<Replica> replicas(String... versions) {
+    List<Replica> replicas = new ArrayList<>();
+    for (String version : versions) {
+      replicas.add(
+          new Replica(
+              new ReplicaId("e-" + replicas.size()),
+              1,
+              "llm",
+              new InetSocketAddress(InetAddress.getLoopbackAddress(), 9_000 + replicas.size()),
+              new SoftwareVersion(version),
+              "zone",
+              64,
+              ReplicaState.READY));
+    }
+    return replicas;
+  }
+
+  /** A store whose calls end at once. */
+  private static final class SharedStore {
+    private final List<OriginBatch> batches = new ArrayList<>();
+    private boolean down;
+
+    /** Returns the view of one instance. */
+    OriginStore reader() {
+      return new OriginStore() {
+        private int next;
+
+        @Override
+        public void append(OriginBatch batch, Consumer<Boolean> listener) {
+          if (!down) {
+            batches.add(batch);
+          }
+          listener.accept(!down);
+        }
+
+        @Override
+        public void readNew(ReadListener listener) {
+          if (down) {
+            listener.onFailed();
+            return;
+          }
+          List<OriginBatch> read = List.copyOf(batches.subList(next, batches.size()));
+          next = batches.size();
+          listener.onRead(read);
+        }
+      };
+    }
+  }
+
+  private static final class NoListener implements StreamContinuity.Listener {
+    @Override
+    public void onRecorded(long total) {}
+
+    @Override
+    public void onRecordingFailed(int streams) {}
+
+    @Override
+    public void onReadFailed() {}
+  }
+}
