Retries of the whole fleet stay within the ratio of any window

Cause: an instance counted requests of up to 10.5 s against retries, and each used its share up to the last one at the time that suited it best, so that the sum over the fleet passed the limit of one window. Now requests count for at most the window, and a tenth of what they earn is kept back. Ruled out: keeping back a share of the slack too, which an existing test of the slack forbids.

--- a/src/main/java/io/snipeloom/routing/RetryAllowance.java
+++ b/src/main/java/io/snipeloom/routing/RetryAllowance.java
@@ -12,6 +12,13 @@
 public final class RetryAllowance {
   private static final int BUCKETS = 20;
 
+  /**
+   * The share of the retries earned by requests that is not used. The instances of a fleet use up
+   * theirs at different times, each when it has had many requests, so that their sum can exceed
+   * that of one window.
+   */
+  private static final double RESERVED_SHARE = 0.1;
+
   private final double ratio;
   private final DoubleSupplier slack;
   private final long bucketNanos;
@@ -49,7 +56,8 @@
    */
   public boolean tryRetry(long nowNanos) {
     int bucket = advance(nowNanos);
-    if (sum(retries) + 1 > ratio * sum(requests) + slack.getAsDouble()) {
+    double earned = ratio * (1 - RESERVED_SHARE) * requestsWithinWindow();
+    if (sum(retries) + 1 > earned + slack.getAsDouble()) {
       return false;
     }
     retries[bucket]++;
@@ -68,6 +76,15 @@
     return (int) Math.floorMod(currentBucket, (long) BUCKETS);
   }
 
+  /**
+   * Returns the requests without those of the oldest bucket, which is partly older than the window.
+   * The retries of that bucket count, so that no window has more than its requests allow.
+   */
+  private int requestsWithinWindow() {
+    int oldest = (int) Math.floorMod(currentBucket + 1, (long) BUCKETS);
+    return sum(requests) - requests[oldest];
+  }
+
   private static int sum(int[] counts) {
     int sum = 0;
     for (int count : counts) {
