Versions are seen as entries are read; origins are kept for three minutes

Cause: reading the diff: looking at all replicas 20 times a second grows with the fleet, a version counted only at the next look, and a stream longer than 60 s was forgotten. Now each entry counts as it is read, all are looked at once a second. Ruled out: a longer memory of versions, which refuses longer after a release.

--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -103,6 +103,7 @@
    * @return true if the replica is new, was restarted or changed its state
    */
   public boolean put(Replica replica) {
+    streams.onReplica(replica, System.nanoTime());
     Replica previous = directory.put(replica);
     boolean restarted = previous == null || !previous.isSameIncarnation(replica);
     ReplicaView view = views.get(replica.id());
--- a/src/main/java/io/snipeloom/resumption/OriginMemory.java
+++ b/src/main/java/io/snipeloom/resumption/OriginMemory.java
@@ -14,7 +14,7 @@
  */
 final class OriginMemory {
   /** Longer than any stream lasts, with the caller's attempts to take it up again. */
-  static final long RETENTION_NANOS = 60_000_000_000L;
+  static final long RETENTION_NANOS = 180_000_000_000L;
 
   private static final int MAX_STREAMS = 50_000;
 
--- a/src/main/java/io/snipeloom/resumption/StreamContinuity.java
+++ b/src/main/java/io/snipeloom/resumption/StreamContinuity.java
@@ -41,6 +41,9 @@
   /** The pause after a read at the start that failed. */
   private static final long RETRY_DELAY_NANOS = 500_000_000L;
 
+  /** The time between two looks at all replicas, of which most do not change. */
+  private static final long OBSERVATION_INTERVAL_NANOS = 1_000_000_000L;
+
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -56,6 +59,7 @@
   private boolean recording;
   private long recordedStreams;
   private long lastRecordingNanos = Long.MIN_VALUE / 2;
+  private long lastObservationNanos = Long.MIN_VALUE / 2;
   private long lastReadNanos = Long.MIN_VALUE / 2;
   private long registryReadNanos = Long.MIN_VALUE / 2;
 
@@ -96,6 +100,11 @@
     this.listener = listener;
   }
 
+  /** Records the entry of a replica, as soon as it is read. */
+  public void onReplica(Replica replica, long nowNanos) {
+    versions.observe(StreamOrigin.of(replica), nowNanos);
+  }
+
   /** Records that the registry of replicas was read up to its end. */
   public void onRegistryRead(long nowNanos) {
     registryReadNanos = nowNanos;
@@ -155,7 +164,10 @@
    * @param replicas all registered replicas
    */
   public void tick(Collection<Replica> replicas, long nowNanos) {
-    versions.observe(replicas, nowNanos);
+    if (nowNanos - lastObservationNanos >= OBSERVATION_INTERVAL_NANOS) {
+      lastObservationNanos = nowNanos;
+      versions.observe(replicas, nowNanos);
+    }
     memory.expire(nowNanos);
     giveUpLateLookups(nowNanos);
     boolean loadDue = !historyLoaded && nowNanos - lastReadNanos >= RETRY_DELAY_NANOS;
--- a/src/main/java/io/snipeloom/resumption/VersionHistory.java
+++ b/src/main/java/io/snipeloom/resumption/VersionHistory.java
@@ -15,6 +15,9 @@
  * replica. Not thread-safe.
  */
 final class VersionHistory {
+  /** How long a version counts after its last replica was seen; longer than callers retry. */
+  private static final long RETENTION_NANOS = 60_000_000_000L;
+
   private final Map<String, Map<SoftwareVersion, Long>> lastSeenNanos = new HashMap<>();
 
   /** Records the versions of all registered replicas. */
@@ -47,7 +50,7 @@
   private List<SoftwareVersion> recent(String service, long nowNanos) {
     Map<SoftwareVersion, Long> versions = lastSeenNanos.getOrDefault(service, Map.of());
     return versions.entrySet().stream()
-        .filter(entry -> nowNanos - entry.getValue() <= OriginMemory.RETENTION_NANOS)
+        .filter(entry -> nowNanos - entry.getValue() <= RETENTION_NANOS)
         .map(Map.Entry::getKey)
         .toList();
   }
--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -191,6 +191,7 @@
         if (registryReadable) {
           instance.onRegistryRead(nowNanos);
         }
+        replicas.forEach(replica -> instance.onReplica(replica, nowNanos));
         instance.tick(replicas, nowNanos);
       }
     }
