--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -15,7 +15,6 @@
 import io.snipeloom.routing.ReplicaView;
 import io.snipeloom.routing.RequestMetadata;
 import io.snipeloom.routing.Route;
-import io.snipeloom.routing.RouteType;
 import io.snipeloom.spend.ReserveOutcome;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
@@ -157,15 +156,11 @@
 
   /** Returns whether the caller goes on with a stream of which it has received events. */
   private boolean takesUpStream() {
-    return route.type() == RouteType.STREAMING
-        && route.resumable()
-        && metadata.lastEventId().isPresent();
+    return route.isResumableStream() && metadata.lastEventId().isPresent();
   }
 
   private void findOrigin() {
-    fleet
-        .streams()
-        .find(metadata.resumedAttempt(), service, System.nanoTime(), this::onOriginLookup);
+    fleet.streams().find(metadata.resumedAttempt(), System.nanoTime(), this::onOriginLookup);
   }
 
   private void onOriginLookup(OriginLookup lookup) {
@@ -363,7 +358,7 @@
     if (origin.isEmpty()) {
       StreamOrigin begun = StreamOrigin.of(source.view().replica());
       origin = Optional.of(begun);
-      if (route.resumable()) {
+      if (route.isResumableStream()) {
         fleet.streams().onBegun(metadata.attemptId(), begun, System.nanoTime());
       }
     }
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -76,6 +76,7 @@
       return false;
     }
     configuration = newer;
+    streams.onRoutes(newer.servicesOfResumableStreams(), System.nanoTime());
     for (CustomerConfiguration customer : newer.customers()) {
       customer.prepaidTokens().ifPresent(tokens -> spend.changeLimit(customer.id(), tokens));
     }
--- a/src/main/java/io/snipeloom/resumption/OriginLookup.java
+++ b/src/main/java/io/snipeloom/resumption/OriginLookup.java
@@ -14,8 +14,8 @@
   public enum Source {
     /** The stream began or was taken up at this instance. */
     MEMORY,
-    /** The service had only one software version recently. */
-    ONLY_VERSION,
+    /** Only one service and software version can have begun streams recently. */
+    ONLY_POSSIBLE,
     /** Another instance or incarnation recorded it. */
     STORE,
     /** Nothing tells the origin. */
--- a/src/main/java/io/snipeloom/resumption/OriginMemory.java
+++ b/src/main/java/io/snipeloom/resumption/OriginMemory.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * The origins of recent streams that this instance knows, and which of them it has yet to record.
@@ -50,18 +49,15 @@
   /**
    * Returns origins that are not recorded yet, oldest first.
    *
-   * @param services the services whose streams must be recorded
    * @param limit the maximum number of origins
    */
-  List<OriginRecord> unrecorded(Set<String> services, int limit) {
+  List<OriginRecord> unrecorded(int limit) {
     List<OriginRecord> found = new ArrayList<>();
     for (Map.Entry<String, StreamOrigin> entry : unrecorded.entrySet()) {
       if (found.size() == limit) {
         break;
       }
-      if (services.contains(entry.getValue().service())) {
-        found.add(new OriginRecord(entry.getKey(), entry.getValue()));
-      }
+      found.add(new OriginRecord(entry.getKey(), entry.getValue()));
     }
     return found;
   }
--- a/src/main/java/io/snipeloom/resumption/StreamContinuity.java
+++ b/src/main/java/io/snipeloom/resumption/StreamContinuity.java
@@ -13,10 +13,10 @@
 /**
  * Finds out what began a stream that a caller takes up again, at this instance or another one.
  *
- * <p>While a service has several software versions, each instance records the origins of its
- * streams in the store, and an instance that does not know a stream reads them. Otherwise the only
- * version is the answer, provided that the registry of replicas was read recently. An origin that
- * cannot be told is reported as unknown, never guessed.
+ * <p>While streams may be of several services or software versions, each instance records the
+ * origins of its streams in the store, and an instance that does not know a stream reads them.
+ * Otherwise the only possible origin is the answer, provided that the registry of replicas was read
+ * recently. An origin that cannot be told is reported as unknown, never guessed.
  *
  * <p>Confined to the event loop thread.
  */
@@ -52,7 +52,8 @@
   private final IntSupplier fleetSize;
   private final Listener listener;
   private final OriginMemory memory = new OriginMemory();
-  private final VersionHistory versions = new VersionHistory();
+  private final VersionHistory history = new VersionHistory();
+  private Set<String> routedServices = Set.of();
   private List<Waiter> waiters = new ArrayList<>();
   private boolean historyLoaded;
   private boolean reading;
@@ -65,7 +66,7 @@
 
   /** A caller that waits for the origin of its stream. */
   private record Waiter(
-      Optional<String> attempt, String service, long sinceNanos, Consumer<OriginLookup> listener) {}
+      Optional<String> attempt, long sinceNanos, Consumer<OriginLookup> listener) {}
 
   /** Receives what happens to the recorded origins. */
   public interface Listener {
@@ -102,7 +103,13 @@
 
   /** Records the entry of a replica, as soon as it is read. */
   public void onReplica(Replica replica, long nowNanos) {
-    versions.observe(StreamOrigin.of(replica), nowNanos);
+    history.observeVersion(StreamOrigin.of(replica), nowNanos);
+  }
+
+  /** Replaces the services to which the routes of streams lead that callers can take up. */
+  public void onRoutes(Set<String> services, long nowNanos) {
+    routedServices = Set.copyOf(services);
+    services.forEach(service -> history.observeRoute(service, nowNanos));
   }
 
   /** Records that the registry of replicas was read up to its end. */
@@ -124,12 +131,10 @@
    * Looks for the origin of a stream.
    *
    * @param attempt the caller's attempt that received its first event; empty if not stated
-   * @param service the service to which the route of the request leads
    * @param receiver receives the result, once, at the latest after the time limit of a lookup
    */
-  public void find(
-      Optional<String> attempt, String service, long nowNanos, Consumer<OriginLookup> receiver) {
-    Optional<OriginLookup> known = findLocally(attempt, service, nowNanos);
+  public void find(Optional<String> attempt, long nowNanos, Consumer<OriginLookup> receiver) {
+    Optional<OriginLookup> known = findLocally(attempt, nowNanos);
     if (known.isPresent()) {
       receiver.accept(known.get());
       return;
@@ -138,12 +143,11 @@
       receiver.accept(OriginLookup.unknown());
       return;
     }
-    waiters.add(new Waiter(attempt, service, nowNanos, receiver));
+    waiters.add(new Waiter(attempt, nowNanos, receiver));
     readNew(nowNanos);
   }
 
-  private Optional<OriginLookup> findLocally(
-      Optional<String> attempt, String service, long nowNanos) {
+  private Optional<OriginLookup> findLocally(Optional<String> attempt, long nowNanos) {
     Optional<StreamOrigin> remembered = attempt.flatMap(memory::find);
     if (remembered.isPresent()) {
       return remembered.map(found -> OriginLookup.found(found, OriginLookup.Source.MEMORY));
@@ -152,9 +156,10 @@
     if (!historyLoaded || !registryKnown) {
       return Optional.empty();
     }
-    return versions
-        .onlyOrigin(service, nowNanos)
-        .map(found -> OriginLookup.found(found, OriginLookup.Source.ONLY_VERSION));
+    List<StreamOrigin> possible = history.possibleOrigins(nowNanos);
+    return possible.size() == 1
+        ? Optional.of(OriginLookup.found(possible.get(0), OriginLookup.Source.ONLY_POSSIBLE))
+        : Optional.empty();
   }
 
   /**
@@ -166,7 +171,9 @@
   public void tick(Collection<Replica> replicas, long nowNanos) {
     if (nowNanos - lastObservationNanos >= OBSERVATION_INTERVAL_NANOS) {
       lastObservationNanos = nowNanos;
-      versions.observe(replicas, nowNanos);
+      history.observeReplicas(replicas, nowNanos);
+      routedServices.forEach(service -> history.observeRoute(service, nowNanos));
+      history.expire(nowNanos);
     }
     memory.expire(nowNanos);
     giveUpLateLookups(nowNanos);
@@ -186,12 +193,8 @@
 
   private void record(long nowNanos) {
     lastRecordingNanos = nowNanos;
-    Set<String> services = versions.servicesWithSeveral(nowNanos);
-    if (services.isEmpty()) {
-      return;
-    }
-    List<OriginRecord> records = memory.unrecorded(services, MAX_RECORDS_PER_CALL);
-    if (records.isEmpty()) {
+    List<OriginRecord> records = memory.unrecorded(MAX_RECORDS_PER_CALL);
+    if (records.isEmpty() || history.possibleOrigins(nowNanos).size() <= 1) {
       return;
     }
     recording = true;
@@ -240,7 +243,9 @@
     long ageMillis = Math.max(0, timeOfDayMillis.getAsLong() - batch.recordedAtMillis());
     for (OriginRecord record : batch.records()) {
       memory.putRecorded(record, nowNanos);
-      versions.observe(record.origin(), nowNanos - ageMillis * NANOS_PER_MILLI);
+      long seenNanos = nowNanos - ageMillis * NANOS_PER_MILLI;
+      history.observeVersion(record.origin(), seenNanos);
+      history.observeRoute(record.origin().service(), seenNanos);
     }
   }
 
@@ -264,7 +269,7 @@
             .attempt()
             .flatMap(memory::find)
             .map(found -> OriginLookup.found(found, OriginLookup.Source.STORE));
-    return recorded.or(() -> findLocally(waiter.attempt(), waiter.service(), nowNanos));
+    return recorded.or(() -> findLocally(waiter.attempt(), nowNanos));
   }
 
   private void refuseWaiters() {
--- a/src/main/java/io/snipeloom/resumption/VersionHistory.java
+++ b/src/main/java/io/snipeloom/resumption/VersionHistory.java
@@ -1,57 +1,59 @@
 package io.snipeloom.resumption;
 
 import io.snipeloom.routing.Replica;
-import io.snipeloom.routing.SoftwareVersion;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
- * The software versions that each service had recently. A stream of a version may outlive its last
- * replica. Not thread-safe.
+ * What may have begun the streams that callers take up: the services to which routes of such
+ * streams led recently, with their recent software versions. A stream may outlive its route and the
+ * last replica of its version. Not thread-safe.
  */
 final class VersionHistory {
-  /** How long a version counts after its last replica was seen; longer than callers retry. */
+  /** How long a version or a route counts after it was last seen; longer than callers retry. */
   private static final long RETENTION_NANOS = 60_000_000_000L;
 
-  private final Map<String, Map<SoftwareVersion, Long>> lastSeenNanos = new HashMap<>();
+  private final Map<StreamOrigin, Long> versionSeenNanos = new HashMap<>();
+  private final Map<String, Long> routeSeenNanos = new HashMap<>();
 
   /** Records the versions of all registered replicas. */
-  void observe(Collection<Replica> replicas, long nowNanos) {
-    replicas.forEach(replica -> observe(StreamOrigin.of(replica), nowNanos));
+  void observeReplicas(Collection<Replica> replicas, long nowNanos) {
+    replicas.forEach(replica -> observeVersion(StreamOrigin.of(replica), nowNanos));
   }
 
   /** Records that a service had a version at some time. */
-  void observe(StreamOrigin origin, long seenNanos) {
-    lastSeenNanos
-        .computeIfAbsent(origin.service(), name -> new HashMap<>())
-        .merge(origin.version(), seenNanos, Math::max);
+  void observeVersion(StreamOrigin origin, long seenNanos) {
+    versionSeenNanos.merge(origin, seenNanos, Math::max);
   }
 
-  /** Returns the services whose streams may be of several versions. */
-  Set<String> servicesWithSeveral(long nowNanos) {
-    return lastSeenNanos.keySet().stream()
-        .filter(service -> recent(service, nowNanos).size() > 1)
-        .collect(Collectors.toSet());
+  /** Records that a route of streams led to a service at some time. */
+  void observeRoute(String service, long seenNanos) {
+    routeSeenNanos.merge(service, seenNanos, Math::max);
   }
 
-  /** Returns the only origin that streams of the service can have; empty if there are several. */
-  Optional<StreamOrigin> onlyOrigin(String service, long nowNanos) {
-    List<SoftwareVersion> versions = recent(service, nowNanos);
-    return versions.size() == 1
-        ? Optional.of(new StreamOrigin(service, versions.get(0)))
-        : Optional.empty();
-  }
-
-  private List<SoftwareVersion> recent(String service, long nowNanos) {
-    Map<SoftwareVersion, Long> versions = lastSeenNanos.getOrDefault(service, Map.of());
-    return versions.entrySet().stream()
-        .filter(entry -> nowNanos - entry.getValue() <= RETENTION_NANOS)
+  /** Returns what may have begun a stream that a caller takes up now. */
+  List<StreamOrigin> possibleOrigins(long nowNanos) {
+    return versionSeenNanos.entrySet().stream()
+        .filter(entry -> isRecent(entry.getValue(), nowNanos))
         .map(Map.Entry::getKey)
+        .filter(origin -> wasRouted(origin.service(), nowNanos))
         .toList();
   }
+
+  /** Forgets what no longer counts. */
+  void expire(long nowNanos) {
+    versionSeenNanos.values().removeIf(seen -> !isRecent(seen, nowNanos));
+    routeSeenNanos.values().removeIf(seen -> !isRecent(seen, nowNanos));
+  }
+
+  private boolean wasRouted(String service, long nowNanos) {
+    Long seen = routeSeenNanos.get(service);
+    return seen != null && isRecent(seen, nowNanos);
+  }
+
+  private static boolean isRecent(long seenNanos, long nowNanos) {
+    return nowNanos - seenNanos <= RETENTION_NANOS;
+  }
 }
--- a/src/main/java/io/snipeloom/routing/FleetConfiguration.java
+++ b/src/main/java/io/snipeloom/routing/FleetConfiguration.java
@@ -7,6 +7,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * One version of the operators' configuration, indexed for request processing.
@@ -95,6 +97,17 @@
     return candidates.stream().filter(route -> path.startsWith(route.pathPrefix())).findFirst();
   }
 
+  /** Returns the services that may begin streams which callers can take up again. */
+  public Set<String> servicesOfResumableStreams() {
+    return routesByHost.values().stream()
+        .flatMap(List::stream)
+        .filter(Route::isResumableStream)
+        .flatMap(route -> route.services().stream())
+        .filter(share -> share.weight() > 0)
+        .map(ServiceShare::service)
+        .collect(Collectors.toSet());
+  }
+
   /**
    * Finds the customer that an API key belongs to.
    *
--- a/src/main/java/io/snipeloom/routing/Route.java
+++ b/src/main/java/io/snipeloom/routing/Route.java
@@ -58,6 +58,15 @@
     return type.mayRunAgain(resumable);
   }
 
+  /**
+   * Returns whether requests are streams that callers can take up again.
+   *
+   * @return true if an attempt can go on after the last event of an earlier one
+   */
+  public boolean isResumableStream() {
+    return type == RouteType.STREAMING && resumable;
+  }
+
   /**
    * Returns whether requests may go to a service.
    *
--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -79,7 +79,7 @@
     run(TICK_NANOS);
     first.onBegun("a", FIRST, nowNanos);
     run(SECOND_NANOS);
-    assertThat(find(second, "a"), contains(OriginLookup.found(FIRST, Source.ONLY_VERSION)));
+    assertThat(find(second, "a"), contains(OriginLookup.found(FIRST, Source.ONLY_POSSIBLE)));
     assertThat(store.batches, is(empty()));
   }
 
@@ -116,7 +116,7 @@
     run(TICK_NANOS);
     replicas = replicas("v2");
     run(61 * SECOND_NANOS);
-    assertThat(find(second, "a"), contains(OriginLookup.found(SECOND, Source.ONLY_VERSION)));
+    assertThat(find(second, "a"), contains(OriginLookup.found(SECOND, Source.ONLY_POSSIBLE)));
   }
 
   /** Guards against an instance that cannot see a new version and guesses the old one. */
@@ -145,10 +145,30 @@
   void streamWithoutStatedAttemptIsUnknownWhileVersionsDiffer() {
     run(SECOND_NANOS);
     List<OriginLookup> found = new ArrayList<>();
-    second.find(Optional.empty(), "llm", nowNanos, found::add);
+    second.find(Optional.empty(), nowNanos, found::add);
     assertThat(found, contains(OriginLookup.unknown()));
   }
 
+  /** Guards against a stream that goes on at the service to which its route leads now. */
+  @Test
+  void streamThatBeganAtAnotherServiceIsRecordedOnceRoutesChange() {
+    replicas = replicas("v1");
+    replicas.add(replica("other", "o-1", "v1"));
+    run(SECOND_NANOS);
+    first.onBegun("a", FIRST, nowNanos);
+    instances.forEach(instance -> instance.onRoutes(Set.of("other"), nowNanos));
+    run(SECOND_NANOS);
+    assertThat(find(second, "a"), contains(OriginLookup.found(FIRST, Source.STORE)));
+  }
+
+  @Test
+  void serviceThatNoRouteOfStreamsLeadsToDoesNotCount() {
+    replicas = replicas("v1");
+    replicas.add(replica("other", "o-1", "v1"));
+    run(SECOND_NANOS);
+    assertThat(find(second, "a"), contains(OriginLookup.found(FIRST, Source.ONLY_POSSIBLE)));
+  }
+
   @Test
   void largeFleetRecordsAtBoundedRate() {
     StreamContinuity member = start(500);
@@ -174,13 +194,14 @@
     memory.putUnrecorded("a", FIRST, 0);
     memory.expire(OriginMemory.RETENTION_NANOS + 1);
     assertThat(memory.find("a"), is(Optional.empty()));
-    assertThat(memory.unrecorded(Set.of("llm"), 10), hasSize(0));
+    assertThat(memory.unrecorded(10), hasSize(0));
   }
 
   private StreamContinuity start(int fleetSize) {
     StreamContinuity instance =
         new StreamContinuity(
             store.reader(), () -> nowNanos / 1_000_000, () -> fleetSize, new NoListener());
+    instance.onRoutes(Set.of("llm"), nowNanos);
     instances.add(instance);
     return instance;
   }
@@ -199,7 +220,7 @@
 
   private List<OriginLookup> find(StreamContinuity instance, String attempt) {
     List<OriginLookup> found = new ArrayList<>();
-    instance.find(Optional.of(attempt), "llm", nowNanos, found::add);
+    instance.find(Optional.of(attempt), nowNanos, found::add);
     return found;
   }
 
@@ -210,20 +231,23 @@
   private static List<Replica> replicas(String... versions) {
     List<Replica> replicas = new ArrayList<>();
     for (String version : versions) {
-      replicas.add(
-          new Replica(
-              new ReplicaId("e-" + replicas.size()),
-              1,
-              "llm",
-              new InetSocketAddress(InetAddress.getLoopbackAddress(), 9_000 + replicas.size()),
-              new SoftwareVersion(version),
-              "zone",
-              64,
-              ReplicaState.READY));
+      replicas.add(replica("llm", "e-" + replicas.size(), version));
     }
     return replicas;
   }
 
+  private static Replica replica(String service, String id, String version) {
+    return new Replica(
+        new ReplicaId(id),
+        1,
+        service,
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 9_000),
+        new SoftwareVersion(version),
+        "zone",
+        64,
+        ReplicaState.READY);
+  }
+
   /** A store whose calls end at once. */
   private static final class SharedStore {
     private final List<OriginBatch> batches = new ArrayList<>();
