Streams taken up without a stated attempt go on as before while their service has one version

Ruled out: the same for callers that state an attempt, where a new version may be unseen while the store is away.

--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -54,13 +54,12 @@
   private final CallerChannel caller;
   private final Runnable onDone;
   private final List<ReplicaId> tried = new ArrayList<>();
-  private final EventStream stream = new EventStream();
+  private final RelayedStream stream = new RelayedStream();
 
   private RequestMetadata metadata;
   private FleetConfiguration configuration;
   private Route route;
   private String service;
-  private Optional<StreamOrigin> origin = Optional.empty();
   private Optional<CustomerConfiguration> customer = Optional.empty();
   private Reservation reservation;
   private long deadlineNanos;
@@ -160,7 +159,12 @@
   }
 
   private void findOrigin() {
-    fleet.streams().find(metadata.resumedAttempt(), System.nanoTime(), this::onOriginLookup);
+    long now = System.nanoTime();
+    if (metadata.resumedAttempt().isPresent()) {
+      fleet.streams().find(metadata.resumedAttempt().get(), now, this::onOriginLookup);
+    } else {
+      onOriginLookup(fleet.streams().findUnstated(service, now));
+    }
   }
 
   private void onOriginLookup(OriginLookup lookup) {
@@ -169,20 +173,19 @@
     }
     log.streamOrigin(metadata.resumedAttempt().orElse(""), lookup);
     metrics.count("stream_origin_" + lookup.source().name().toLowerCase(Locale.ROOT));
-    if (lookup.origin().filter(found -> route.leadsTo(found.service())).isEmpty()) {
-      refuseToTakeUp(lookup);
-      return;
+    Optional<StreamOrigin> found = lookup.origin();
+    if (found.isEmpty()) {
+      refuseToTakeUp("what began the stream is not known");
+    } else if (!route.leadsTo(found.get().service())) {
+      refuseToTakeUp("the route no longer leads to the service that began the stream");
+    } else {
+      stream.takeUp(found.get());
+      service = found.get().service();
+      reserveTokens();
     }
-    origin = lookup.origin();
-    service = origin.get().service();
-    reserveTokens();
   }
 
-  private void refuseToTakeUp(OriginLookup lookup) {
-    String reason =
-        lookup.origin().isEmpty()
-            ? "what began the stream is not known"
-            : "the route no longer leads to the service that began the stream";
+  private void refuseToTakeUp(String reason) {
     long retryMillis =
         fleet.isStoreAvailable()
             ? LocalResponse.CRASH_RETRY_MILLIS
@@ -249,7 +252,8 @@
 
   private void dispatch() {
     long now = System.nanoTime();
-    List<ReplicaView> candidates = candidates();
+    List<ReplicaView> candidates =
+        Fleet.untried(stream.suitable(fleet.availableReplicas(service)), tried);
     Optional<ReplicaView> picked =
         metadata
             .prompt()
@@ -270,20 +274,6 @@
     attempt.connect();
   }
 
-  /**
-   * Returns the replicas that may get the request, of a stream that has begun those of its origin.
-   */
-  private List<ReplicaView> candidates() {
-    List<ReplicaView> available = fleet.availableReplicas(service);
-    List<ReplicaView> suitable =
-        origin
-            .map(
-                found ->
-                    available.stream().filter(view -> found.isOriginOf(view.replica())).toList())
-            .orElse(available);
-    return Fleet.untried(suitable, tried);
-  }
-
   @Override
   public boolean isCallerWaiting() {
     return !done && caller.isOpen();
@@ -319,12 +309,7 @@
               fleet.picker().recordPrompt(prompt, now);
               sent.view().prefixCache().recordPrompt(prompt.parts());
             });
-    log.sent(sent.view(), resumePosition(), sent.uncachedTokens(), now, remainingMillis());
-  }
-
-  private ResumePosition resumePosition() {
-    String lastEventId = stream.lastEventId().or(metadata::lastEventId).orElse("");
-    return new ResumePosition(metadata.resumedAttempt().orElse(""), lastEventId);
+    log.sent(sent.view(), stream.position(metadata), sent.uncachedTokens(), now, remainingMillis());
   }
 
   @Override
@@ -355,23 +340,15 @@
   }
 
   private void recordOrigin(Attempt source) {
-    if (origin.isEmpty()) {
-      StreamOrigin begun = StreamOrigin.of(source.view().replica());
-      origin = Optional.of(begun);
-      if (route.isResumableStream()) {
-        fleet.streams().onBegun(metadata.attemptId(), begun, System.nanoTime());
-      }
+    Optional<StreamOrigin> begun = stream.onEvents(source.view().replica());
+    if (begun.isPresent() && route.isResumableStream()) {
+      fleet.streams().onBegun(metadata.attemptId(), begun.get(), System.nanoTime());
     }
   }
 
-  /**
-   * Returns whether the stream may end here. The end of a connection, unlike a length or a last
-   * chunk, does not show that the replica had nothing to send.
-   */
   @Override
   public boolean isStreamComplete(Attempt source) {
-    boolean endIsMarked = source.framing().isExplicit();
-    return !stream.isInsideEvent() && (endIsMarked || stream.eventsOfAttempt() > 0);
+    return stream.mayEnd(source.framing());
   }
 
   @Override
@@ -394,15 +371,11 @@
 
   private void onCompleted(Attempt source) {
     attempt = null;
-    recordProgress(source);
+    progress = stream.progress(source.framing());
     mayHaveRun = true;
     tried.add(source.view().replica().id());
   }
 
-  private void recordProgress(Attempt ended) {
-    progress = new ResponseProgress(ended.framing(), stream.eventCount(), stream.partialBytes());
-  }
-
   private void sendHeadOnce(Attempt source) {
     if (!headSent) {
       headSent = true;
@@ -432,7 +405,7 @@
     attempt = null;
     tried.add(failed.view().replica().id());
     recordFailure(failure);
-    recordProgress(failed);
+    progress = stream.progress(failed.framing());
     long remainingMillis = remainingMillis();
     boolean retry =
         caller.isOpen()
--- a/src/main/java/io/snipeloom/resumption/StreamContinuity.java
+++ b/src/main/java/io/snipeloom/resumption/StreamContinuity.java
@@ -65,8 +65,7 @@
   private long registryReadNanos = Long.MIN_VALUE / 2;
 
   /** A caller that waits for the origin of its stream. */
-  private record Waiter(
-      Optional<String> attempt, long sinceNanos, Consumer<OriginLookup> listener) {}
+  private record Waiter(String attempt, long sinceNanos, Consumer<OriginLookup> listener) {}
 
   /** Receives what happens to the recorded origins. */
   public interface Listener {
@@ -130,25 +129,35 @@
   /**
    * Looks for the origin of a stream.
    *
-   * @param attempt the caller's attempt that received its first event; empty if not stated
+   * @param attempt the caller's attempt that received its first event
    * @param receiver receives the result, once, at the latest after the time limit of a lookup
    */
-  public void find(Optional<String> attempt, long nowNanos, Consumer<OriginLookup> receiver) {
+  public void find(String attempt, long nowNanos, Consumer<OriginLookup> receiver) {
     Optional<OriginLookup> known = findLocally(attempt, nowNanos);
     if (known.isPresent()) {
       receiver.accept(known.get());
       return;
     }
-    if (attempt.isEmpty()) {
-      receiver.accept(OriginLookup.unknown());
-      return;
-    }
     waiters.add(new Waiter(attempt, nowNanos, receiver));
     readNew(nowNanos);
   }
 
-  private Optional<OriginLookup> findLocally(Optional<String> attempt, long nowNanos) {
-    Optional<StreamOrigin> remembered = attempt.flatMap(memory::find);
+  /**
+   * Looks for the origin of a stream whose caller does not state the attempt that began it.
+   *
+   * @param service the service to which the request would go
+   * @return the only version of that service, unknown if it had several recently
+   */
+  public OriginLookup findUnstated(String service, long nowNanos) {
+    List<StreamOrigin> possible =
+        history.possibleOrigins(nowNanos).stream()
+            .filter(origin -> origin.service().equals(service))
+            .toList();
+    return onlyOne(possible).orElse(OriginLookup.unknown());
+  }
+
+  private Optional<OriginLookup> findLocally(String attempt, long nowNanos) {
+    Optional<StreamOrigin> remembered = memory.find(attempt);
     if (remembered.isPresent()) {
       return remembered.map(found -> OriginLookup.found(found, OriginLookup.Source.MEMORY));
     }
@@ -156,7 +165,10 @@
     if (!historyLoaded || !registryKnown) {
       return Optional.empty();
     }
-    List<StreamOrigin> possible = history.possibleOrigins(nowNanos);
+    return onlyOne(history.possibleOrigins(nowNanos));
+  }
+
+  private static Optional<OriginLookup> onlyOne(List<StreamOrigin> possible) {
     return possible.size() == 1
         ? Optional.of(OriginLookup.found(possible.get(0), OriginLookup.Source.ONLY_POSSIBLE))
         : Optional.empty();
@@ -265,9 +277,8 @@
 
   private Optional<OriginLookup> resolve(Waiter waiter, long nowNanos) {
     Optional<OriginLookup> recorded =
-        waiter
-            .attempt()
-            .flatMap(memory::find)
+        memory
+            .find(waiter.attempt())
             .map(found -> OriginLookup.found(found, OriginLookup.Source.STORE));
     return recorded.or(() -> findLocally(waiter.attempt(), nowNanos));
   }
