Edge fixtures listen on ports that outgoing connections never get

Cause of olderOrInvalidConfigurationIsNotApplied failing once (BindException): the fixture took a port of the ephemeral range, closed it and bound it later; read in the code, no run shows which connection took it. The new tests start the fixture about 20 times more in a run, so it would come up more often. Now it takes its ports from the chooser that LocalFleet had, moved to FreePorts, below that range (32768 here). Ruled out: trying again after a failed bind.

--- a/src/test/java/io/snipeloom/daemon/LocalFleet.java
+++ b/src/test/java/io/snipeloom/daemon/LocalFleet.java
@@ -11,10 +11,8 @@
 import io.snipeloom.state.UpstreamId;
 import io.snipeloom.state.Zone;
 import io.snipeloom.transport.Eventually;
+import io.snipeloom.transport.FreePorts;
 import java.io.IOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -26,7 +24,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Two routers and two sidecars, each in a process of its own, with stand-ins for the log, the
@@ -37,10 +34,6 @@
   static final String TOKEN = "operator-local";
 
   private static final String IP = "127.0.0.1";
-  private static final int FIRST_PORT = 20_000;
-  private static final int PORT_COUNT = 10_000;
-  private static final AtomicInteger NEXT_PORT =
-      new AtomicInteger((int) ProcessHandle.current().pid());
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(60);
 
   final LogStandin log = LogStandin.of(StandinAddress.anyPort());
@@ -278,24 +271,11 @@
     if (assigned != null) {
       return assigned;
     }
-    int port = freePort();
+    int port = FreePorts.next();
     ports.put(purpose, port);
     return port;
   }
 
-  /** Returns a free port below the system's ephemeral range, a different one on each call. */
-  private static int freePort() throws IOException {
-    for (int attempt = 0; attempt < PORT_COUNT; attempt++) {
-      int port = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORT_COUNT);
-      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-        return socket.getLocalPort();
-      } catch (BindException e) {
-        // Another socket uses this port; the next one is tried.
-      }
-    }
-    throw new IOException("no free port");
-  }
-
   private static String listenJson(int port) {
     return "{\"address\": \"%s\", \"port\": %d}".formatted(IP, port);
   }
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -3,13 +3,13 @@
 import io.snipeloom.platform.FakeReplica;
 import io.snipeloom.platform.FakeStore;
 import io.snipeloom.telemetry.EventLog;
+import io.snipeloom.transport.FreePorts;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -200,8 +200,6 @@
   }
 
   private static InetSocketAddress freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-    }
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.next());
   }
 }
