--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -146,7 +146,7 @@
     }
     service = route.serviceFor(Math.random());
     scheduleDeadline();
-    if (takesUpStream()) {
+    if (resumesStream()) {
       findOrigin();
     } else {
       reserveTokens();
@@ -154,7 +154,7 @@
   }
 
   /** Returns whether the caller goes on with a stream of which it has received events. */
-  private boolean takesUpStream() {
+  private boolean resumesStream() {
     return route.isResumableStream() && metadata.lastEventId().isPresent();
   }
 
@@ -175,17 +175,17 @@
     metrics.count("stream_origin_" + lookup.source().name().toLowerCase(Locale.ROOT));
     Optional<StreamOrigin> found = lookup.origin();
     if (found.isEmpty()) {
-      refuseToTakeUp("what began the stream is not known");
+      refuseToResume("the origin of the stream is not known");
     } else if (!route.leadsTo(found.get().service())) {
-      refuseToTakeUp("the route no longer leads to the service that began the stream");
+      refuseToResume("the route no longer leads to the service that began the stream");
     } else {
-      stream.takeUp(found.get());
+      stream.resumeFrom(found.get());
       service = found.get().service();
       reserveTokens();
     }
   }
 
-  private void refuseToTakeUp(String reason) {
+  private void refuseToResume(String reason) {
     long retryMillis =
         fleet.isStoreAvailable()
             ? LocalResponse.CRASH_RETRY_MILLIS
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -57,7 +57,7 @@
         storeAvailable);
   }
 
-  /** Logs what began the stream that a caller takes up, or that nothing tells it. */
+  /** Logs what began the stream that a caller resumes, or that nothing tells it. */
   void streamOrigin(String resumedAttempt, OriginLookup lookup) {
     log.log(
         "stream_origin",
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -47,7 +47,7 @@
    * @param codec encodes and decodes headers
    * @param zone the availability zone of this instance
    * @param spend controls the use of prepaid tokens
-   * @param streams knows what began the streams that callers take up again
+   * @param streams knows what began the streams that callers resume
    * @param newRetryAllowance creates the retry allowance of a service
    */
   public Fleet(
@@ -129,7 +129,7 @@
     }
   }
 
-  /** Returns what this instance knows of the streams that callers take up again. */
+  /** Returns what this instance knows of the streams that callers resume. */
   public StreamContinuity streams() {
     return streams;
   }
--- a/src/main/java/io/snipeloom/forwarding/RelayedStream.java
+++ b/src/main/java/io/snipeloom/forwarding/RelayedStream.java
@@ -22,7 +22,7 @@
   }
 
   /** Sets what began the stream, if an earlier attempt of the caller received its first event. */
-  void takeUp(StreamOrigin begunBy) {
+  void resumeFrom(StreamOrigin begunBy) {
     origin = Optional.of(begunBy);
   }
 
--- a/src/main/java/io/snipeloom/resumption/OriginLookup.java
+++ b/src/main/java/io/snipeloom/resumption/OriginLookup.java
@@ -12,7 +12,7 @@
 
   /** Where an origin was found. */
   public enum Source {
-    /** The stream began or was taken up at this instance. */
+    /** The stream began or was resumed at this instance. */
     MEMORY,
     /** Only one service and software version can have begun streams recently. */
     ONLY_POSSIBLE,
--- a/src/main/java/io/snipeloom/resumption/OriginMemory.java
+++ b/src/main/java/io/snipeloom/resumption/OriginMemory.java
@@ -12,7 +12,7 @@
  * Bounded in age and size. Not thread-safe.
  */
 final class OriginMemory {
-  /** Longer than any stream lasts, with the caller's attempts to take it up again. */
+  /** Longer than any stream lasts, with the caller's attempts to resume it. */
   static final long RETENTION_NANOS = 180_000_000_000L;
 
   private static final int MAX_STREAMS = 50_000;
--- a/src/main/java/io/snipeloom/resumption/StreamContinuity.java
+++ b/src/main/java/io/snipeloom/resumption/StreamContinuity.java
@@ -11,7 +11,7 @@
 import java.util.function.LongSupplier;
 
 /**
- * Finds out what began a stream that a caller takes up again, at this instance or another one.
+ * Finds out what began a stream that a caller resumes, at this instance or another one.
  *
  * <p>While streams may be of several services or software versions, each instance records the
  * origins of its streams in the store, and an instance that does not know a stream reads them.
@@ -105,7 +105,7 @@
     history.observeVersion(StreamOrigin.of(replica), nowNanos);
   }
 
-  /** Replaces the services to which the routes of streams lead that callers can take up. */
+  /** Replaces the services to which the routes of streams lead that callers can resume. */
   public void onRoutes(Set<String> services, long nowNanos) {
     routedServices = Set.copyOf(services);
     services.forEach(service -> history.observeRoute(service, nowNanos));
--- a/src/main/java/io/snipeloom/resumption/VersionHistory.java
+++ b/src/main/java/io/snipeloom/resumption/VersionHistory.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 
 /**
- * What may have begun the streams that callers take up: the services to which routes of such
- * streams led recently, with their recent software versions. A stream may outlive its route and the
- * last replica of its version. Not thread-safe.
+ * What may have begun the streams that callers resume: the services to which routes of such streams
+ * led recently, with their recent software versions. A stream may outlive its route and the last
+ * replica of its version. Not thread-safe.
  */
 final class VersionHistory {
   /** How long a version or a route counts after it was last seen; longer than callers retry. */
@@ -33,7 +33,7 @@
     routeSeenNanos.merge(service, seenNanos, Math::max);
   }
 
-  /** Returns what may have begun a stream that a caller takes up now. */
+  /** Returns what may have begun a stream that a caller resumes now. */
   List<StreamOrigin> possibleOrigins(long nowNanos) {
     return versionSeenNanos.entrySet().stream()
         .filter(entry -> isRecent(entry.getValue(), nowNanos))
--- a/src/main/java/io/snipeloom/routing/FleetConfiguration.java
+++ b/src/main/java/io/snipeloom/routing/FleetConfiguration.java
@@ -97,7 +97,7 @@
     return candidates.stream().filter(route -> path.startsWith(route.pathPrefix())).findFirst();
   }
 
-  /** Returns the services that may begin streams which callers can take up again. */
+  /** Returns the services that may begin streams which callers can resume. */
   public Set<String> servicesOfResumableStreams() {
     return routesByHost.values().stream()
         .flatMap(List::stream)
--- a/src/main/java/io/snipeloom/routing/Route.java
+++ b/src/main/java/io/snipeloom/routing/Route.java
@@ -59,7 +59,7 @@
   }
 
   /**
-   * Returns whether requests are streams that callers can take up again.
+   * Returns whether requests are streams that callers can resume.
    *
    * @return true if an attempt can go on after the last event of an earlier one
    */
--- a/src/test/java/io/snipeloom/edge/StreamVersionTest.java
+++ b/src/test/java/io/snipeloom/edge/StreamVersionTest.java
@@ -86,14 +86,14 @@
 
   /** Guards against a caller's stream that another instance resumes at another version. */
   @Test
-  void streamTakenUpAtAnotherInstanceGoesOnAtVersionThatBeganIt() throws Exception {
-    startReplicas(StreamVersionTest::breakUnlessTakenUp, "v1", "v1", "v2", "v2");
+  void streamResumedAtAnotherInstanceGoesOnAtVersionThatBeganIt() throws Exception {
+    startReplicas(StreamVersionTest::breakUnlessCallerResumes, "v1", "v1", "v2", "v2");
     try (EdgeFixture second = new EdgeFixture("edge-2", edge.store)) {
       second.awaitReady();
       second.awaitLog("replica=e-3 ");
       for (int i = 0; i < STREAMS; i++) {
         String version = versionOfFirstEvent(edge.send("/draft/1", "a" + i, PROMPT_HEADERS));
-        String response = takeUp(second, "a" + i);
+        String response = resume(second, "a" + i);
         assertThat(response, containsString("id: 2\ndata: " + version + "\n\n"));
       }
     }
@@ -101,8 +101,8 @@
 
   /** Guards against the loss of what began a stream with the instance that passed it on. */
   @Test
-  void streamTakenUpAfterCrashOfItsInstanceGoesOnAtVersionThatBeganIt() throws Exception {
-    startReplicas(StreamVersionTest::breakUnlessTakenUp, "v1", "v2");
+  void streamResumedAfterCrashOfItsInstanceGoesOnAtVersionThatBeganIt() throws Exception {
+    startReplicas(StreamVersionTest::breakUnlessCallerResumes, "v1", "v2");
     List<String> versions = new ArrayList<>();
     for (int i = 0; i < STREAMS; i++) {
       versions.add(versionOfFirstEvent(edge.send("/draft/1", "a" + i, PROMPT_HEADERS)));
@@ -114,7 +114,7 @@
       second.awaitLog("replica=e-1 ");
       for (int i = 0; i < STREAMS; i++) {
         assertThat(
-            takeUp(second, "a" + i), containsString("id: 2\ndata: " + versions.get(i) + "\n\n"));
+            resume(second, "a" + i), containsString("id: 2\ndata: " + versions.get(i) + "\n\n"));
       }
     }
   }
@@ -122,8 +122,8 @@
   /** Guards against a guess when nothing tells which version began a stream. */
   @Test
   void streamOfUnknownOriginIsRefusedWhileVersionsDiffer() throws Exception {
-    startReplicas(StreamVersionTest::breakUnlessTakenUp, "v1", "v2");
-    String response = takeUp(edge, "unknown");
+    startReplicas(StreamVersionTest::breakUnlessCallerResumes, "v1", "v2");
+    String response = resume(edge, "unknown");
     assertThat(response, allOf(startsWith("HTTP/1.1 503"), containsString("retry-after")));
     assertThat(replicas.get(0).requests(), hasSize(0));
     assertThat(replicas.get(1).requests(), hasSize(0));
@@ -131,8 +131,8 @@
 
   @Test
   void streamOfUnknownOriginGoesOnWhileThereIsOneVersion() throws Exception {
-    startReplicas(StreamVersionTest::breakUnlessTakenUp, "v1", "v1");
-    assertThat(takeUp(edge, "unknown"), containsString("id: 2\ndata: v1\n\n"));
+    startReplicas(StreamVersionTest::breakUnlessCallerResumes, "v1", "v1");
+    assertThat(resume(edge, "unknown"), containsString("id: 2\ndata: v1\n\n"));
   }
 
   /** Writes the response of a replica of some version. */
@@ -150,8 +150,8 @@
     return false;
   }
 
-  /** Breaks off until the caller itself takes the stream up. */
-  private static boolean breakUnlessTakenUp(
+  /** Breaks off until the caller itself resumes the stream. */
+  private static boolean breakUnlessCallerResumes(
       String version, FakeReplica.Request request, Socket socket) throws IOException {
     if (request.headers().containsKey("Resumes")) {
       return sendSecondEvent(version, request, socket);
@@ -192,8 +192,8 @@
     return first ? "v1" : "v2";
   }
 
-  /** Takes up, as a caller does, the stream whose first event an earlier attempt received. */
-  private static String takeUp(EdgeFixture instance, String attempt) throws IOException {
+  /** Resumes, as a caller does, the stream whose first event an earlier attempt received. */
+  private static String resume(EdgeFixture instance, String attempt) throws IOException {
     String position = "Last-Event-Id: 1\r\nResumes: " + attempt + "\r\n";
     return instance.send("/draft/1", attempt + "-again", PROMPT_HEADERS + position);
   }
--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -54,7 +54,7 @@
     assertThat(found, contains(OriginLookup.found(SECOND, Source.STORE)));
   }
 
-  /** Guards against a refusal of a stream that is taken up before its origin is recorded. */
+  /** Guards against a refusal of a stream that is resumed before its origin is recorded. */
   @Test
   void lookupWaitsForAnOriginThatIsBeingRecorded() {
     run(SECOND_NANOS);
