A backlog of the store is caught up by its newest records, over a slow link too

Cause, by reading: a read asks for the whole backlog (up to 1 MiB), its timeout is fixed, and a read that times out begins again from the same offset, so that all its bytes are lost. Ruled out by reading: the store still turning it away (until 32.5 s only).

Now a read is a page of 256 KiB, the timeout grows with the bytes that arrive (32 KB/s at least, no pause longer than the timeout), and a topic of which only the newest records matter is listed when more records wait than it has keys.

Tests: listingThatArrivesSlowlyIsReceived fails with the client as it was (UNKNOWN after 1.2 s); backlogOfOneKeyIsSkippedForItsNewestRecord fails without the listing (100 records transferred, fewer than 8 wanted). 35 tests of the three classes concerned passed.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -209,6 +209,7 @@
             PlatformTopics.CONFIGURATION,
             READ_WAIT_MILLIS,
             0,
+            TopicWatch.Backlog.READ_NEWEST,
             timer,
             new ConfigurationFeed(fleet, log, this::onStoreOutcome))
         .start();
@@ -217,10 +218,19 @@
             PlatformTopics.REPLICAS,
             READ_WAIT_MILLIS,
             REPLICA_READ_PAUSE_MILLIS,
+            TopicWatch.Backlog.READ_NEWEST,
             timer,
             new ReplicaFeed(fleet, log, this::onRegistryOutcome))
         .start();
-    new TopicWatch(store, CRASH_TOPIC, CRASH_READ_WAIT_MILLIS, 0, timer, convictionFeed).start();
+    new TopicWatch(
+            store,
+            CRASH_TOPIC,
+            CRASH_READ_WAIT_MILLIS,
+            0,
+            TopicWatch.Backlog.READ_ALL,
+            timer,
+            convictionFeed)
+        .start();
     FleetMembers members =
         new FleetMembers(store, settings.instance(), settings.loans(), this::onMembers);
     timer.every(() -> members.sendHeartbeat(incarnation), 0, HEARTBEAT_INTERVAL_MILLIS);
--- a/src/main/java/io/snipeloom/forwarding/AsyncHttpClient.java
+++ b/src/main/java/io/snipeloom/forwarding/AsyncHttpClient.java
@@ -16,13 +16,20 @@
 /**
  * Sends HTTP requests to one peer, each with a timeout, and collects the complete responses.
  *
- * <p>The connection of a request that timed out is closed, because the peer may never respond on
- * it. Confined to the event loop thread.
+ * <p>The timeout grows with the bytes that arrive, so that a long response over a slow link is
+ * received, while one that stalls or arrives a few bytes at a time is not waited for. The
+ * connection of a request that timed out is closed, because the peer may never respond on it.
+ * Confined to the event loop thread.
  */
 public final class AsyncHttpClient {
   /** The longest body; a peer that sends more does not send a response. */
   private static final int MAX_BODY_BYTES = 16_777_216;
 
+  /** The slowest transfer of a response that is waited for; a slower one times out. */
+  private static final long MIN_BYTES_PER_MILLI = 32;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private final EventLoop loop;
   private final String host;
   private final ConnectionPool pool;
@@ -64,13 +71,14 @@
    * @param method the HTTP method
    * @param uri the path and query
    * @param body the request body, which this method releases
-   * @param timeoutMillis the time until the request fails, connecting included, in milliseconds
+   * @param timeoutMillis the time until the request fails, connecting included, in milliseconds;
+   *     also the longest pause within a response
    * @param listener receives the outcome, once
    */
   public void call(
       HttpMethod method, String uri, ByteBuf body, long timeoutMillis, Listener listener) {
-    Call call = new Call(listener);
-    call.timeout = loop.schedule(call::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+    Call call = new Call(loop, timeoutMillis, listener);
+    call.scheduleTimeout(timeoutMillis * NANOS_PER_MILLI);
     pool.acquire(
         connection -> {
           if (call.done) {
@@ -91,17 +99,27 @@
   }
 
   private static final class Call implements ResponseListener {
+    private final EventLoop loop;
+    private final long timeoutMillis;
     private final Listener listener;
     private final ByteBuf body = Unpooled.buffer();
+    private final long startNanos = System.nanoTime();
+    private long lastBytesNanos = startNanos;
     private ScheduledFuture<?> timeout;
     private ClientConnection connection;
     private int status;
     private boolean done;
 
-    Call(Listener listener) {
+    Call(EventLoop loop, long timeoutMillis, Listener listener) {
+      this.loop = loop;
+      this.timeoutMillis = timeoutMillis;
       this.listener = listener;
     }
 
+    void scheduleTimeout(long delayNanos) {
+      timeout = loop.schedule(this::checkTimeout, delayNanos, TimeUnit.NANOSECONDS);
+    }
+
     @Override
     public boolean onHead(HttpResponse head) {
       status = head.status().code();
@@ -115,6 +133,7 @@
         onFailure("response body is too long");
       } else {
         body.writeBytes(content);
+        lastBytesNanos = System.nanoTime();
       }
     }
 
@@ -132,7 +151,27 @@
       }
     }
 
-    void onTimeout() {
+    private void checkTimeout() {
+      long remainingNanos = deadlineNanos() - System.nanoTime();
+      if (done) {
+        return;
+      }
+      if (remainingNanos > 0) {
+        scheduleTimeout(remainingNanos);
+      } else {
+        onTimeout();
+      }
+    }
+
+    /** Returns when the call fails unless more bytes arrive before. */
+    private long deadlineNanos() {
+      long allowedMillis = timeoutMillis + body.readableBytes() / MIN_BYTES_PER_MILLI;
+      long slowest = startNanos + allowedMillis * NANOS_PER_MILLI;
+      long stalled = lastBytesNanos + timeoutMillis * NANOS_PER_MILLI;
+      return slowest - stalled < 0 ? slowest : stalled;
+    }
+
+    private void onTimeout() {
       if (finish()) {
         if (connection != null) {
           connection.close();
--- a/src/main/java/io/snipeloom/platform/PlatformStore.java
+++ b/src/main/java/io/snipeloom/platform/PlatformStore.java
@@ -28,9 +28,15 @@
 public final class PlatformStore implements KeyedLog {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
-  /** Timeout of a call, to which a read adds its wait. A slow store responds within 0.5 seconds. */
+  /**
+   * Timeout of a call, to which a read adds its wait and the client the time of a long transfer. A
+   * slow store responds within 0.5 seconds.
+   */
   private static final long CALL_TIMEOUT_MILLIS = 1_200;
 
+  /** The most that one read returns, in KiB: at least one record of any size that is accepted. */
+  private static final int READ_PAGE_KIB = 256;
+
   /** The prefix of topics that keep the newest record of each key forever. */
   private static final String KEYED_TOPIC_PREFIX = "keyed.";
 
@@ -80,8 +86,8 @@
       long waitMillis,
       BiConsumer<StoreOutcome, RecordPage> listener) {
     String uri =
-        "/api/log-read?topic=%s&part=%d&from=%d&waitMs=%d"
-            .formatted(KEYED_TOPIC_PREFIX + topic, partition, from, waitMillis);
+        "/api/log-read?topic=%s&part=%d&from=%d&waitMs=%d&maxKb=%d"
+            .formatted(KEYED_TOPIC_PREFIX + topic, partition, from, waitMillis, READ_PAGE_KIB);
     client.call(
         HttpMethod.GET,
         uri,
--- a/src/main/java/io/snipeloom/store/TopicWatch.java
+++ b/src/main/java/io/snipeloom/store/TopicWatch.java
@@ -6,8 +6,9 @@
 /**
  * Follows one keyed topic: lists its newest records, then reads appended records.
  *
- * <p>When the records to be read have expired, the topic is listed again. After any other failure a
- * read is retried, and a listing starts again from its first page. Not thread-safe.
+ * <p>When the records to be read have expired, the topic is listed again, and so is a topic of
+ * which only the newest records matter when more have been appended than it has keys. After any
+ * other failure a read is retried, and a listing starts again from its first page. Not thread-safe.
  */
 public final class TopicWatch {
   /** The number of the partition; the topic must have only one. */
@@ -20,11 +21,39 @@
   private final String topic;
   private final long waitMillis;
   private final long pauseMillis;
+  private final Backlog backlog;
   private final Listener listener;
   private final Timer timer;
   private long next;
+  private int listedKeys;
   private boolean listed;
 
+  /** What is done with records that were appended faster than they were read. */
+  public enum Backlog {
+    /** All records are read, because each of them matters. */
+    READ_ALL {
+      @Override
+      boolean isListed(long unread, int keys) {
+        return false;
+      }
+    },
+    /** The topic is listed if that is shorter, because only the newest record of a key matters. */
+    READ_NEWEST {
+      @Override
+      boolean isListed(long unread, int keys) {
+        return unread > keys;
+      }
+    };
+
+    /**
+     * Returns whether the topic is listed in place of reading on.
+     *
+     * @param unread the number of records after the last one that was read
+     * @param keys the number of keys when the topic was listed last
+     */
+    abstract boolean isListed(long unread, int keys);
+  }
+
   /** Schedules tasks on the event loop. */
   public interface Timer {
 
@@ -69,6 +98,7 @@
    * @param waitMillis how long the store waits for a record during a read, in milliseconds
    * @param pauseMillis the pause after a read that returned records, in milliseconds, so that the
    *     records of a busy topic are read in batches
+   * @param backlog what is done with records that are appended faster than they are read
    * @param timer schedules reads and retries
    * @param listener receives the records and the outcome of each call
    */
@@ -77,12 +107,14 @@
       String topic,
       long waitMillis,
       long pauseMillis,
+      Backlog backlog,
       Timer timer,
       Listener listener) {
     this.log = log;
     this.topic = topic;
     this.waitMillis = waitMillis;
     this.pauseMillis = pauseMillis;
+    this.backlog = backlog;
     this.timer = timer;
     this.listener = listener;
   }
@@ -111,6 +143,7 @@
           }
           next = end;
           listed = true;
+          listedKeys = records.size();
           listener.onListed(records);
           read();
         });
@@ -127,6 +160,10 @@
         next += page.records().size();
         if (!page.records().isEmpty()) {
           listener.onAppended(page.records());
+          if (backlog.isListed(page.end() - next, listedKeys)) {
+            start();
+            return;
+          }
         }
         long pause = page.records().isEmpty() ? 0 : pauseMillis;
         timer.after(this::read, pause);
--- a/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
+++ b/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
@@ -25,6 +25,11 @@
   /** What the script sends if it is let. */
   private static final long ENOUGH_BYTES = 400_000_000;
 
+  /** With the pause, about 160 KB a second for longer than a call without progress may take. */
+  private static final int SLOW_BLOCKS = 25;
+
+  private static final long PAUSE_MILLIS = 100;
+
   private final MultiThreadIoEventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
@@ -68,6 +73,45 @@
     assertThat("bytes sent", sentBytes.get(10, TimeUnit.SECONDS), lessThan(MOST_BYTES));
   }
 
+  /** Guards against a long listing that is given up and begun again because the link is slow. */
+  @Test
+  void listingThatArrivesSlowlyIsReceived() throws Exception {
+    String block = " ".repeat(16_384);
+    assertThat(
+        list(
+            (request, socket) -> {
+              FakeReplica.write(socket, "HTTP/1.1 200 OK\r\n\r\n{\"items\":[],");
+              for (int i = 0; i < SLOW_BLOCKS; i++) {
+                FakeReplica.write(socket, block);
+                Thread.sleep(PAUSE_MILLIS);
+              }
+              FakeReplica.write(socket, "\"hasMore\":false,\"end\":3}");
+              return false;
+            }),
+        is(StoreOutcome.DONE));
+  }
+
+  /** Guards against a listing that sends a byte now and then and never ends. */
+  @Test
+  void listingThatTricklesIsCutOff() throws Exception {
+    CompletableFuture<Void> cutOff = new CompletableFuture<>();
+    FakeReplica.Script script =
+        (request, socket) -> {
+          FakeReplica.write(socket, "HTTP/1.1 200 OK\r\n\r\n{\"items\":[],");
+          try {
+            while (true) {
+              FakeReplica.write(socket, " ");
+              Thread.sleep(PAUSE_MILLIS);
+            }
+          } catch (java.io.IOException e) {
+            cutOff.complete(null);
+          }
+          return false;
+        };
+    assertThat(list(script), is(StoreOutcome.UNKNOWN));
+    cutOff.get(10, TimeUnit.SECONDS);
+  }
+
   /** Lists a topic of a store that sends a body without a length and closes the connection. */
   private StoreOutcome list(String body) throws Exception {
     return list(
--- /dev/null
+++ b/src/test/java/io/snipeloom/store/TopicWatchTest.java
@@ -0,0 +1,160 @@
+package io.snipeloom.store;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Tests how a watch catches up on records that were appended while it could not read. */
+class TopicWatchTest {
+  private static final int RECORDS_PER_PAGE = 4;
+
+  private final PagedLog log = new PagedLog();
+  private final List<String> received = new ArrayList<>();
+
+  /**
+   * Guards against an instance on a slow link that reads every configuration of a storm, and so
+   * goes on with an old one for seconds after the store has answered it again.
+   */
+  @Test
+  void backlogOfOneKeyIsSkippedForItsNewestRecord() {
+    log.put("config", "v0");
+    start(TopicWatch.Backlog.READ_NEWEST);
+    for (int version = 1; version <= 100; version++) {
+      log.put("config", "v" + version);
+    }
+    log.deliverAll();
+    assertThat(received.get(received.size() - 1), is("config=v100"));
+    assertThat("records transferred", log.transferred, lessThan(2 * RECORDS_PER_PAGE));
+  }
+
+  /** Guards against records that are skipped although each of them matters. */
+  @Test
+  void backlogIsReadWholeIfEachRecordMatters() {
+    start(TopicWatch.Backlog.READ_ALL);
+    List<String> expected = new ArrayList<>();
+    for (int number = 1; number <= 30; number++) {
+      log.put("instance", "evidence" + number);
+      expected.add("instance=evidence" + number);
+    }
+    log.deliverAll();
+    assertThat(received, is(expected));
+  }
+
+  /** Guards against listing a topic again and again of which each key is written all the time. */
+  @Test
+  void recordsOfFewerThanAllKeysAreReadNotListed() {
+    Stream.of("a", "b", "c", "d", "e", "f").forEach(key -> log.put(key, "1"));
+    start(TopicWatch.Backlog.READ_NEWEST);
+    Stream.of("a", "b", "c", "d", "e", "f").forEach(key -> log.put(key, "2"));
+    log.deliverAll();
+    assertThat("listings", log.listings, is(1));
+    assertThat(received.subList(6, 12), contains("a=2", "b=2", "c=2", "d=2", "e=2", "f=2"));
+  }
+
+  private void start(TopicWatch.Backlog backlog) {
+    TopicWatch.Listener listener =
+        new TopicWatch.Listener() {
+          @Override
+          public void onListed(List<KeyedRecord> records) {
+            onAppended(records);
+          }
+
+          @Override
+          public void onAppended(List<KeyedRecord> records) {
+            records.forEach(record -> received.add(text(record)));
+          }
+
+          @Override
+          public void onOutcome(StoreOutcome outcome) {}
+        };
+    new TopicWatch(log, "topic", 0, 0, backlog, (task, delay) -> log.defer(task), listener).start();
+  }
+
+  private static String text(KeyedRecord record) {
+    return record.key() + "=" + new String(record.value(), java.nio.charset.StandardCharsets.UTF_8);
+  }
+
+  /** A log in memory whose reads return a few records each and wait while there are none. */
+  private static final class PagedLog implements KeyedLog {
+    private final List<KeyedRecord> records = new ArrayList<>();
+    private final Deque<Runnable> deferred = new ArrayDeque<>();
+    private int transferred;
+    private int listings;
+
+    void put(String key, String value) {
+      records.add(new KeyedRecord(key, value.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+    }
+
+    void defer(Runnable task) {
+      deferred.add(task);
+    }
+
+    /** Runs deferred tasks until only reads that wait are left. */
+    void deliverAll() {
+      for (int idle = 0; idle < 2 && !deferred.isEmpty(); ) {
+        int before = transferred;
+        deferred.poll().run();
+        idle = transferred == before ? idle + 1 : 0;
+      }
+    }
+
+    @Override
+    public void newest(
+        String topic,
+        int partition,
+        String afterKey,
+        BiConsumer<StoreOutcome, RecordPage> listener) {
+      listings++;
+      List<KeyedRecord> newest = new ArrayList<>();
+      for (KeyedRecord record : records) {
+        newest.removeIf(older -> older.key().equals(record.key()));
+        newest.add(record);
+      }
+      transferred += newest.size();
+      listener.accept(StoreOutcome.DONE, new RecordPage(newest, records.size(), ""));
+    }
+
+    @Override
+    public void read(
+        String topic,
+        int partition,
+        long from,
+        long waitMillis,
+        BiConsumer<StoreOutcome, RecordPage> listener) {
+      defer(
+          () -> {
+            int start = (int) from;
+            int end = Math.min(records.size(), start + RECORDS_PER_PAGE);
+            transferred += end - start;
+            RecordPage page = new RecordPage(records.subList(start, end), records.size(), "");
+            listener.accept(StoreOutcome.DONE, page);
+          });
+    }
+
+    @Override
+    public void append(
+        String topic,
+        int partition,
+        long at,
+        List<KeyedRecord> appended,
+        Consumer<StoreOutcome> listener) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void append(
+        String topic, int partition, KeyedRecord record, Consumer<StoreOutcome> listener) {
+      throw new UnsupportedOperationException();
+    }
+  }
+}
