A listener counts as closed when the kernel has released its socket

EdgeDaemonTest.connectionsAreRefusedLateInShutdown failed once: a connection was accepted after the line stopped_accepting. Cause (traced before): a closed channel stays in the selector until the event loop selects again, and the kernel accepts until then; 300 ms of sleep after the line failed the test each time.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -109,6 +109,7 @@
   private boolean storeAvailable = true;
   private long startNanos;
   private boolean draining;
+  private boolean listenerClosing;
   private boolean listenerClosed;
   private boolean drainCompleted;
   private long drainStartNanos;
@@ -265,11 +266,14 @@
     if (drainCompleted || elapsedNanos < ACCEPT_WHILE_DRAINING_NANOS) {
       return;
     }
-    if (!listenerClosed) {
-      listenerClosed = true;
+    if (!listenerClosing) {
+      listenerClosing = true;
       lastOpenRequestNanos = nowNanos;
       proxyServer.stopAccepting();
       fleet.spend().returnAll(nowNanos);
+    }
+    if (!listenerClosed && !proxyServer.isListening()) {
+      listenerClosed = true;
       log.log("stopped_accepting", "open_requests", proxyServer.openRequests());
     }
     proxyServer.closeIdle();
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -16,7 +16,10 @@
 import io.snipeloom.routing.RequestLimits;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.telemetry.FleetMetrics;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
@@ -38,6 +41,7 @@
   private final CrashDetector crashDetector;
   private final Set<ProxyConnection> connections = new HashSet<>();
   private Channel listener;
+  private ServerSocketChannel socket;
   private boolean draining;
   private long lastTickNanos = System.nanoTime();
 
@@ -63,10 +67,11 @@
    * @param address the local address
    */
   public void start(InetSocketAddress address) {
+    socket = openSocket();
     listener =
         new ServerBootstrap()
             .group(loop)
-            .channel(NioServerSocketChannel.class)
+            .channelFactory(() -> new NioServerSocketChannel(socket))
             .option(ChannelOption.SO_BACKLOG, MAX_PENDING_CONNECTIONS)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -86,6 +91,14 @@
             .channel();
   }
 
+  private static ServerSocketChannel openSocket() {
+    try {
+      return ServerSocketChannel.open();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private void addHandlers(Channel channel) {
     HttpDecoderConfig config =
         new HttpDecoderConfig()
@@ -129,11 +142,19 @@
     new ArrayList<>(connections).forEach(connection -> connection.closeIfTimedOut(now));
   }
 
-  /** Stops accepting connections. */
+  /** Starts to close the listener, which {@link #isListening} shows to be complete. */
   public void stopAccepting() {
     ChannelFuture unused = listener.close();
   }
 
+  /**
+   * Returns whether the kernel may still accept connections. It does after {@link #stopAccepting}
+   * until the event loop has released the socket from its selector.
+   */
+  public boolean isListening() {
+    return socket.isOpen() || socket.isRegistered();
+  }
+
   /** Returns the number of connections with a request in progress or queued. */
   public long openRequests() {
     return connections.stream().filter(ProxyConnection::isBusy).count();
