The test of exhausted limits waits until both other replicas are known to drain

Cause: it waited for one line state=DRAINING, which the entry of i-2 satisfies, while i-3 was still ready for up to 250 ms (the pause between reads of the entries). It now waits for the line of each; what it checks is unchanged.

--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
+import java.util.function.Predicate;
 
 /** Runs an edge instance on a fake store; the test provides replicas and callers. */
 final class EdgeFixture implements AutoCloseable {
@@ -125,10 +126,20 @@
 
   /** Waits until the log contains a text. */
   void awaitLog(String text) throws InterruptedException {
+    awaitLines(line -> line.contains(text));
+  }
+
+  /** Waits until the instance has logged that a replica is draining. */
+  void awaitDraining(String replica) throws InterruptedException {
+    awaitLines(
+        line -> line.contains("replica=" + replica + " ") && line.contains("state=DRAINING"));
+  }
+
+  private void awaitLines(Predicate<String> expected) throws InterruptedException {
     long deadlineMillis = System.currentTimeMillis() + AWAIT_TIMEOUT_MILLIS;
-    while (!log.toString(StandardCharsets.UTF_8).contains(text)) {
+    while (log.toString(StandardCharsets.UTF_8).lines().noneMatch(expected)) {
       if (System.currentTimeMillis() > deadlineMillis) {
-        throw new IllegalStateException("not logged: " + text + " in " + log);
+        throw new IllegalStateException("expected line not logged in " + log);
       }
       Thread.sleep(10);
     }
--- a/src/test/java/io/snipeloom/edge/StatedLimitTest.java
+++ b/src/test/java/io/snipeloom/edge/StatedLimitTest.java
@@ -83,8 +83,8 @@
       instances.get(0).register("i-" + (replicas.indexOf(replica) + 1), "app", replica, "draining");
     }
     for (EdgeFixture instance : instances) {
-      instance.awaitLog("replica=i-2 service=app");
-      instance.awaitLog("state=DRAINING");
+      instance.awaitDraining("i-2");
+      instance.awaitDraining("i-3");
     }
     String refused = "";
     for (int i = 0; i < 10 && refused.isEmpty(); i++) {
