--- a/src/main/java/io/snipeloom/platform/PlatformHeaders.java
+++ b/src/main/java/io/snipeloom/platform/PlatformHeaders.java
@@ -10,9 +10,11 @@
 import io.snipeloom.routing.RequestMetadata;
 import io.snipeloom.routing.ResponseMetadata;
 import io.snipeloom.routing.StatedLimit;
+import io.snipeloom.routing.StatedPause;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -162,11 +164,13 @@
 
   /** Returns the names of the headers that the Connection header lists, in lower case. */
   private static Set<String> connectionHeaders(HttpHeaders headers) {
-    String value = headers.get(HttpHeaderNames.CONNECTION);
-    if (value == null) {
-      return Set.of();
+    Set<String> names = new HashSet<>();
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String name : value.split(",", -1)) {
+        names.add(name.trim().toLowerCase(Locale.ROOT));
+      }
     }
-    return Set.of(value.toLowerCase(Locale.ROOT).split("\\s*,\\s*", 2));
+    return names;
   }
 
   /** Returns the value of a header, empty if it is missing or blank. */
--- a/src/test/java/io/snipeloom/platform/PlatformCodecTest.java
+++ b/src/test/java/io/snipeloom/platform/PlatformCodecTest.java
@@ -23,8 +23,11 @@
 import io.snipeloom.store.KeyedRecord;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests decoding and encoding with the examples of the platform's documentation. */
 class PlatformCodecTest {
@@ -211,4 +214,24 @@
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
+
+  /** Guards against headers of one connection that are passed on, and against an internal error. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"a, b, c, d", "A ,a,  a", ",,b,", "d, c\nb, a", "x\nx\nclose, d, keep-alive, b"})
+  void headersThatConnectionNamesAreNotForwarded(String lines) {
+    HttpHeaders source = new DefaultHttpHeaders();
+    for (String name : List.of("A", "b", "C", "d", "x", "kept")) {
+      source.add(name, "value");
+    }
+    for (String line : lines.split("\n", -1)) {
+      source.add("Connection", line);
+    }
+    HttpHeaders headers = codec.responseHeaders(source);
+    String named = "," + lines.toLowerCase(Locale.ROOT).replaceAll("[ \n]+", ",") + ",";
+    for (String name : List.of("a", "b", "c", "d", "x")) {
+      assertThat(name, headers.contains(name), is(!named.contains("," + name + ",")));
+    }
+    assertThat(headers.get("kept"), is("value"));
+  }
 }
