Replicas that say they leave, or want no requests for some time, are heeded

The choice of a replica and the moment of sending both look. If all replicas of a service pause, the request is refused at once, to come back when the first pause ends (a third of the time left at most). Each is one log line with the request that learned it.

Ruled out: a pause per address (another replica may take it), ending the leaving mark by the entry (it says ready for a while yet). With the two lines of Attempt out 3 of 4 of ReplicaWillingnessTest fail; with them 4 of 4 and 11 of 11 of StatedPauseTest pass.

--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -14,6 +14,7 @@
 import io.snipeloom.routing.ReplicaView;
 import io.snipeloom.routing.ResponseMetadata;
 import io.snipeloom.routing.StatedLimit;
+import io.snipeloom.routing.StatedPause;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -181,7 +182,7 @@
       opened.close();
       return;
     }
-    if (!fleet.directory().isAvailable(view.replica())) {
+    if (!fleet.isAvailable(view)) {
       opened.close();
       ended = true;
       owner.onFailed(this, AttemptFailure.NOT_CONNECTED, "replica no longer accepts requests");
@@ -259,6 +260,7 @@
         .load()
         .ifPresent(load -> view.load().onReport(load.running(), load.waiting(), lastReceivedNanos));
     recordLimit(metadata.limit());
+    recordWillingness(metadata);
     responseFailure = classify(metadata);
     String type = responseHeaders.get(HttpHeaderNames.CONTENT_TYPE, "");
     streaming = responseFailure == null && type.startsWith("text/event-stream");
@@ -277,6 +279,16 @@
     }
   }
 
+  private void recordWillingness(ResponseMetadata metadata) {
+    if (metadata.leaving() && view.willingness().onLeaving()) {
+      log.replicaLeaving(view.replica().id());
+    }
+    if (metadata.pause().kind() != StatedPause.Kind.NONE) {
+      view.willingness().onPause(metadata.pause(), lastReceivedNanos);
+      log.replicaPauses(view.replica().id(), metadata.pause());
+    }
+  }
+
   private AttemptFailure classify(ResponseMetadata metadata) {
     if (metadata.notExecuted()) {
       return AttemptFailure.NOT_EXECUTED;
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -80,7 +80,10 @@
   private int connectFailures;
   private boolean mayHaveRun;
   private boolean interrupted;
-  private boolean limitsReached;
+
+  /** How long it takes until a replica accepts requests again; 0 unless all of them reject. */
+  private long lackMillis;
+
   private boolean headSent;
   private boolean done;
 
@@ -316,12 +319,7 @@
             .map(prompt -> fleet.picker().pick(candidates, prompt, now))
             .orElseGet(() -> fleet.picker().pick(candidates, now));
     if (picked.isEmpty()) {
-      limitsReached = !candidates.isEmpty();
-      fail(
-          ErrorCode.NO_UPSTREAM,
-          limitsReached
-              ? "the replicas take no more requests a second"
-              : "no replica accepts requests");
+      failForLackOfReplicas(candidates, now);
       return;
     }
     ReplicaView view = picked.get();
@@ -345,6 +343,24 @@
     attempt.connect();
   }
 
+  /** Rejects the request, to come back when the first of the replicas takes requests again. */
+  private void failForLackOfReplicas(List<ReplicaView> candidates, long nowNanos) {
+    long pauseMillis =
+        candidates.stream()
+            .mapToLong(view -> view.willingness().pauseMillis(nowNanos))
+            .min()
+            .orElse(0);
+    if (candidates.isEmpty()) {
+      fail(ErrorCode.NO_UPSTREAM, "no replica accepts requests");
+    } else if (pauseMillis > 0) {
+      lackMillis = pauseMillis;
+      fail(ErrorCode.NO_UPSTREAM, "the replicas want no requests for some time");
+    } else {
+      lackMillis = LocalResponse.LIMIT_RETRY_MILLIS;
+      fail(ErrorCode.NO_UPSTREAM, "the replicas take no more requests a second");
+    }
+  }
+
   @Override
   public boolean isCallerWaiting() {
     return !done && caller.isOpen();
@@ -551,8 +567,8 @@
   }
 
   private long retryMillis() {
-    if (limitsReached) {
-      return LocalResponse.LIMIT_RETRY_MILLIS;
+    if (lackMillis > 0) {
+      return lackMillis;
     }
     boolean atCapacity = sends > 0 && connectFailures == 0;
     return atCapacity ? LocalResponse.AT_CAPACITY_RETRY_MILLIS : LocalResponse.CRASH_RETRY_MILLIS;
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -6,6 +6,7 @@
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.ReplicaView;
 import io.snipeloom.routing.StatedLimit;
+import io.snipeloom.routing.StatedPause;
 import io.snipeloom.spend.ReserveOutcome;
 import io.snipeloom.spend.SpendStatus;
 import io.snipeloom.state.CustomerId;
@@ -126,6 +127,25 @@
         status);
   }
 
+  /** Logs that a replica said for the first time that it is leaving. */
+  void replicaLeaving(ReplicaId replica) {
+    log.log("replica_leaving", "id", id, "replica", replica);
+  }
+
+  /** Logs that a replica that rejected a request said how long it wants no other. */
+  void replicaPauses(ReplicaId replica, StatedPause pause) {
+    log.log(
+        "replica_pauses",
+        "id",
+        id,
+        "replica",
+        replica,
+        "stated",
+        pause.kind(),
+        "millis",
+        pause.millis());
+  }
+
   /** Logs that a replica stated another limit than before. */
   void replicaLimit(ReplicaId replica, StatedLimit before, StatedLimit now) {
     log.log(
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -177,18 +177,24 @@
     return picker;
   }
 
-  /** Returns the replicas of a service that accept requests. */
+  /** Returns the replicas of a service that accept requests, now or after a pause. */
   List<ReplicaView> availableReplicas(String service) {
     List<ReplicaView> available = new ArrayList<>();
     for (Replica replica : directory.availableReplicas(service)) {
       ReplicaView view = views.get(replica.id());
-      if (view != null) {
+      if (view != null && !view.willingness().isLeaving()) {
         available.add(view);
       }
     }
     return available;
   }
 
+  /** Returns whether a replica that was chosen still takes requests. */
+  boolean isAvailable(ReplicaView view) {
+    return directory.isAvailable(view.replica())
+        && view.willingness().takesRequests(System.nanoTime());
+  }
+
   /** Returns the replicas that have not been tried, or all of them if every one has been tried. */
   static List<ReplicaView> untried(List<ReplicaView> available, Collection<ReplicaId> tried) {
     List<ReplicaView> untried =
--- a/src/main/java/io/snipeloom/platform/PlatformHeaders.java
+++ b/src/main/java/io/snipeloom/platform/PlatformHeaders.java
@@ -42,9 +42,14 @@
   private static final String NOT_EXECUTED = "Snipeloom-Not-Executed";
   private static final String REPLICA_LOAD = "Snipeloom-Replica-Load";
   private static final String SERVER_LIMIT = "Server-Limit";
+  private static final String SERVER_LEAVING = "Server-Leaving";
   private static final String KEEP_ALIVE = "Keep-Alive";
 
+  /** The value that states that a replica is leaving. */
+  private static final String LEAVING = "1";
+
   private static final int MISDIRECTED_REQUEST = 421;
+  private static final int SERVICE_UNAVAILABLE = 503;
   private static final int MAX_PROMPT_PARTS = 256;
 
   /** Headers that apply to a single connection and are not forwarded. */
@@ -122,7 +127,15 @@
         headers.contains(SIGNATURE),
         headers.contains(NOT_EXECUTED) || status == MISDIRECTED_REQUEST,
         load(headers.get(REPLICA_LOAD)),
-        StatedLimit.parse(headers.getAll(SERVER_LIMIT)));
+        StatedLimit.parse(headers.getAll(SERVER_LIMIT)),
+        headers.getAll(SERVER_LEAVING).stream().anyMatch(value -> value.trim().equals(LEAVING)),
+        pause(status, headers));
+  }
+
+  private static StatedPause pause(int status, HttpHeaders headers) {
+    return status == SERVICE_UNAVAILABLE
+        ? StatedPause.parse(headers.getAll(HttpHeaderNames.RETRY_AFTER))
+        : StatedPause.NONE;
   }
 
   @Override
--- a/src/main/java/io/snipeloom/routing/ReplicaPicker.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaPicker.java
@@ -188,7 +188,10 @@
   /** Returns the candidates that may receive a request, without those that back off if possible. */
   private Collection<ReplicaView> eligible(Collection<ReplicaView> candidates, long nowNanos) {
     List<ReplicaView> withinLimits =
-        candidates.stream().filter(view -> view.limit().mayReceive(limitShares, nowNanos)).toList();
+        candidates.stream()
+            .filter(view -> view.willingness().takesRequests(nowNanos))
+            .filter(view -> view.limit().mayReceive(limitShares, nowNanos))
+            .toList();
     List<ReplicaView> notBackingOff =
         withinLimits.stream().filter(view -> !view.health().isBackingOff(nowNanos)).toList();
     return notBackingOff.isEmpty() ? withinLimits : notBackingOff;
--- a/src/main/java/io/snipeloom/routing/ReplicaView.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaView.java
@@ -8,13 +8,15 @@
  * @param health the recent behaviour
  * @param prefixCache the prompt parts that are probably cached
  * @param limit the limit that it states
+ * @param willingness what it said about taking further requests
  */
 public record ReplicaView(
     Replica replica,
     ReplicaLoad load,
     ReplicaHealth health,
     PrefixCacheModel prefixCache,
-    ReplicaLimit limit) {
+    ReplicaLimit limit,
+    ReplicaWillingness willingness) {
 
   /** The cache capacity assumed for a replica that serves no models. */
   private static final long NO_ENGINE_TOKENS = 1;
@@ -32,7 +34,8 @@
         new ReplicaLoad(),
         new ReplicaHealth(),
         new PrefixCacheModel(tokens),
-        new ReplicaLimit(replica.id()));
+        new ReplicaLimit(replica.id()),
+        new ReplicaWillingness());
   }
 
   /**
@@ -41,6 +44,6 @@
    * @param newer the updated entry, of the same incarnation
    */
   public ReplicaView with(Replica newer) {
-    return new ReplicaView(newer, load, health, prefixCache, limit);
+    return new ReplicaView(newer, load, health, prefixCache, limit, willingness);
   }
 }
--- a/src/main/java/io/snipeloom/routing/ResponseMetadata.java
+++ b/src/main/java/io/snipeloom/routing/ResponseMetadata.java
@@ -10,9 +10,17 @@
  * @param notExecuted whether the replica states that it did not execute the request
  * @param load the load of the replica, if stated
  * @param limit the requests a second that the replica takes, if stated
+ * @param leaving whether the replica states that it is leaving
+ * @param pause how long the replica wants no further request, if it rejected this one
  */
 public record ResponseMetadata(
-    String attemptId, boolean signed, boolean notExecuted, Optional<Load> load, StatedLimit limit) {
+    String attemptId,
+    boolean signed,
+    boolean notExecuted,
+    Optional<Load> load,
+    StatedLimit limit,
+    boolean leaving,
+    StatedPause pause) {
 
   /**
    * The load of a replica.
