--- a/src/main/java/io/snipeloom/routing/ReplicaPicker.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaPicker.java
@@ -85,8 +85,9 @@
       Collection<ReplicaView> candidates, Prompt prompt, long nowNanos) {
     ReplicaView best = null;
     double bestScore = Double.MAX_VALUE;
+    PartPlacement placement = placementOf(prompt, candidates, nowNanos);
     for (ReplicaView candidate : eligible(candidates, nowNanos)) {
-      double score = score(candidate, candidates, prompt, nowNanos);
+      double score = score(candidate, prompt, placement, nowNanos);
       if (score < bestScore) {
         best = candidate;
         bestScore = score;
@@ -126,12 +127,15 @@
    */
   public long uncachedTokens(
       ReplicaView candidate, Collection<ReplicaView> candidates, Prompt prompt, long nowNanos) {
+    return uncachedTokens(candidate, prompt, placementOf(prompt, candidates, nowNanos));
+  }
+
+  private static long uncachedTokens(
+      ReplicaView candidate, Prompt prompt, PartPlacement placement) {
     long uncached = prompt.inputTokens();
-    for (PromptPart part : prompt.parts()) {
-      boolean cached =
-          candidate.prefixCache().contains(part)
-              || isAssigned(candidate, candidates, part, nowNanos);
-      if (!cached) {
+    for (int i = 0; i < prompt.parts().size(); i++) {
+      PromptPart part = prompt.parts().get(i);
+      if (!candidate.prefixCache().contains(part) && !placement.isAssigned(candidate, i)) {
         return Math.max(0, uncached);
       }
       uncached -= part.tokens();
@@ -139,14 +143,26 @@
     return Math.max(0, uncached);
   }
 
+  private PartPlacement placementOf(
+      Prompt prompt, Collection<ReplicaView> candidates, long nowNanos) {
+    return new PartPlacement(candidates, prompt, part -> copiesOf(part, nowNanos));
+  }
+
+  private int copiesOf(PromptPart part, long nowNanos) {
+    if (!popularity.isHot(part, nowNanos)) {
+      return 1;
+    }
+    return part.tokens() < MIN_PLACED_PART_TOKENS ? PartPlacement.EVERY_REPLICA : HOT_PART_REPLICAS;
+  }
+
   private double score(
-      ReplicaView candidate, Collection<ReplicaView> candidates, Prompt prompt, long nowNanos) {
+      ReplicaView candidate, Prompt prompt, PartPlacement placement, long nowNanos) {
     ReplicaLoad load = candidate.load();
     long running = load.inFlight() + (long) load.othersRunning(nowNanos);
     return load.pendingPrefillTokens()
         + (double) load.waiting(nowNanos) * WAITING_REQUEST_TOKENS
         + running * RUNNING_REQUEST_TOKENS
-        + uncachedTokens(candidate, candidates, prompt, nowNanos)
+        + uncachedTokens(candidate, prompt, placement)
         + candidate.health().errorShare() * ERROR_PENALTY_TOKENS
         + (candidate.replica().zone().equals(zone) ? 0 : CROSS_ZONE_TOKENS);
   }
@@ -164,27 +180,6 @@
         / candidate.replica().slots();
   }
 
-  private boolean isAssigned(
-      ReplicaView candidate, Collection<ReplicaView> candidates, PromptPart part, long nowNanos) {
-    boolean hot = popularity.isHot(part, nowNanos);
-    if (hot && part.tokens() < MIN_PLACED_PART_TOKENS) {
-      return true;
-    }
-    int replicas = hot ? HOT_PART_REPLICAS : 1;
-    long weight = weight(candidate, part);
-    int higherWeights = 0;
-    for (ReplicaView other : candidates) {
-      if (weight(other, part) > weight) {
-        higherWeights++;
-      }
-    }
-    return higherWeights < replicas;
-  }
-
-  private static long weight(ReplicaView view, PromptPart part) {
-    return RendezvousHash.weightOf(view.replica().id().value(), part.id());
-  }
-
   /** Returns the candidates that may receive a request, without those that back off if possible. */
   private Collection<ReplicaView> eligible(Collection<ReplicaView> candidates, long nowNanos) {
     List<ReplicaView> withinLimits =
