Spend stays within the totals when the store comes back from an older copy

Nothing here read the header: claims that the copy lacks looked free, an append at offset N of the old era could match another N, watches went on at offsets of other records, and a successor inherited by a report that was not the last one.

Now a call counts only if it was sent and answered in the current era (outcome REVERTED otherwise). A partition is listed again; each instance restores the totals that it knew, nobody claims for 2 s, and an instance that comes after others have claimed adds its own claims of the last minute. Records hold their change and era, so that a late write by an instance that did not know is told from others. Reports of an earlier era are not inherited from. Watches list again, entries that the copy lacks have the same grace as after an outage, a replica that drains never looks ready again, convictions are stored again. Records of 3 fields are still read; an older process cannot read the new ones.

Open: an instance that claims and dies within the lost seconds, before another has read its claim: nothing remembers it. Schedules kill none until all have known of the copy for 3 s.

--- a/src/main/java/io/snipeloom/crashes/CrashControl.java
+++ b/src/main/java/io/snipeloom/crashes/CrashControl.java
@@ -203,6 +203,11 @@
     }
   }
 
+  /** Stores all convictions again, because the store may have lost them. */
+  public void onStoreReverted() {
+    unstored.addAll(convictions.keySet());
+  }
+
   /** Applies a conviction that is stored. */
   public void onStored(Conviction conviction) {
     unstored.remove(conviction.trait());
--- a/src/main/java/io/snipeloom/edge/ConvictionFeed.java
+++ b/src/main/java/io/snipeloom/edge/ConvictionFeed.java
@@ -56,6 +56,9 @@
   @Override
   public void onOutcome(StoreOutcome outcome) {
     // The other watches tell whether the store is available.
+    if (outcome == StoreOutcome.REVERTED) {
+      crashes.onStoreReverted();
+    }
   }
 
   private void apply(KeyedRecord record) {
--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -107,6 +107,7 @@
   private final CountDownLatch drained = new CountDownLatch(1);
   private int fleetSize = FleetMembers.ASSUMED_SIZE;
   private boolean storeAvailable = true;
+  private long loggedEra;
   private long startNanos;
   private boolean draining;
   private boolean listenerClosing;
@@ -348,7 +349,19 @@
     onStoreOutcome(outcome);
   }
 
+  private void onStoreReverted() {
+    fleet.directory().onRegistryReverted(System.nanoTime());
+    if (store.era() != loggedEra) {
+      log.log("store_reverted", "era", store.era(), "before", loggedEra);
+      metrics.count("store_reverted");
+      loggedEra = store.era();
+    }
+  }
+
   private void onStoreOutcome(StoreOutcome outcome) {
+    if (outcome == StoreOutcome.REVERTED) {
+      onStoreReverted();
+    }
     boolean available = outcome.isStoreAvailable();
     if (available) {
       fleet.directory().onRegistryAvailable(System.nanoTime());
--- a/src/main/java/io/snipeloom/forwarding/AsyncHttpClient.java
+++ b/src/main/java/io/snipeloom/forwarding/AsyncHttpClient.java
@@ -41,9 +41,10 @@
      * Called when the peer responded.
      *
      * @param status the HTTP status code
+     * @param headers the response headers
      * @param body the response body, which must not be used after this call
      */
-    void onResponse(int status, ByteBuf body);
+    void onResponse(int status, HttpHeaders headers, ByteBuf body);
 
     /**
      * Called when the request failed or timed out before the response was complete.
@@ -108,6 +109,7 @@
     private ScheduledFuture<?> timeout;
     private ClientConnection connection;
     private int status;
+    private HttpHeaders headers;
     private boolean done;
 
     Call(EventLoop loop, long timeoutMillis, Listener listener) {
@@ -123,6 +125,7 @@
     @Override
     public boolean onHead(HttpResponse head) {
       status = head.status().code();
+      headers = head.headers();
       return true;
     }
 
@@ -140,7 +143,7 @@
     @Override
     public void onEnd() {
       if (finish()) {
-        listener.onResponse(status, body);
+        listener.onResponse(status, headers, body);
       }
     }
 
--- a/src/main/java/io/snipeloom/platform/PlatformStore.java
+++ b/src/main/java/io/snipeloom/platform/PlatformStore.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.snipeloom.forwarding.AsyncHttpClient;
 import io.snipeloom.state.SnipeloomException;
@@ -51,7 +52,12 @@
   /** Length of the two offsets at the start of the body of a read. */
   private static final int OFFSETS_BYTES = 16;
 
+  /** The response header that states the era of the store. */
+  private static final String ERA_HEADER = "Store-Era";
+
   private final AsyncHttpClient client;
+  private boolean eraKnown;
+  private long era;
 
   /**
    * Creates a client.
@@ -62,6 +68,39 @@
     this.client = client;
   }
 
+  @Override
+  public long era() {
+    return era;
+  }
+
+  /**
+   * Records the era that a response states.
+   *
+   * @param headers the headers of the response
+   * @param sent the era in which the call was sent
+   * @return whether the call and its response belong to the current era
+   */
+  private boolean isOfCurrentEra(HttpHeaders headers, SentEra sent) {
+    long stated = statedEra(headers);
+    if (!eraKnown || stated > era) {
+      eraKnown = true;
+      era = stated;
+    }
+    return stated == era && (!sent.known() || sent.era() == era);
+  }
+
+  /** Returns the era in the headers; the current one if they state none that can be read. */
+  private long statedEra(HttpHeaders headers) {
+    try {
+      return Long.parseLong(headers.get(ERA_HEADER, Long.toString(era)).trim());
+    } catch (NumberFormatException e) {
+      return era;
+    }
+  }
+
+  /** The era of the store that was known when a call was sent. */
+  private record SentEra(boolean known, long era) {}
+
   @Override
   public void newest(
       String topic, int partition, String afterKey, BiConsumer<StoreOutcome, RecordPage> listener) {
@@ -120,6 +159,7 @@
   }
 
   private void append(String uri, List<KeyedRecord> records, Consumer<StoreOutcome> listener) {
+    SentEra sent = new SentEra(eraKnown, era);
     client.call(
         HttpMethod.POST,
         uri,
@@ -127,8 +167,9 @@
         CALL_TIMEOUT_MILLIS,
         new AsyncHttpClient.Listener() {
           @Override
-          public void onResponse(int status, ByteBuf body) {
-            listener.accept(toOutcome(status));
+          public void onResponse(int status, HttpHeaders headers, ByteBuf body) {
+            boolean current = isOfCurrentEra(headers, sent);
+            listener.accept(current ? toOutcome(status) : StoreOutcome.REVERTED);
           }
 
           @Override
@@ -144,11 +185,16 @@
   }
 
   /** Returns a listener that decodes a page; a topic that does not exist is read as empty. */
-  private static AsyncHttpClient.Listener pageListener(
+  private AsyncHttpClient.Listener pageListener(
       BiConsumer<StoreOutcome, RecordPage> listener, PageDecoder decoder) {
+    SentEra sent = new SentEra(eraKnown, era);
     return new AsyncHttpClient.Listener() {
       @Override
-      public void onResponse(int status, ByteBuf body) {
+      public void onResponse(int status, HttpHeaders headers, ByteBuf body) {
+        if (!isOfCurrentEra(headers, sent)) {
+          listener.accept(StoreOutcome.REVERTED, null);
+          return;
+        }
         if (status == NOT_FOUND) {
           listener.accept(StoreOutcome.DONE, new RecordPage(List.of(), 0, ""));
           return;
--- a/src/main/java/io/snipeloom/routing/ReplicaDirectory.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaDirectory.java
@@ -26,14 +26,23 @@
   private long registryAvailableSinceNanos = Long.MIN_VALUE / 2;
 
   /**
-   * Adds or updates an entry.
+   * Adds or updates an entry. A replica that drains never accepts requests again, so that an older
+   * entry of it, such as one from a stale listing, changes nothing.
    *
    * @param replica the entry
    * @return the previous entry, or null
    */
   public Replica put(Replica replica) {
     missingSince.remove(replica.id());
-    return replicas.put(replica.id(), replica);
+    Replica previous = replicas.get(replica.id());
+    boolean outdated =
+        previous != null
+            && previous.isSameIncarnation(replica)
+            && !previous.state().acceptsRequests();
+    if (!outdated) {
+      replicas.put(replica.id(), replica);
+    }
+    return previous;
   }
 
   /**
@@ -88,6 +97,16 @@
     }
   }
 
+  /**
+   * Records that the registry came back from an older copy of itself, which may lack entries until
+   * their replicas register again.
+   *
+   * @param nowNanos the current time
+   */
+  public void onRegistryReverted(long nowNanos) {
+    registryAvailableSinceNanos = nowNanos;
+  }
+
   /**
    * Removes the replicas that disappeared and did not register again within the grace period.
    *
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -2,7 +2,6 @@
 
 import io.snipeloom.state.CustomerId;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +12,8 @@
  *
  * <p>A write whose outcome is unknown is retried unchanged at the same offset until its outcome is
  * known: either its records are in the ledger, or other records occupy the offset and the write can
- * no longer succeed. Not thread-safe.
+ * no longer succeed. When the store has come back from an older copy of itself, the outcome of a
+ * write cannot be known any more, so nothing is granted by it. Not thread-safe.
  */
 final class LedgerPartition {
   /** The delay before the next call after one failed, which limits the load during an outage. */
@@ -34,10 +34,11 @@
   private final SpendEvents events;
   private final UsageReporter usageReporter;
   private final Map<CustomerId, CustomerAccount> accounts = new LinkedHashMap<>();
-  private final Map<CustomerId, Long> claimedTotals = new HashMap<>();
+  private final ClaimedTotals totals = new ClaimedTotals();
   private ClaimPolicy policy;
   private boolean loaded;
   private long end;
+  private long era;
   private long claimedTotalsConfirmedNanos;
   private long pausedUntilNanos = Long.MIN_VALUE / 2;
   private boolean callInProgress;
@@ -82,7 +83,7 @@
     return new SpendStatus(
         account.available(),
         account.allowance(nowNanos),
-        claimedTotal(account.customer()),
+        totals.of(account.customer()),
         account.limit(),
         loaded ? TimeUnit.NANOSECONDS.toMillis(nowNanos - claimedTotalsConfirmedNanos) : -1);
   }
@@ -98,12 +99,12 @@
   }
 
   /**
-   * Returns whether the current call is slow or the last call failed, so that nothing can be
-   * claimed now.
+   * Returns whether nothing can be claimed now, because the current call is slow, the last call
+   * failed, or the totals are being corrected.
    */
   boolean isStalled(long nowNanos) {
     boolean slowCall = callInProgress && nowNanos - callStartNanos > SLOW_CALL_NANOS;
-    return slowCall || lastCallFailed;
+    return slowCall || lastCallFailed || totals.isHeld(nowNanos);
   }
 
   /**
@@ -128,6 +129,11 @@
     if (callInProgress || nowNanos - pausedUntilNanos < 0) {
       return;
     }
+    if (loaded && store.era() != era) {
+      loaded = false;
+      discardPendingBatch();
+      totals.onReverted(nowNanos);
+    }
     if (!loaded) {
       list(nowNanos);
       return;
@@ -154,8 +160,9 @@
             onResponse();
             loaded = true;
             end = page.end();
+            era = store.era();
             claimedTotalsConfirmedNanos = nowNanos;
-            page.records().forEach(record -> apply(record, nowNanos));
+            totals.onListed(page.records(), customer -> recentClaims(customer, nowNanos), era);
             startCallIfDue(nowNanos);
           }
 
@@ -254,13 +261,17 @@
     return record.writer().equals(writer) && record.sequence() == batch.records().get(0).sequence();
   }
 
+  private long recentClaims(CustomerId customer, long nowNanos) {
+    CustomerAccount account = accounts.get(customer);
+    return account == null ? 0 : account.recentClaims(nowNanos);
+  }
+
   private void apply(LedgerRecord record, long nowNanos) {
-    Long before = claimedTotals.put(record.customer(), record.claimedTokens());
     CustomerAccount account = accounts.get(record.customer());
-    if (before != null && account != null) {
-      boolean own = record.writer().equals(writer);
-      account.onClaimed(record.claimedTokens() - before, own, nowNanos);
+    if (totals.isKnown(record.customer()) && account != null) {
+      account.onClaimed(record.change(), record.writer().equals(writer), nowNanos);
     }
+    totals.onRecord(record, nowNanos);
   }
 
   /** Grants the claimed tokens of a successful write and reports its returns. */
@@ -271,11 +282,11 @@
             (customer, tokens) -> {
               if (tokens > 0) {
                 CustomerAccount account = accounts.get(customer);
-                account.grant(tokens, nowNanos);
+                account.grantClaimed(tokens, nowNanos);
                 usageReporter.requestReport();
-                events.onGranted(customer, tokens, claimedTotal(customer), account.limit());
+                events.onGranted(customer, tokens, totals.of(customer), account.limit());
                 account.serveWaiters(nowNanos);
-              } else {
+              } else if (tokens < 0) {
                 events.onReturned(customer, -tokens);
               }
             });
@@ -328,17 +339,33 @@
     List<LedgerRecord> records = new ArrayList<>();
     Map<CustomerId, Long> changes = new LinkedHashMap<>();
     long first = sequence + 1;
+    for (CustomerId customer : totals.understated()) {
+      records.add(record(customer, 0));
+      changes.put(customer, 0L);
+    }
     for (CustomerAccount account : accounts.values()) {
-      long change = plannedChange(account, nowNanos);
+      CustomerId customer = account.customer();
+      boolean held = totals.isHeld(nowNanos) || changes.containsKey(customer);
+      long change = held ? 0 : plannedChange(account, nowNanos);
       if (change != 0) {
-        long newTotal = claimedTotal(account.customer()) + change;
-        records.add(new LedgerRecord(account.customer(), newTotal, writer, ++sequence));
-        changes.put(account.customer(), change);
+        records.add(record(customer, change));
+        changes.put(customer, change);
       }
     }
     return sequence < first ? null : new Batch(end, records, changes);
   }
 
+  private LedgerRecord record(CustomerId customer, long change) {
+    return new LedgerRecord(
+        customer,
+        totals.of(customer) + change,
+        writer,
+        ++sequence,
+        change,
+        era,
+        change != 0 || totals.isChangedInEra(customer));
+  }
+
   /** Returns the tokens to claim, a negative number to return tokens, or 0 for no change. */
   private long plannedChange(CustomerAccount account, long nowNanos) {
     long unclaimed = unclaimed(account);
@@ -373,7 +400,7 @@
   private void serveOrRefuseWaiters(long nowNanos) {
     for (CustomerAccount account : accounts.values()) {
       account.serveWaiters(nowNanos);
-      if (!account.hasWaiters()) {
+      if (!account.hasWaiters() || totals.isHeld(nowNanos)) {
         continue;
       }
       if (nowNanos - claimedTotalsConfirmedNanos > MAX_CLAIMED_TOTALS_AGE_NANOS) {
@@ -388,10 +415,6 @@
   }
 
   private long unclaimed(CustomerAccount account) {
-    return Math.max(0, account.limit() - claimedTotal(account.customer()));
-  }
-
-  private long claimedTotal(CustomerId customer) {
-    return claimedTotals.getOrDefault(customer, 0L);
+    return Math.max(0, account.limit() - totals.of(account.customer()));
   }
 }
--- a/src/main/java/io/snipeloom/spend/LedgerRecord.java
+++ b/src/main/java/io/snipeloom/spend/LedgerRecord.java
@@ -16,9 +16,23 @@
  *     least 0
  * @param writer the incarnation that wrote the record
  * @param sequence the number of the record among the records of the writer
+ * @param change the tokens that the record claims, negative if it returns them, 0 if it corrects a
+ *     total that the store has lost
+ * @param era the era of the store that the writer knew, at least 0
+ * @param changedInEra whether tokens were claimed or returned in that era, up to this record
  */
-public record LedgerRecord(CustomerId customer, long claimedTokens, String writer, long sequence) {
-  private static final int FIELDS = 3;
+public record LedgerRecord(
+    CustomerId customer,
+    long claimedTokens,
+    String writer,
+    long sequence,
+    long change,
+    long era,
+    boolean changedInEra) {
+  private static final int FIELDS = 6;
+
+  /** The number of fields that earlier versions wrote. */
+  private static final int FIELDS_WITHOUT_ERA = 3;
 
   /** Validates the claimed total. */
   public LedgerRecord {
@@ -27,6 +41,11 @@
     }
   }
 
+  /** Returns whether tokens were claimed or returned in an era, up to this record. */
+  boolean showsChangeIn(long inEra) {
+    return era == inEra && changedInEra;
+  }
+
   /**
    * Encodes all fields except the customer.
    *
@@ -38,6 +57,9 @@
       packer.packLong(claimedTokens);
       packer.packString(writer);
       packer.packLong(sequence);
+      packer.packLong(change);
+      packer.packLong(era);
+      packer.packBoolean(changedInEra);
       return packer.toByteArray();
     } catch (IOException e) {
       throw SnipeloomException.of(ErrorCode.INTERNAL, "cannot encode a ledger record").withCause(e);
@@ -54,11 +76,19 @@
    */
   public static LedgerRecord parse(CustomerId customer, byte[] bytes) {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      if (unpacker.unpackArrayHeader() != FIELDS) {
+      int fields = unpacker.unpackArrayHeader();
+      if (fields != FIELDS && fields != FIELDS_WITHOUT_ERA) {
         throw new IOException("wrong number of fields");
       }
+      boolean hasEra = fields == FIELDS;
       return new LedgerRecord(
-          customer, unpacker.unpackLong(), unpacker.unpackString(), unpacker.unpackLong());
+          customer,
+          unpacker.unpackLong(),
+          unpacker.unpackString(),
+          unpacker.unpackLong(),
+          hasEra ? unpacker.unpackLong() : 0,
+          hasEra ? unpacker.unpackLong() : 0,
+          hasEra && unpacker.unpackBoolean());
     } catch (IOException | RuntimeException e) {
       throw SnipeloomException.of(
               ErrorCode.MALFORMED_RECORD, "ledger record of " + customer + " cannot be decoded")
--- a/src/main/java/io/snipeloom/spend/LedgerStore.java
+++ b/src/main/java/io/snipeloom/spend/LedgerStore.java
@@ -8,6 +8,12 @@
  */
 public interface LedgerStore {
 
+  /**
+   * Returns the era of the store, which rises when the store comes back from an older copy of
+   * itself. Offsets and totals that were read in an earlier era hold no longer.
+   */
+  long era();
+
   /**
    * Reads the newest record of each customer in a partition.
    *
--- a/src/main/java/io/snipeloom/spend/UsageReport.java
+++ b/src/main/java/io/snipeloom/spend/UsageReport.java
@@ -23,11 +23,17 @@
  * @param sequence the number of the report among the reports of the writer
  * @param clock the monotonic clock of the machine
  * @param nanos the monotonic time of the report
+ * @param era the era of the store in which it was made; in a later one it may not be the last
  * @param usages the usage of each customer
  */
 public record UsageReport(
-    String writer, long sequence, MachineClock clock, long nanos, List<CustomerUsage> usages) {
-  private static final int FIELDS = 6;
+    String writer,
+    long sequence,
+    MachineClock clock,
+    long nanos,
+    long era,
+    List<CustomerUsage> usages) {
+  private static final int FIELDS = 7;
   private static final int USAGE_FIELDS = 6;
   private static final double NANOS_PER_SECOND = 1e9;
 
@@ -94,7 +100,7 @@
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packArrayHeader(FIELDS).packString(writer).packLong(sequence);
       packer.packString(clock.boot()).packLong(clock.wallOffsetMillis());
-      packer.packLong(nanos).packArrayHeader(usages.size());
+      packer.packLong(nanos).packLong(era).packArrayHeader(usages.size());
       for (CustomerUsage usage : usages) {
         packer.packArrayHeader(USAGE_FIELDS).packString(usage.customer().value());
         packer.packLong(usage.grantedTokens()).packLong(usage.usedTokens());
@@ -123,12 +129,13 @@
       long sequence = unpacker.unpackLong();
       MachineClock clock = new MachineClock(unpacker.unpackString(), unpacker.unpackLong());
       long nanos = unpacker.unpackLong();
+      long era = unpacker.unpackLong();
       int count = unpacker.unpackArrayHeader();
       List<CustomerUsage> usages = new ArrayList<>();
       for (int i = 0; i < count; i++) {
         usages.add(parseUsage(unpacker));
       }
-      return new UsageReport(writer, sequence, clock, nanos, usages);
+      return new UsageReport(writer, sequence, clock, nanos, era, usages);
     } catch (IOException | RuntimeException e) {
       throw SnipeloomException.of(ErrorCode.MALFORMED_RECORD, "usage report cannot be decoded")
           .withCause(e);
--- a/src/main/java/io/snipeloom/spend/UsageReporter.java
+++ b/src/main/java/io/snipeloom/spend/UsageReporter.java
@@ -11,6 +11,9 @@
 /**
  * Writes usage reports, and inherits the tokens that the previous incarnation left unused.
  *
+ * <p>After the store has come back from an older copy of itself, nothing is inherited from a report
+ * of before, because a later one may be lost; a live instance reports anew at once.
+ *
  * <p>The first report replaces the last report of the previous incarnation, so unused tokens are
  * inherited only once, even if this incarnation dies immediately afterwards. A report whose outcome
  * is unknown is retried unchanged at the same offset. Not thread-safe.
@@ -38,6 +41,7 @@
   private boolean callInProgress;
   private boolean urgent;
   private long end;
+  private long era;
   private long sequence;
   private long pausedUntilNanos = Long.MIN_VALUE / 2;
   private long lastReportNanos = Long.MIN_VALUE / 2;
@@ -82,6 +86,9 @@
     if (callInProgress || nowNanos - pausedUntilNanos < 0) {
       return;
     }
+    if (loaded && store.era() != era) {
+      onStoreReverted();
+    }
     if (!loaded) {
       readNewest(nowNanos);
       return;
@@ -95,6 +102,14 @@
     }
   }
 
+  private void onStoreReverted() {
+    loaded = false;
+    urgent = true;
+    if (pendingReport != null) {
+      discardPendingReport();
+    }
+  }
+
   private void readNewest(long nowNanos) {
     callInProgress = true;
     store.newest(
@@ -114,6 +129,7 @@
 
   private void onNewest(Optional<UsageReport> report, long newEnd, long nowNanos) {
     end = newEnd;
+    era = store.era();
     loaded = true;
     boolean own = report.map(found -> found.writer().equals(writer)).orElse(false);
     if (pendingReport != null && own && report.get().sequence() == pendingReport.sequence()) {
@@ -136,7 +152,7 @@
     long elapsedNanos = clock.maxElapsedNanos(predecessor.clock(), predecessor.nanos(), startNanos);
     events.onPredecessor(predecessor.writer(), elapsedNanos, sameClock);
     Map<CustomerId, Long> unused = new LinkedHashMap<>();
-    if (sameClock) {
+    if (sameClock && predecessor.era() == era) {
       for (UsageReport.CustomerUsage usage : predecessor.usages()) {
         long tokens = usage.unused(elapsedNanos);
         if (tokens > 0) {
@@ -191,7 +207,7 @@
         });
     urgent = false;
     lastReportNanos = nowNanos;
-    UsageReport report = new UsageReport(writer, sequence + 1, clock, nowNanos, usages);
+    UsageReport report = new UsageReport(writer, sequence + 1, clock, nowNanos, era, usages);
     accounts.forEach(account -> account.onReportPending(report));
     return report;
   }
--- a/src/main/java/io/snipeloom/spend/UsageStore.java
+++ b/src/main/java/io/snipeloom/spend/UsageStore.java
@@ -8,6 +8,12 @@
  */
 public interface UsageStore {
 
+  /**
+   * Returns the era of the store, which rises when the store comes back from an older copy of
+   * itself. A report that was written in an earlier era may not be the last one.
+   */
+  long era();
+
   /**
    * Reads the newest report of the instance.
    *
--- a/src/main/java/io/snipeloom/store/KeyedLedger.java
+++ b/src/main/java/io/snipeloom/store/KeyedLedger.java
@@ -23,6 +23,11 @@
     this.topic = topic;
   }
 
+  @Override
+  public long era() {
+    return log.era();
+  }
+
   @Override
   public void list(int partition, PageListener listener) {
     listFrom(partition, "", new ArrayList<>(), -1, listener);
--- a/src/main/java/io/snipeloom/store/KeyedLog.java
+++ b/src/main/java/io/snipeloom/store/KeyedLog.java
@@ -13,6 +13,15 @@
  */
 public interface KeyedLog {
 
+  /**
+   * Returns the era of the store, as far as its responses have shown. It rises when the store comes
+   * back from an older copy of itself: acknowledged records may be gone, and offsets that were read
+   * before may belong to other records.
+   *
+   * @return the era, 0 before the first response
+   */
+  long era();
+
   /**
    * Lists the newest record of each key, a page at a time.
    *
--- a/src/main/java/io/snipeloom/store/KeyedOrigins.java
+++ b/src/main/java/io/snipeloom/store/KeyedOrigins.java
@@ -21,6 +21,7 @@
   private final String instance;
   private final Consumer<String> onMalformed;
   private long next;
+  private long era;
 
   /**
    * Creates a store that has read nothing yet.
@@ -48,6 +49,10 @@
 
   @Override
   public void readNew(ReadListener listener) {
+    if (log.era() != era) {
+      era = log.era();
+      next = 0;
+    }
     read(next, new ArrayList<>(), true, listener);
   }
 
--- a/src/main/java/io/snipeloom/store/KeyedUsage.java
+++ b/src/main/java/io/snipeloom/store/KeyedUsage.java
@@ -29,6 +29,11 @@
     this.partition = Math.floorMod(instance.hashCode(), partitions);
   }
 
+  @Override
+  public long era() {
+    return log.era();
+  }
+
   @Override
   public void newest(NewestListener listener) {
     newest("", Optional.empty(), -1, listener);
--- a/src/main/java/io/snipeloom/store/StoreOutcome.java
+++ b/src/main/java/io/snipeloom/store/StoreOutcome.java
@@ -8,6 +8,11 @@
   CONFLICT,
   /** The requested records are no longer retained. */
   EXPIRED,
+  /**
+   * The store came back from an older copy of itself since the call was sent. What the call did, if
+   * anything, rests on offsets that hold no longer.
+   */
+  REVERTED,
   /** The call had no effect; the store rejected it or could not be reached. */
   REFUSED,
   /** No response was received; the call may have taken effect or may still do so. */
@@ -16,9 +21,9 @@
   /**
    * Returns whether the outcome shows that the store is available.
    *
-   * @return true for {@link #DONE}, {@link #CONFLICT} and {@link #EXPIRED}
+   * @return false for {@link #REFUSED} and {@link #UNKNOWN}
    */
   public boolean isStoreAvailable() {
-    return this == DONE || this == CONFLICT || this == EXPIRED;
+    return this != REFUSED && this != UNKNOWN;
   }
 }
--- a/src/main/java/io/snipeloom/store/TopicWatch.java
+++ b/src/main/java/io/snipeloom/store/TopicWatch.java
@@ -6,9 +6,10 @@
 /**
  * Follows one keyed topic: lists its newest records, then reads appended records.
  *
- * <p>When the records to be read have expired, the topic is listed again, and so is a topic of
- * which only the newest records matter when more have been appended than it has keys. After any
- * other failure a read is retried, and a listing starts again from its first page. Not thread-safe.
+ * <p>When the records to be read have expired or the store has come back from an older copy of
+ * itself, the topic is listed again, and so is a topic of which only the newest records matter when
+ * more have been appended than it has keys. After any other failure a read is retried, and a
+ * listing starts again from its first page. Not thread-safe.
  */
 public final class TopicWatch {
   /** The number of the partition; the topic must have only one. */
@@ -26,6 +27,7 @@
   private final Timer timer;
   private long next;
   private int listedKeys;
+  private long era;
   private boolean listed;
 
   /** What is done with records that were appended faster than they were read. */
@@ -142,6 +144,7 @@
             return;
           }
           next = end;
+          era = log.era();
           listed = true;
           listedKeys = records.size();
           listener.onListed(records);
@@ -150,6 +153,11 @@
   }
 
   private void read() {
+    if (log.era() != era) {
+      listener.onOutcome(StoreOutcome.REVERTED);
+      start();
+      return;
+    }
     log.read(topic, ONLY_PARTITION, next, waitMillis, this::onRead);
   }
 
@@ -168,7 +176,7 @@
         long pause = page.records().isEmpty() ? 0 : pauseMillis;
         timer.after(this::read, pause);
       }
-      case EXPIRED -> start();
+      case EXPIRED, REVERTED -> start();
       default -> timer.after(listed ? this::read : this::start, RETRY_DELAY_MILLIS);
     }
   }
--- a/src/test/java/io/snipeloom/edge/FleetMembersTest.java
+++ b/src/test/java/io/snipeloom/edge/FleetMembersTest.java
@@ -76,6 +76,11 @@
 
   /** Keeps the newest record of each key in memory. */
   private static final class FakeLog implements KeyedLog {
+    @Override
+    public long era() {
+      return 0;
+    }
+
     final Map<String, byte[]> records = new LinkedHashMap<>();
 
     @Override
--- a/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
+++ b/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
@@ -1,6 +1,7 @@
 package io.snipeloom.platform;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
@@ -10,6 +11,10 @@
 import io.snipeloom.store.StoreOutcome;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -50,6 +55,41 @@
     assertThat(list("{\"items\":[],\"hasMore\":false,\"end\":3}"), is(StoreOutcome.DONE));
   }
 
+  /** Guards against the outcome of a call to a store that has lost what it acknowledged. */
+  @Test
+  void callsThatAnotherEraAnswersHaveNoOutcome() throws Exception {
+    Deque<String> eras = new ArrayDeque<>(List.of("3", "3", "4", "3", "4", "x", "4"));
+    FakeReplica.Script script =
+        (request, socket) -> {
+          FakeReplica.write(
+              socket,
+              "HTTP/1.1 200 OK\r\nContent-Length: 20\r\nStore-Era: %s\r\n\r\n"
+                      .formatted(eras.poll())
+                  + "{\"items\":[],\"end\":3}");
+          return true;
+        };
+    try (FakeReplica server = FakeReplica.start(script)) {
+      PlatformStore store = connect(server);
+      List<StoreOutcome> outcomes = new ArrayList<>();
+      List<Long> known = new ArrayList<>();
+      while (!eras.isEmpty()) {
+        outcomes.add(listFrom(store));
+        known.add(store.era());
+      }
+      assertThat(
+          outcomes,
+          contains(
+              StoreOutcome.DONE,
+              StoreOutcome.DONE,
+              StoreOutcome.REVERTED,
+              StoreOutcome.REVERTED,
+              StoreOutcome.DONE,
+              StoreOutcome.DONE,
+              StoreOutcome.DONE));
+      assertThat(known, contains(3L, 3L, 4L, 4L, 4L, 4L, 4L));
+    }
+  }
+
   /** Guards against a body that fills the memory until the call times out. */
   @Test
   void endlessListingIsCutOff() throws Exception {
@@ -123,15 +163,21 @@
 
   private StoreOutcome list(FakeReplica.Script script) throws Exception {
     try (FakeReplica server = FakeReplica.start(script)) {
-      InetSocketAddress address =
-          new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
-      PlatformStore store = new PlatformStore(new AsyncHttpClient(loops.next(), address));
-      CompletableFuture<StoreOutcome> outcome = new CompletableFuture<>();
-      loops
-          .next()
-          .execute(
-              () -> store.newest("servers", 0, "", (result, page) -> outcome.complete(result)));
-      return outcome.get(10, TimeUnit.SECONDS);
+      return listFrom(connect(server));
     }
   }
+
+  private PlatformStore connect(FakeReplica server) {
+    InetSocketAddress address =
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
+    return new PlatformStore(new AsyncHttpClient(loops.next(), address));
+  }
+
+  private StoreOutcome listFrom(PlatformStore store) throws Exception {
+    CompletableFuture<StoreOutcome> outcome = new CompletableFuture<>();
+    loops
+        .next()
+        .execute(() -> store.newest("servers", 0, "", (result, page) -> outcome.complete(result)));
+    return outcome.get(10, TimeUnit.SECONDS);
+  }
 }
--- a/src/test/java/io/snipeloom/routing/ReplicaDirectoryTest.java
+++ b/src/test/java/io/snipeloom/routing/ReplicaDirectoryTest.java
@@ -23,6 +23,28 @@
     assertThat(directory.isAvailable(replica), is(false));
   }
 
+  /** Guards against requests to a replica that leaves, after a stale listing calls it ready. */
+  @Test
+  void drainingReplicaStaysSoWhateverAnOlderEntrySays() {
+    Replica ready = replica("a", 1, ReplicaState.READY);
+    directory.put(ready);
+    directory.put(replica("a", 1, ReplicaState.DRAINING));
+    directory.replaceAll(List.of(ready), 100 * SECOND_NANOS);
+    assertThat(directory.availableReplicas("service"), empty());
+    directory.put(replica("a", 2, ReplicaState.READY));
+    assertThat(directory.availableReplicas("service"), hasSize(1));
+  }
+
+  /** Guards against losing live replicas whose entries the store lacks after it came back. */
+  @Test
+  void entryThatAnOlderCopyLacksIsRemovedOnlyAfterGracePeriod() {
+    directory.put(replica("a", 1, ReplicaState.READY));
+    directory.onRegistryReverted(100 * SECOND_NANOS);
+    directory.replaceAll(List.of(), 100 * SECOND_NANOS);
+    assertThat(directory.availableReplicas("service"), hasSize(1));
+    assertThat(directory.removeMissing(103 * SECOND_NANOS), hasSize(1));
+  }
+
   @Test
   void replicaIsRemovedWhenItsEntryDisappears() {
     directory.put(replica("a", 1, ReplicaState.READY));
--- a/src/test/java/io/snipeloom/spend/ScheduledLedgerStore.java
+++ b/src/test/java/io/snipeloom/spend/ScheduledLedgerStore.java
@@ -18,10 +18,18 @@
   private final Map<Integer, List<LedgerRecord>> partitions = new LinkedHashMap<>();
   private final List<Runnable> pending = new ArrayList<>();
   private final Map<String, UsageReport> reports = new LinkedHashMap<>();
+  private final List<Copy> copies = new ArrayList<>();
   private long reportsEnd;
+  private long era;
   private boolean outage;
   private boolean hidesUsageAllowance;
 
+  /** The contents of the store at one time. */
+  private record Copy(
+      Map<Integer, List<LedgerRecord>> partitions,
+      Map<String, UsageReport> reports,
+      long reportsEnd) {}
+
   ScheduledLedgerStore(Random random, boolean checksOffset) {
     this.random = random;
     this.checksOffset = checksOffset;
@@ -40,6 +48,7 @@
         report.sequence(),
         report.clock(),
         report.nanos(),
+        report.era(),
         report.usages().stream()
             .map(
                 usage ->
@@ -48,6 +57,44 @@
             .toList());
   }
 
+  /** Keeps a copy of the ledger and the reports, to which {@link #restore} goes back. */
+  void copy() {
+    copies.add(new Copy(copyOf(partitions), new LinkedHashMap<>(reports), reportsEnd));
+  }
+
+  /** Forgets the copies, so that nothing that was written until now is lost. */
+  void dropCopies() {
+    copies.clear();
+    copy();
+  }
+
+  /** Goes back to a copy; what was written since is lost. */
+  void restore(int copiesBack) {
+    int index = Math.max(0, copies.size() - 1 - copiesBack);
+    Copy copy = copies.get(index);
+    copies.subList(index + 1, copies.size()).clear();
+    partitions.clear();
+    partitions.putAll(copyOf(copy.partitions()));
+    reports.clear();
+    reports.putAll(copy.reports());
+    reportsEnd = copy.reportsEnd();
+    era++;
+  }
+
+  private static Map<Integer, List<LedgerRecord>> copyOf(Map<Integer, List<LedgerRecord>> source) {
+    Map<Integer, List<LedgerRecord>> copy = new LinkedHashMap<>();
+    source.forEach((number, records) -> copy.put(number, new ArrayList<>(records)));
+    return copy;
+  }
+
+  boolean isOutage() {
+    return outage;
+  }
+
+  long era() {
+    return era;
+  }
+
   void setOutage(boolean active) {
     outage = active;
   }
@@ -78,55 +125,79 @@
 
   final class View implements LedgerStore {
     private boolean dead;
+    private long knownEra = era;
 
     void kill() {
       dead = true;
     }
 
+    @Override
+    public long era() {
+      return knownEra;
+    }
+
     @Override
     public void list(int partition, PageListener listener) {
+      long sentEra = knownEra;
       pending.add(
           () -> {
             List<LedgerRecord> records = records(partition);
-            LedgerPage page = new LedgerPage(records, records.size());
-            respond(() -> listener.onPage(page), listener::onFailed);
+            Map<CustomerId, LedgerRecord> newest = new LinkedHashMap<>();
+            records.forEach(record -> newest.put(record.customer(), record));
+            LedgerPage page = new LedgerPage(List.copyOf(newest.values()), records.size());
+            respond(sentEra, () -> listener.onPage(page), listener::onFailed);
           });
     }
 
     @Override
     public void read(int partition, long from, PageListener listener) {
+      long sentEra = knownEra;
       pending.add(
           () -> {
             List<LedgerRecord> records = records(partition);
+            if (from > records.size()) {
+              respond(sentEra, listener::onExpired, listener::onFailed);
+              return;
+            }
             LedgerPage page =
                 new LedgerPage(records.subList((int) from, records.size()), records.size());
-            respond(() -> listener.onPage(page), listener::onFailed);
+            respond(sentEra, () -> listener.onPage(page), listener::onFailed);
           });
     }
 
     @Override
     public void append(int partition, long at, List<LedgerRecord> added, AppendListener listener) {
+      long sentEra = knownEra;
       pending.add(
           () -> {
             if (outage) {
-              respond(listener::onUnknown, listener::onUnknown);
+              respond(sentEra, listener::onUnknown, listener::onUnknown);
               return;
             }
             if (random.nextInt(10) == 0) {
               pending.add(() -> write(partition, at, added));
-              respond(listener::onUnknown, listener::onUnknown);
+              respond(sentEra, listener::onUnknown, listener::onUnknown);
               return;
             }
             boolean written = write(partition, at, added);
-            respond(written ? listener::onAppended : listener::onConflict, listener::onUnknown);
+            respond(
+                sentEra,
+                written ? listener::onAppended : listener::onConflict,
+                listener::onUnknown);
           });
     }
 
     /** Returns access to the usage reports of one instance. */
     UsageStore usage(String instance) {
       return new UsageStore() {
+        @Override
+        public long era() {
+          return knownEra;
+        }
+
         @Override
         public void newest(NewestListener listener) {
+          long sentEra = knownEra;
           pending.add(
               () -> {
                 Optional<UsageReport> report = Optional.ofNullable(reports.get(instance));
@@ -135,12 +206,13 @@
                         ? report.map(ScheduledLedgerStore::withoutUsageAllowance)
                         : report;
                 long end = reportsEnd;
-                respond(() -> listener.onReport(visible, end), listener::onFailed);
+                respond(sentEra, () -> listener.onReport(visible, end), listener::onFailed);
               });
         }
 
         @Override
         public void append(long at, UsageReport report, AppendListener listener) {
+          long sentEra = knownEra;
           pending.add(
               () -> {
                 boolean delayed = random.nextInt(10) == 0;
@@ -148,11 +220,14 @@
                   if (delayed) {
                     pending.add(() -> writeReport(instance, at, report));
                   }
-                  respond(listener::onUnknown, listener::onUnknown);
+                  respond(sentEra, listener::onUnknown, listener::onUnknown);
                   return;
                 }
                 boolean written = writeReport(instance, at, report);
-                respond(written ? listener::onAppended : listener::onConflict, listener::onUnknown);
+                respond(
+                    sentEra,
+                    written ? listener::onAppended : listener::onConflict,
+                    listener::onUnknown);
               });
         }
       };
@@ -176,13 +251,20 @@
       return true;
     }
 
-    private void respond(Runnable onResponse, Runnable onLost) {
-      Runnable outcome = outage || random.nextInt(6) == 0 ? onLost : onResponse;
+    /** Delivers an outcome later; that of a call of another era than the known one is lost. */
+    private void respond(long sentEra, Runnable onResponse, Runnable onLost) {
+      boolean lost = outage || random.nextInt(6) == 0;
+      long statedEra = era;
       pending.add(
           () -> {
-            if (!dead) {
-              outcome.run();
+            if (dead) {
+              return;
+            }
+            if (!lost) {
+              knownEra = Math.max(knownEra, statedEra);
             }
+            boolean valid = !lost && sentEra == knownEra && statedEra == knownEra;
+            (valid ? onResponse : onLost).run();
           });
     }
   }
--- a/src/test/java/io/snipeloom/spend/SpendControlTest.java
+++ b/src/test/java/io/snipeloom/spend/SpendControlTest.java
@@ -26,6 +26,21 @@
     assertThat("the schedules lend tokens", lent, greaterThan(SEEDS * 1_000L));
   }
 
+  /** Guards against totals that fall back with the store and are spent a second time. */
+  @Test
+  void noScheduleOverspendsWhenTheStoreComesBackFromOlderCopies() {
+    int served = 0;
+    int reversions = 0;
+    for (long seed = 0; seed < SEEDS; seed++) {
+      SpendSchedule schedule = SpendSchedule.withReversions(seed);
+      assertThat("overspend with seed " + seed, schedule.overspend(), is(0L));
+      served += schedule.served();
+      reversions += schedule.reversions();
+    }
+    assertThat("the schedules serve requests", served, greaterThan(10 * SEEDS));
+    assertThat("the schedules revert the store", reversions, greaterThan(SEEDS));
+  }
+
   @Test
   void schedulesDetectMissingOffsetCheck() {
     long overspend = 0;
--- a/src/test/java/io/snipeloom/spend/SpendLoad.java
+++ b/src/test/java/io/snipeloom/spend/SpendLoad.java
@@ -123,6 +123,11 @@
   }
 
   private final class Instance implements LedgerStore, UsageStore, LoanPeers {
+    @Override
+    public long era() {
+      return 0;
+    }
+
     final int number;
     final SpendControl control;
     boolean dead;
--- a/src/test/java/io/snipeloom/spend/SpendSchedule.java
+++ b/src/test/java/io/snipeloom/spend/SpendSchedule.java
@@ -15,6 +15,11 @@
 final class SpendSchedule {
   private static final int STEPS = 600;
   private static final long STEP_NANOS = 20_000_000L;
+  private static final int COPY_INTERVAL_STEPS = 10;
+
+  /** How long all instances know of an older copy before one of them is killed. */
+  private static final int SETTLED_STEPS = 150;
+
   private static final CustomerId CUSTOMER = CustomerId.of("customer");
   static final SpendEvents NO_OP_EVENTS =
       new SpendEvents() {
@@ -51,6 +56,9 @@
   private int served;
   private int starts;
   private long lent;
+  private boolean reverts;
+  private int reversions;
+  private int stepsSinceAllKnowEra;
   private final List<Runnable> messages = new ArrayList<>();
 
   private final class Instance {
@@ -145,6 +153,17 @@
     }
   }
 
+  /**
+   * Returns a schedule in which the store also comes back from older copies of itself. No instance
+   * is killed from the copy until all have known of it for a while.
+   */
+  static SpendSchedule withReversions(long seed) {
+    SpendSchedule schedule = new SpendSchedule(seed, true);
+    schedule.reverts = true;
+    schedule.store.dropCopies();
+    return schedule;
+  }
+
   /**
    * Runs the schedule and returns the largest number of tokens that were consumed beyond the
    * prepaid total at any step.
@@ -154,6 +173,9 @@
     for (int i = 0; i < STEPS; i++) {
       now += STEP_NANOS;
       injectRandomEvent();
+      if (reverts) {
+        revertAtRandom(i);
+      }
       for (Instance instance : List.copyOf(instances)) {
         if (frozenSteps.merge(instance, -1, Integer::sum) < 0) {
           if (random.nextInt(3) == 0) {
@@ -171,6 +193,24 @@
     return Math.max(0, maxOverspend);
   }
 
+  private void revertAtRandom(int step) {
+    if (step % COPY_INTERVAL_STEPS == 0) {
+      store.copy();
+    }
+    if (random.nextInt(300) == 0) {
+      store.restore(random.nextInt(20));
+      reversions++;
+    }
+    boolean allKnow =
+        !store.isOutage()
+            && instances.stream().allMatch(instance -> instance.view.era() == store.era());
+    stepsSinceAllKnowEra = allKnow ? stepsSinceAllKnowEra + 1 : 0;
+  }
+
+  int reversions() {
+    return reversions;
+  }
+
   private void later(Runnable message) {
     messages.add(message);
   }
@@ -218,6 +258,12 @@
   }
 
   private void restart(Instance instance) {
+    if (reverts) {
+      if (reversions > 0 && stepsSinceAllKnowEra < SETTLED_STEPS) {
+        return;
+      }
+      store.dropCopies();
+    }
     instance.dead = true;
     instance.view.kill();
     instances.remove(instance);
--- a/src/test/java/io/snipeloom/spend/UsageReportTest.java
+++ b/src/test/java/io/snipeloom/spend/UsageReportTest.java
@@ -15,7 +15,7 @@
           CustomerId.of("customer"), 100_000, 20_000, 8_000, 1_000, 10_000);
   private static final UsageReport REPORT =
       new UsageReport(
-          "writer", 3, new MachineClock("boot", 1_000_000), 5_000_000_000L, List.of(USAGE));
+          "writer", 3, new MachineClock("boot", 1_000_000), 5_000_000_000L, 4, List.of(USAGE));
 
   @Test
   void encodedReportDecodesToAnEqualReport() {
--- a/src/test/java/io/snipeloom/store/TopicWatchTest.java
+++ b/src/test/java/io/snipeloom/store/TopicWatchTest.java
@@ -20,6 +20,7 @@
 
   private final PagedLog log = new PagedLog();
   private final List<String> received = new ArrayList<>();
+  private final List<StoreOutcome> outcomes = new ArrayList<>();
 
   /**
    * Guards against an instance on a slow link that reads every configuration of a storm, and so
@@ -50,6 +51,23 @@
     assertThat(received, is(expected));
   }
 
+  /**
+   * Guards against a watch that goes on at an offset which the store, back from an older copy, has
+   * given to other records.
+   */
+  @Test
+  void topicIsListedAgainWhenTheStoreComesBackFromAnOlderCopy() {
+    log.put("config", "v1");
+    log.put("config", "v2");
+    start(TopicWatch.Backlog.READ_ALL);
+    log.deliverAll();
+    log.revertTo(1);
+    log.put("config", "v3");
+    log.deliverAll();
+    assertThat(received.get(received.size() - 1), is("config=v3"));
+    assertThat(outcomes.contains(StoreOutcome.REVERTED), is(true));
+  }
+
   /** Guards against listing a topic again and again of which each key is written all the time. */
   @Test
   void recordsOfFewerThanAllKeysAreReadNotListed() {
@@ -75,7 +93,9 @@
           }
 
           @Override
-          public void onOutcome(StoreOutcome outcome) {}
+          public void onOutcome(StoreOutcome outcome) {
+            outcomes.add(outcome);
+          }
         };
     new TopicWatch(log, "topic", 0, 0, backlog, (task, delay) -> log.defer(task), listener).start();
   }
@@ -90,6 +110,7 @@
     private final Deque<Runnable> deferred = new ArrayDeque<>();
     private int transferred;
     private int listings;
+    private long era;
 
     void put(String key, String value) {
       records.add(new KeyedRecord(key, value.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
@@ -108,6 +129,17 @@
       }
     }
 
+    @Override
+    public long era() {
+      return era;
+    }
+
+    /** Forgets all records but the first ones. */
+    void revertTo(int count) {
+      records.subList(count, records.size()).clear();
+      era++;
+    }
+
     @Override
     public void newest(
         String topic,
