--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -107,7 +107,7 @@
   private final CountDownLatch drained = new CountDownLatch(1);
   private int fleetSize = FleetMembers.ASSUMED_SIZE;
   private boolean storeAvailable = true;
-  private long loggedEra;
+  private long era;
   private long startNanos;
   private boolean draining;
   private boolean listenerClosing;
@@ -351,10 +351,9 @@
 
   private void onStoreReverted() {
     fleet.directory().onRegistryReverted(System.nanoTime());
-    if (store.era() != loggedEra) {
-      log.log("store_reverted", "era", store.era(), "before", loggedEra);
+    if (store.era() != era) {
+      log.log("store_reverted", "era", store.era(), "before", era);
       metrics.count("store_reverted");
-      loggedEra = store.era();
     }
   }
 
@@ -362,6 +361,7 @@
     if (outcome == StoreOutcome.REVERTED) {
       onStoreReverted();
     }
+    era = store.era();
     boolean available = outcome.isStoreAvailable();
     if (available) {
       fleet.directory().onRegistryAvailable(System.nanoTime());
--- /dev/null
+++ b/src/test/java/io/snipeloom/edge/StoreReversionTest.java
@@ -0,0 +1,132 @@
+package io.snipeloom.edge;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.startsWith;
+
+import io.snipeloom.platform.FakeReplica;
+import io.snipeloom.spend.LedgerRecord;
+import io.snipeloom.state.CustomerId;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Tests a real instance on a store that comes back from a copy that lacks what it acknowledged. */
+@Timeout(60)
+class StoreReversionTest {
+  private static final String CUSTOMER = "customer";
+  private static final int LEDGER_PARTITIONS = 3;
+  private static final String PROMPT_HEADERS =
+      "Snipeloom-Token-Counts: 1000,100\r\nSnipeloom-Prompt-Prefix: aa:1000\r\n";
+  private static final long AWAIT_TIMEOUT_MILLIS = 20_000;
+
+  private final List<FakeReplica> replicas = new ArrayList<>();
+  private EdgeFixture edge;
+
+  @BeforeEach
+  void startInstance() throws Exception {
+    edge = new EdgeFixture();
+    startReplica("i-1", "app");
+    startReplica("e-1", "llm");
+    edge.configure(1, 100_000);
+    edge.awaitReady();
+  }
+
+  @AfterEach
+  void stopInstance() throws IOException {
+    edge.close();
+    for (FakeReplica replica : replicas) {
+      replica.close();
+    }
+  }
+
+  /** Guards against claims that look free after the store has lost them. */
+  @Test
+  void claimsThatTheStoreLostAreRestored() throws Exception {
+    edge.store.copy();
+    sendPrompts("a", 5);
+    long claimed = claimed();
+    edge.store.revert();
+    edge.awaitLog("event=store_reverted era=2 before=1");
+    awaitClaimed(claimed);
+    sendPrompts("b", 5);
+    assertThat("claims go on", claimed(), greaterThanOrEqualTo(claimed));
+  }
+
+  /** Guards against requests that fail, or an older configuration, while the store comes back. */
+  @Test
+  void requestsAreServedByTheNewestConfigurationMeanwhile() throws Exception {
+    sendPrompts("a", 1);
+    edge.store.copy();
+    edge.configure(2, 200_000);
+    edge.awaitLog("event=configuration version=2 applied=true");
+    edge.store.revert();
+    for (int i = 0; i < 20; i++) {
+      assertThat(edge.send("/status/1", "s" + i, ""), startsWith("HTTP/1.1 200"));
+    }
+    edge.awaitLog("event=store_reverted era=2 before=1");
+    edge.awaitLog("event=configuration version=1 applied=false");
+    sendPrompts("b", 3);
+  }
+
+  /** Guards against an era that is noticed once only. */
+  @Test
+  void storeMayComeBackAgain() throws Exception {
+    edge.store.copy();
+    sendPrompts("a", 3);
+    final long claimed = claimed();
+    edge.store.revert();
+    edge.awaitLog("event=store_reverted era=2 before=1");
+    edge.store.revert();
+    edge.awaitLog("event=store_reverted era=3 before=2");
+    awaitClaimed(claimed);
+  }
+
+  private void awaitClaimed(long tokens) throws InterruptedException {
+    long deadlineMillis = System.currentTimeMillis() + AWAIT_TIMEOUT_MILLIS;
+    while (claimed() < tokens && System.currentTimeMillis() < deadlineMillis) {
+      Thread.sleep(20);
+    }
+    assertThat("claimed tokens", claimed(), greaterThanOrEqualTo(tokens));
+    assertThat(tokens, greaterThan(0L));
+  }
+
+  private long claimed() {
+    int partition = Math.floorMod(CUSTOMER.hashCode(), LEDGER_PARTITIONS);
+    return edge.store
+        .newestValue("keyed.ledger", partition, CUSTOMER)
+        .map(bytes -> LedgerRecord.parse(CustomerId.of(CUSTOMER), bytes).claimedTokens())
+        .orElse(0L);
+  }
+
+  /** Sends prompts as a caller does who comes back when no tokens can be claimed at the moment. */
+  private void sendPrompts(String prefix, int count) throws Exception {
+    long deadlineMillis = System.currentTimeMillis() + AWAIT_TIMEOUT_MILLIS;
+    for (int i = 0, served = 0; served < count; i++) {
+      String response = edge.send("/draft/1", prefix + i, PROMPT_HEADERS);
+      if (response.startsWith("HTTP/1.1 200")) {
+        served++;
+        continue;
+      }
+      assertThat(response, startsWith("HTTP/1.1 503"));
+      assertThat("time left", deadlineMillis, greaterThan(System.currentTimeMillis()));
+      Thread.sleep(100);
+    }
+  }
+
+  private void startReplica(String id, String service) throws IOException {
+    FakeReplica replica =
+        FakeReplica.start(
+            (request, socket) -> {
+              FakeReplica.write(socket, FakeReplica.completeResponse(request.attempt(), 200, "ok"));
+              return true;
+            });
+    replicas.add(replica);
+    edge.register(id, service, replica, "ready");
+  }
+}
--- a/src/test/java/io/snipeloom/platform/FakeStore.java
+++ b/src/test/java/io/snipeloom/platform/FakeStore.java
@@ -9,12 +9,14 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.stream.Collectors;
@@ -33,6 +35,8 @@
   private final Set<Integer> disabledPorts = new HashSet<>();
   private boolean down;
   private int responsesToDrop;
+  private long era = 1;
+  private Map<String, List<byte[]>> copy = Map.of();
 
   private FakeStore(HttpServer server) {
     this.server = server;
@@ -99,6 +103,37 @@
     responsesToDrop = count;
   }
 
+  /** Keeps a copy of all records, to which {@link #revert} goes back. */
+  public synchronized void copy() {
+    copy = copyOf(partitions);
+  }
+
+  /** Comes back from the last copy; what was appended since is lost. */
+  public synchronized void revert() {
+    partitions.clear();
+    partitions.putAll(copyOf(copy));
+    era++;
+    notifyAll();
+  }
+
+  private static Map<String, List<byte[]>> copyOf(Map<String, List<byte[]>> source) {
+    Map<String, List<byte[]>> result = new HashMap<>();
+    source.forEach((partition, records) -> result.put(partition, new ArrayList<>(records)));
+    return result;
+  }
+
+  /** Returns the value of the newest record of a key; empty if there is none. */
+  public synchronized Optional<byte[]> newestValue(String topic, int partition, String key) {
+    byte[] name = key.getBytes(StandardCharsets.UTF_8);
+    Optional<byte[]> found = Optional.empty();
+    for (byte[] record : records(topic + "/" + partition)) {
+      if (Arrays.equals(Arrays.copyOfRange(record, 1, 1 + record[0]), name)) {
+        found = Optional.of(Arrays.copyOfRange(record, 1 + record[0], record.length));
+      }
+    }
+    return found;
+  }
+
   /** Expires the records of a topic for reads; a listing still has the newest one of each key. */
   public synchronized void truncate(String topic) {
     firstOffsets.put(topic + "/0", records(topic + "/0").size());
@@ -156,7 +191,7 @@
       return;
     }
     int first = firstOffsets.getOrDefault(partition, 0);
-    if (from < first) {
+    if (from < first || from > records(partition).size()) {
       respond(exchange, 410, "{\"first\":%d}".formatted(first).getBytes(StandardCharsets.UTF_8));
       return;
     }
@@ -195,7 +230,7 @@
     Map<String, String> newest = new LinkedHashMap<>();
     for (byte[] record : records) {
       String key = new String(record, 1, record[0], StandardCharsets.UTF_8);
-      byte[] value = java.util.Arrays.copyOfRange(record, 1 + record[0], record.length);
+      byte[] value = Arrays.copyOfRange(record, 1 + record[0], record.length);
       newest.remove(key);
       if (value.length > 0) {
         newest.put(key, Base64.getEncoder().encodeToString(value));
@@ -209,7 +244,8 @@
     respond(exchange, 200, page.getBytes(StandardCharsets.UTF_8));
   }
 
-  private static void respond(HttpExchange exchange, int status, byte[] body) throws IOException {
+  private void respond(HttpExchange exchange, int status, byte[] body) throws IOException {
+    exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
     exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
     exchange.getResponseBody().write(body);
     exchange.close();
