Totals known between two reversions of the store are added to, not compared

Trace: in era 1, which began from an empty copy, writer-0 claimed 5,104 before writer-2 could restore its 3,439; era 2 began from an empty copy too. Writer-0 restored 5,104, and writer-2 compared that with its own 3,439 and took the higher, though the first rested on a total without the second. Comparing holds only for knowledge of one history; so an instance for which the store came back twice within a minute, or that missed an era, adds its own recent claims, and its record says so.

Also by reading: a reversion while a partition was being listed again forgot its totals; one response with an absurd era would have made every later one count for nothing (a rise of more than 1,000 is not an era now, PlatformStoreTest).

--- a/src/main/java/io/snipeloom/platform/PlatformStore.java
+++ b/src/main/java/io/snipeloom/platform/PlatformStore.java
@@ -52,6 +52,9 @@
   /** Length of the two offsets at the start of the body of a read. */
   private static final int OFFSETS_BYTES = 16;
 
+  /** The most that the era rises from one response to the next; more cannot be an era. */
+  private static final long MAX_ERA_RISE = 1_000;
+
   /** The response header that states the era of the store. */
   private static final String ERA_HEADER = "Store-Era";
 
@@ -82,6 +85,9 @@
    */
   private boolean isOfCurrentEra(HttpHeaders headers, SentEra sent) {
     long stated = statedEra(headers);
+    if (eraKnown && stated - era > MAX_ERA_RISE) {
+      stated = era;
+    }
     if (!eraKnown || stated > era) {
       eraKnown = true;
       era = stated;
--- a/src/main/java/io/snipeloom/spend/ClaimedTotals.java
+++ b/src/main/java/io/snipeloom/spend/ClaimedTotals.java
@@ -16,7 +16,8 @@
  * itself, which may lack claims. Then a total that was known before holds if it is higher, and the
  * ledger is to be corrected. An instance that finds that others have claimed tokens before it could
  * do so adds its own recent claims to theirs instead, because theirs may rest on a total without
- * them. Not thread-safe.
+ * them. So does one for which the store came back twice in short time, since what is known from
+ * between may rest on such a total too. Not thread-safe.
  */
 final class ClaimedTotals {
   /** How long nobody claims after the store came back, so that all instances correct it first. */
@@ -30,12 +31,19 @@
   private final Map<CustomerId, Long> beforeReversion = new HashMap<>();
   private final Set<CustomerId> understated = new LinkedHashSet<>();
   private final Set<CustomerId> changedInEra = new HashSet<>();
+  private boolean addsOwnClaims;
   private boolean reverted;
   private long revertedNanos;
   private long era;
 
-  /** Records that the store came back from an older copy; the ledger is to be listed again. */
-  void onReverted(long nowNanos) {
+  /**
+   * Records that the store came back from an older copy; the ledger is to be listed again.
+   *
+   * @param newEra the era of the store
+   */
+  void onReverted(long newEra, long nowNanos) {
+    addsOwnClaims = isDoubtful(nowNanos) || newEra - era > 1;
+    era = newEra;
     totals.forEach((customer, total) -> beforeReversion.merge(customer, total, Math::max));
     understated.clear();
     changedInEra.clear();
@@ -57,20 +65,25 @@
     for (LedgerRecord record : records) {
       totals.put(record.customer(), record.claimedTokens());
       inLedger.put(record.customer(), record.claimedTokens());
-      boolean changed = record.showsChangeIn(era);
-      if (changed) {
+      if (record.showsChangeIn(era)) {
         changedInEra.add(record.customer());
       }
-      Long before = beforeReversion.remove(record.customer());
-      if (before != null) {
-        long added = recentClaims.applyAsLong(record.customer());
-        raise(record.customer(), changed ? record.claimedTokens() + added : before);
-      }
     }
-    beforeReversion.forEach(this::raise);
+    for (Map.Entry<CustomerId, Long> before : beforeReversion.entrySet()) {
+      restore(before.getKey(), before.getValue(), recentClaims.applyAsLong(before.getKey()));
+    }
     beforeReversion.clear();
   }
 
+  /** Restores the total of a customer that was known before the store came back. */
+  private void restore(CustomerId customer, long before, long ownClaims) {
+    raise(customer, before);
+    if (changedInEra.contains(customer) || addsOwnClaims) {
+      raise(customer, inLedger.getOrDefault(customer, 0L) + ownClaims);
+      changedInEra.add(customer);
+    }
+  }
+
   /** Records a record that was read or written in the order of the offsets. */
   void onRecord(LedgerRecord record, long nowNanos) {
     CustomerId customer = record.customer();
@@ -126,6 +139,15 @@
     return totals.getOrDefault(customer, 0L);
   }
 
+  /**
+   * Returns the total of a customer after a change. Once the store came back from an older copy,
+   * more may be returned than is known to be claimed.
+   */
+  long after(CustomerId customer, long change) {
+    long total = of(customer) + change;
+    return reverted ? Math.max(0, total) : total;
+  }
+
   /** Returns whether tokens of a customer were claimed or returned in the current era. */
   boolean isChangedInEra(CustomerId customer) {
     return changedInEra.contains(customer);
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -37,6 +37,7 @@
   private final ClaimedTotals totals = new ClaimedTotals();
   private ClaimPolicy policy;
   private boolean loaded;
+  private boolean listed;
   private long end;
   private long era;
   private long claimedTotalsConfirmedNanos;
@@ -129,10 +130,8 @@
     if (callInProgress || nowNanos - pausedUntilNanos < 0) {
       return;
     }
-    if (loaded && store.era() != era) {
-      loaded = false;
-      discardPendingBatch();
-      totals.onReverted(nowNanos);
+    if (listed && store.era() != era) {
+      onStoreReverted(nowNanos);
     }
     if (!loaded) {
       list(nowNanos);
@@ -150,6 +149,13 @@
     }
   }
 
+  private void onStoreReverted(long nowNanos) {
+    era = store.era();
+    loaded = false;
+    discardPendingBatch();
+    totals.onReverted(era, nowNanos);
+  }
+
   private void list(long nowNanos) {
     startCall();
     store.list(
@@ -159,6 +165,7 @@
           public void onPage(LedgerPage page) {
             onResponse();
             loaded = true;
+            listed = true;
             end = page.end();
             era = store.era();
             claimedTotalsConfirmedNanos = nowNanos;
@@ -358,7 +365,7 @@
   private LedgerRecord record(CustomerId customer, long change) {
     return new LedgerRecord(
         customer,
-        totals.of(customer) + change,
+        totals.after(customer, change),
         writer,
         ++sequence,
         change,
--- a/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
+++ b/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
@@ -58,7 +58,8 @@
   /** Guards against the outcome of a call to a store that has lost what it acknowledged. */
   @Test
   void callsThatAnotherEraAnswersHaveNoOutcome() throws Exception {
-    Deque<String> eras = new ArrayDeque<>(List.of("3", "3", "4", "3", "4", "x", "4"));
+    Deque<String> eras =
+        new ArrayDeque<>(List.of("3", "3", "4", "3", "4", "x", "9223372036854775807", "4"));
     FakeReplica.Script script =
         (request, socket) -> {
           FakeReplica.write(
@@ -85,8 +86,9 @@
               StoreOutcome.REVERTED,
               StoreOutcome.DONE,
               StoreOutcome.DONE,
+              StoreOutcome.DONE,
               StoreOutcome.DONE));
-      assertThat(known, contains(3L, 3L, 4L, 4L, 4L, 4L, 4L));
+      assertThat(known, contains(3L, 3L, 4L, 4L, 4L, 4L, 4L, 4L));
     }
   }
 
