Two test runs started together use different ports

Cause: FreePorts begins at the process id, and the ids were consecutive, so both looked at the same ports at the same time. Ids are now 1,009 ports apart.

--- a/src/test/java/io/snipeloom/transport/FreePorts.java
+++ b/src/test/java/io/snipeloom/transport/FreePorts.java
@@ -16,8 +16,12 @@
   private static final int FIRST_PORT = 20_000;
   private static final int PORT_COUNT = 10_000;
 
-  /** Starts at different ports in different processes. */
-  private static final AtomicInteger NEXT = new AtomicInteger((int) ProcessHandle.current().pid());
+  /** The distance between the first ports of processes with consecutive ids. */
+  private static final int PORTS_PER_PROCESS = 1_009;
+
+  /** Starts at different ports in different processes, so that two test runs do not collide. */
+  private static final AtomicInteger NEXT =
+      new AtomicInteger((int) (ProcessHandle.current().pid() * PORTS_PER_PROCESS));
 
   private FreePorts() {}
 
