Fixtures wait until an instance knows every replica in the store

Cause: awaitReady waited only for the replicas that were registered through the fixture's own method, so three of four instances were not waited for. An instance that reads the first entry alone pauses 250 ms before it reads on; when that entry is the replica that states a limit, it has none to serve the request. Ruled out: the shares of the limit (ReplicaLimitTest); a wrong refusal, as that instance knew no other replica.

The wait covers now each replica whose entry the store has, whoever registered it. No bound was changed.

--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -12,17 +12,15 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.UUID;
 import java.util.function.Predicate;
 
 /** Runs an edge instance on a fake store; the test provides replicas and callers. */
 final class EdgeFixture implements AutoCloseable {
   private static final long AWAIT_TIMEOUT_MILLIS = 10_000;
+  private static final String REPLICA_TOPIC = "keyed.servers";
 
   final FakeStore store;
-  private final List<String> registered = new ArrayList<>();
   final ByteArrayOutputStream log = new ByteArrayOutputStream();
   private final EdgeDaemon daemon;
   private final EdgeSettings settings;
@@ -101,16 +99,18 @@
 
   /** Writes the entry of a replica to the store. */
   void register(String id, String service, FakeReplica replica, String state, String version) {
-    registered.add(id);
     store.put(
-        "keyed.servers",
+        REPLICA_TOPIC,
         id,
         ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"zone-a\",\"slots\":6,"
                 + "\"version\":\"%s\",\"state\":\"%s\",\"born\":1}")
             .formatted(service, replica.port(), version, state));
   }
 
-  /** Waits until the instance reports that it is ready and has logged each registered replica. */
+  /**
+   * Waits until the instance reports that it is ready and has logged each replica in the store,
+   * also those that were registered through another instance's fixture.
+   */
   void awaitReady() throws IOException, InterruptedException {
     long deadlineMillis = System.currentTimeMillis() + AWAIT_TIMEOUT_MILLIS;
     while (!get(settings.readiness(), "/").startsWith("HTTP/1.1 200")) {
@@ -119,7 +119,7 @@
       }
       Thread.sleep(20);
     }
-    for (String id : registered) {
+    for (String id : store.keys(REPLICA_TOPIC)) {
       awaitLog("event=replica replica=" + id + " ");
     }
   }
--- a/src/test/java/io/snipeloom/platform/FakeStore.java
+++ b/src/test/java/io/snipeloom/platform/FakeStore.java
@@ -134,6 +134,14 @@
     return found;
   }
 
+  /** Returns the keys of partition 0 of a topic whose newest record has a value. */
+  public synchronized Set<String> keys(String topic) {
+    return records(topic + "/0").stream()
+        .map(record -> new String(record, 1, record[0], StandardCharsets.UTF_8))
+        .filter(key -> newestValue(topic, 0, key).orElseThrow().length > 0)
+        .collect(Collectors.toSet());
+  }
+
   /** Expires the records of a topic for reads; a listing still has the newest one of each key. */
   public synchronized void truncate(String topic) {
     firstOffsets.put(topic + "/0", records(topic + "/0").size());
