A few instances hold a customer's tokens for a large fleet

Cause: each instance claims ahead for itself and the sum is bounded (0.15 of a total), so at 33 instances each piece is smaller than a request; and three lenders at once each gave half of theirs, again in pieces.

In a fleet of more than 8, three instances chosen by rendezvous hashing of the customer now claim ahead for all, by the claims of all. The others claim what a request needs, keep 0.03 of the total among them at most, and borrow from the holders one after the other (the next after 25 ms of silence) while they cannot claim. A holder's usage report allows a third of what it holds at once. Smaller fleets do as before. A wrong or missing holder costs a larger claim or a refusal.

RendezvousHash moved to state, as spend and peer use it; the layers allow peer to use routing, whose reports it carries.

--- a/src/main/java/io/snipeloom/coordination/BudgetHolderPlacement.java
+++ b/src/main/java/io/snipeloom/coordination/BudgetHolderPlacement.java
@@ -1,8 +1,8 @@
 package io.snipeloom.coordination;
 
-import io.snipeloom.routing.RendezvousHash;
 import io.snipeloom.state.BudgetId;
 import io.snipeloom.state.InstanceId;
+import io.snipeloom.state.RendezvousHash;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
--- a/src/main/java/io/snipeloom/coordination/SubsetPlan.java
+++ b/src/main/java/io/snipeloom/coordination/SubsetPlan.java
@@ -1,8 +1,8 @@
 package io.snipeloom.coordination;
 
 import io.snipeloom.client.Instance;
-import io.snipeloom.routing.RendezvousHash;
 import io.snipeloom.state.InstanceId;
+import io.snipeloom.state.RendezvousHash;
 import io.snipeloom.state.Zone;
 import java.util.ArrayList;
 import java.util.Collection;
--- a/src/main/java/io/snipeloom/crashes/RequestTrait.java
+++ b/src/main/java/io/snipeloom/crashes/RequestTrait.java
@@ -1,7 +1,7 @@
 package io.snipeloom.crashes;
 
-import io.snipeloom.routing.RendezvousHash;
 import io.snipeloom.state.ErrorCode;
+import io.snipeloom.state.RendezvousHash;
 import io.snipeloom.state.SnipeloomException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -21,6 +21,7 @@
 import io.snipeloom.routing.ReplicaPicker;
 import io.snipeloom.routing.RetryAllowance;
 import io.snipeloom.spend.ClaimPolicy;
+import io.snipeloom.spend.CustomerHolders;
 import io.snipeloom.spend.MachineClock;
 import io.snipeloom.spend.SpendControl;
 import io.snipeloom.store.KeyedConvictions;
@@ -340,7 +341,8 @@
   }
 
   private void onMembers(int size, Map<String, InetSocketAddress> others) {
-    loanClient.updatePeers(others);
+    CustomerHolders holders = new CustomerHolders(settings.instance(), others.keySet());
+    loanClient.updatePeers(others, holders);
     demandSender.updatePeers(others);
     peerDemand.changeOthers(others.size());
     limitShares.changeMembers(others.keySet());
@@ -351,6 +353,7 @@
         fleet.spend().changePolicy(new ClaimPolicy(OUTAGE_COVERAGE_SECONDS, size));
       }
     }
+    fleet.spend().changeHolders(holders);
   }
 
   private OperationsServer.TextResponse readiness() {
--- a/src/main/java/io/snipeloom/peer/DemandSender.java
+++ b/src/main/java/io/snipeloom/peer/DemandSender.java
@@ -3,7 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.snipeloom.routing.DemandReport;
 import io.snipeloom.routing.PeerDemand;
-import io.snipeloom.routing.RendezvousHash;
+import io.snipeloom.state.RendezvousHash;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/src/main/java/io/snipeloom/peer/LoanClient.java
+++ b/src/main/java/io/snipeloom/peer/LoanClient.java
@@ -1,23 +1,32 @@
 package io.snipeloom.peer;
 
 import io.netty.channel.EventLoop;
+import io.snipeloom.spend.CustomerHolders;
 import io.snipeloom.spend.LoanPeers;
 import io.snipeloom.spend.LoanRequest;
 import io.snipeloom.state.CustomerId;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Borrows tokens from other instances.
  *
- * <p>Each loan is requested from a few instances at once: from the last one that lent tokens of the
- * customer, and from others chosen at random. Confined to the event loop thread.
+ * <p>In a large fleet a loan is requested from the instances that claim tokens of the customer
+ * ahead, one after the other, until one lends enough: tokens lent by several would lie in pieces
+ * that are too small for a request. Otherwise it is requested from a few instances at once, from
+ * the last one that lent tokens of the customer and from others chosen at random. Confined to the
+ * event loop thread.
  */
 public final class LoanClient implements LoanPeers {
   /** The maximum number of instances that each loan is requested from. */
@@ -29,10 +38,14 @@
    */
   private static final long RESPONSE_TIMEOUT_MILLIS = 80;
 
+  /** How long an instance may take to respond before the next one is asked as well. */
+  private static final long NEXT_LENDER_MILLIS = 25;
+
   private final EventLoop loop;
   private final Random random;
   private final Map<String, LoanConnection> connections = new HashMap<>();
   private final Map<CustomerId, String> lastLenders = new HashMap<>();
+  private CustomerHolders holders = CustomerHolders.ALONE;
 
   /**
    * Creates a client that knows no other instances yet.
@@ -50,8 +63,10 @@
    * it, or whose address has changed, are closed.
    *
    * @param addresses the loan addresses of the other live instances, by instance name
+   * @param newHolders which instances hold tokens for the fleet
    */
-  public void updatePeers(Map<String, InetSocketAddress> addresses) {
+  public void updatePeers(Map<String, InetSocketAddress> addresses, CustomerHolders newHolders) {
+    holders = newHolders;
     List<String> gone =
         connections.keySet().stream().filter(name -> !addresses.containsKey(name)).toList();
     gone.forEach(name -> connections.remove(name).close());
@@ -69,50 +84,71 @@
 
   @Override
   public void borrow(LoanRequest request, Listener listener) {
-    List<String> lenders = chooseLenders(request.customer());
-    if (lenders.isEmpty()) {
-      listener.onDone();
-      return;
-    }
-    PendingLoan loan = new PendingLoan(request.customer(), lenders.size(), listener);
+    PendingLoan loan = new PendingLoan(request, chooseLenders(request.customer()), listener);
     var unused = loop.schedule(loan::complete, RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    for (String name : lenders) {
-      connections.get(name).request(request, tokens -> loan.onResponse(name, tokens));
+    int askedAtOnce = holders.othersOf(request.customer()).isEmpty() ? MAX_LENDERS : 1;
+    for (int i = 0; i < askedAtOnce; i++) {
+      loan.askNext();
     }
   }
 
-  private List<String> chooseLenders(CustomerId customer) {
-    List<String> names = new ArrayList<>(connections.keySet());
-    Collections.shuffle(names, random);
-    String last = lastLenders.get(customer);
-    if (names.remove(last)) {
-      names.add(0, last);
-    }
-    return names.subList(0, Math.min(MAX_LENDERS, names.size()));
+  /**
+   * Returns those that hold tokens of the customer, then the last lender, then others at random.
+   */
+  private Deque<String> chooseLenders(CustomerId customer) {
+    List<String> others = new ArrayList<>(connections.keySet());
+    Collections.shuffle(others, random);
+    Set<String> names = new LinkedHashSet<>(holders.othersOf(customer));
+    names.add(lastLenders.get(customer));
+    names.addAll(others);
+    names.retainAll(connections.keySet());
+    return new ArrayDeque<>(names.stream().limit(MAX_LENDERS).toList());
   }
 
   /** The requests to several instances for one loan. */
   private final class PendingLoan {
-    private final CustomerId customer;
+    private final LoanRequest request;
+    private final Deque<String> lenders;
     private final Listener listener;
-    private int missingResponses;
+    private final Set<String> pending = new HashSet<>();
+    private long lentTokens;
     private boolean completed;
 
-    PendingLoan(CustomerId customer, int missingResponses, Listener listener) {
-      this.customer = customer;
-      this.missingResponses = missingResponses;
+    PendingLoan(LoanRequest request, Deque<String> lenders, Listener listener) {
+      this.request = request;
+      this.lenders = lenders;
       this.listener = listener;
     }
 
-    void onResponse(String name, long tokens) {
+    /** Asks the next instance for what is still missing; completes if none is left to wait for. */
+    void askNext() {
+      boolean enough = lentTokens >= request.missingTokens();
+      if (completed || enough || lenders.isEmpty()) {
+        if (pending.isEmpty()) {
+          complete();
+        }
+        return;
+      }
+      String name = lenders.poll();
+      pending.add(name);
+      connections.get(name).request(request.less(lentTokens), tokens -> onResponse(name, tokens));
+      var unused = loop.schedule(() -> onSlow(name), NEXT_LENDER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void onSlow(String name) {
+      if (pending.contains(name)) {
+        askNext();
+      }
+    }
+
+    private void onResponse(String name, long tokens) {
+      pending.remove(name);
       if (tokens > 0) {
-        lastLenders.put(customer, name);
+        lentTokens += tokens;
+        lastLenders.put(request.customer(), name);
         listener.onLent(tokens);
       }
-      missingResponses--;
-      if (missingResponses == 0) {
-        complete();
-      }
+      askNext();
     }
 
     void complete() {
--- a/src/main/java/io/snipeloom/routing/PartPlacement.java
+++ b/src/main/java/io/snipeloom/routing/PartPlacement.java
@@ -1,5 +1,6 @@
 package io.snipeloom.routing;
 
+import io.snipeloom.state.RendezvousHash;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
--- a/src/main/java/io/snipeloom/spend/ClaimPolicy.java
+++ b/src/main/java/io/snipeloom/spend/ClaimPolicy.java
@@ -27,6 +27,9 @@
   /** A surplus of at most this share of the prepaid total is not worth a write and is kept. */
   private static final double MIN_SURPLUS_SHARE = 0.007;
 
+  /** The largest share of the prepaid total that all instances together keep in this way. */
+  private static final double MAX_FLEET_SURPLUS_SHARE = 0.03;
+
   /** Validates the horizon and the fleet size. */
   public ClaimPolicy {
     if (horizonSeconds < 0 || fleetSize < 1) {
@@ -41,24 +44,32 @@
    * <p>The callers of a customer often reach the fleet through a single instance. The remaining
    * tokens are therefore divided in proportion to recent claims instead of evenly.
    *
+   * @param role for whom this instance claims
    * @param tokensPerSecond the recent usage rate of this instance
+   * @param fleetTokensPerSecond the recent claims of all instances
    * @param claimShare the share of this instance in the recent claims of all instances, 0 to 1
    * @param unclaimed the tokens that no instance has claimed
    * @param available the claimed tokens of this instance that are neither reserved nor spent
    * @param limit the prepaid total
    * @return the target, in tokens; 0 if the horizon is 0
    */
-  public long target(
-      double tokensPerSecond, double claimShare, long unclaimed, long available, long limit) {
+  long target(
+      ClaimRole role,
+      double tokensPerSecond,
+      double fleetTokensPerSecond,
+      double claimShare,
+      long unclaimed,
+      long available,
+      long limit) {
     if (horizonSeconds == 0) {
       return 0;
     }
     double remaining = unclaimed + (double) available;
     double share =
-        Math.max(claimShare, INITIAL_SHARE)
+        role.share(claimShare, INITIAL_SHARE)
             * Math.min(FLEET_CLAIM_SHARE * remaining, MAX_INSTANCE_SHARE * limit);
-    double wanted =
-        Math.max(tokensPerSecond * horizonSeconds, INITIAL_SHARE * remaining / fleetSize);
+    double demand = role.demand(tokensPerSecond, fleetTokensPerSecond);
+    double wanted = Math.max(demand * horizonSeconds, INITIAL_SHARE * remaining / fleetSize);
     return (long) Math.min(wanted, share);
   }
 
@@ -85,6 +96,7 @@
    */
   public long surplus(long available, long target, long limit) {
     long surplus = available - target * 2;
-    return surplus > limit * MIN_SURPLUS_SHARE ? surplus : 0;
+    double kept = Math.min(MIN_SURPLUS_SHARE, MAX_FLEET_SURPLUS_SHARE / fleetSize);
+    return surplus > limit * kept ? surplus : 0;
   }
 }
--- a/src/main/java/io/snipeloom/spend/CustomerAccount.java
+++ b/src/main/java/io/snipeloom/spend/CustomerAccount.java
@@ -25,12 +25,6 @@
    */
   private static final int BURST_MEAN_REQUESTS = 2;
 
-  /**
-   * The mean-based burst allowance in a usage report is at most the available tokens divided by
-   * this number.
-   */
-  private static final int MAX_BURST_DIVISOR = 3;
-
   /** The time in which all available tokens may be used during an outage of the store. */
   private static final double OUTAGE_SPEND_SECONDS = 5;
 
@@ -49,6 +43,7 @@
   private final SpendRate otherClaims = new SpendRate();
   private final RecentClaims recentClaims = new RecentClaims();
   private final Deque<Waiter> waiters = new ArrayDeque<>();
+  private ClaimRole role = ClaimRole.EVEN;
   private long limit;
   private long granted;
   private long available;
@@ -108,6 +103,14 @@
     limit = newLimit;
   }
 
+  ClaimRole role() {
+    return role;
+  }
+
+  void changeRole(ClaimRole newRole) {
+    role = newRole;
+  }
+
   long available() {
     return available;
   }
@@ -133,6 +136,11 @@
     return all == 0 ? 1 : ownRate / all;
   }
 
+  /** Returns the tokens a second that all instances claimed recently. */
+  double fleetTokensPerSecond(long nowNanos) {
+    return ownClaims.tokensPerSecond(nowNanos) + otherClaims.tokensPerSecond(nowNanos);
+  }
+
   double tokensPerSecond(long nowNanos) {
     return rate.tokensPerSecond(nowNanos);
   }
@@ -271,9 +279,7 @@
    * @param inherited the tokens that will be inherited once the report is written
    */
   UsageReport.CustomerUsage usage(long nowNanos, long inherited) {
-    long burst =
-        Math.min(BURST_MEAN_REQUESTS * meanRequestTokens, available / MAX_BURST_DIVISOR)
-            + waitingTokens();
+    long burst = role.burst(BURST_MEAN_REQUESTS * meanRequestTokens, available) + waitingTokens();
     long perSecond = Math.max(0, (long) rate.tokensPerSecond(nowNanos));
     long perOutageSecond = (long) (available / OUTAGE_SPEND_SECONDS);
     return new UsageReport.CustomerUsage(
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -378,7 +378,9 @@
     long unclaimed = unclaimed(account);
     long target =
         policy.target(
+            account.role(),
             account.tokensPerSecond(nowNanos),
+            account.fleetTokensPerSecond(nowNanos),
             account.claimShare(nowNanos),
             unclaimed,
             account.available(),
--- a/src/main/java/io/snipeloom/spend/LoanPolicy.java
+++ b/src/main/java/io/snipeloom/spend/LoanPolicy.java
@@ -5,12 +5,6 @@
   /** How long a loan should last, in seconds, so that not every request needs a loan of its own. */
   private static final double LOAN_SECONDS = 1;
 
-  /**
-   * While the lender cannot claim more tokens, it lends at most its available tokens divided by
-   * this number at a time.
-   */
-  private static final int SCARCE_LOAN_DIVISOR = 2;
-
   private LoanPolicy() {}
 
   /** Returns the tokens to request: those missing plus the expected usage for a while. */
@@ -21,12 +15,14 @@
   /**
    * Returns the tokens to lend.
    *
+   * @param role what the lender does for the customer
    * @param request the request of the other instance
    * @param available the available tokens of the lender
    * @param refillable whether the lender can replace the tokens by a claim from the ledger
    */
-  static long lent(LoanRequest request, long available, boolean refillable) {
-    return Math.min(
-        request.wantedTokens(), refillable ? available : available / SCARCE_LOAN_DIVISOR);
+  static long lent(ClaimRole role, LoanRequest request, long available, boolean refillable) {
+    return refillable
+        ? Math.min(request.wantedTokens(), available)
+        : role.loan(request.wantedTokens(), available);
   }
 }
--- a/src/main/java/io/snipeloom/spend/LoanRequest.java
+++ b/src/main/java/io/snipeloom/spend/LoanRequest.java
@@ -19,4 +19,13 @@
           "missing tokens must be positive and wanted tokens at least as many");
     }
   }
+
+  /**
+   * Returns the request for what is left when a part has been lent.
+   *
+   * @param lentTokens the tokens that were lent, fewer than the missing ones
+   */
+  public LoanRequest less(long lentTokens) {
+    return new LoanRequest(customer, missingTokens - lentTokens, wantedTokens - lentTokens);
+  }
 }
--- a/src/main/java/io/snipeloom/spend/SpendControl.java
+++ b/src/main/java/io/snipeloom/spend/SpendControl.java
@@ -23,6 +23,7 @@
   private final Map<CustomerId, CustomerAccount> accounts = new HashMap<>();
   private final UsageReporter usageReporter;
   private ClaimPolicy policy;
+  private CustomerHolders holders = CustomerHolders.ALONE;
   private boolean returning;
   private boolean storeAvailable = true;
 
@@ -73,6 +74,7 @@
     CustomerAccount account = accounts.get(customer);
     if (account == null) {
       account = new CustomerAccount(customer, 0);
+      account.changeRole(holders.roleOf(customer));
       accounts.put(customer, account);
       partitionOf(customer).add(account);
     }
@@ -107,6 +109,18 @@
     }
   }
 
+  /**
+   * Changes which instances claim tokens ahead for the fleet.
+   *
+   * @param newHolders the holders of all customers
+   */
+  public void changeHolders(CustomerHolders newHolders) {
+    if (!newHolders.equals(holders)) {
+      holders = newHolders;
+      accounts.values().forEach(account -> account.changeRole(holders.roleOf(account.customer())));
+    }
+  }
+
   /**
    * Reserves tokens for a request.
    *
@@ -197,7 +211,7 @@
     boolean refillable =
         storeAvailable
             && partitionOf(account.customer()).canClaim(account, request.wantedTokens(), nowNanos);
-    long tokens = LoanPolicy.lent(request, account.available(), refillable);
+    long tokens = LoanPolicy.lent(account.role(), request, account.available(), refillable);
     tokens = Math.max(0, Math.min(tokens, account.allowance(nowNanos)));
     if (refillable && tokens < request.missingTokens()) {
       claimAndLend(account, request.wantedTokens(), nowNanos, listener);
--- a/src/main/java/io/snipeloom/routing/RendezvousHash.java
+++ b/src/main/java/io/snipeloom/state/RendezvousHash.java
@@ -1,4 +1,4 @@
-package io.snipeloom.routing;
+package io.snipeloom.state;
 
 /** Hash functions for decisions on which all instances must agree without communicating. */
 public final class RendezvousHash {
--- a/src/test/java/io/snipeloom/LayersTest.java
+++ b/src/test/java/io/snipeloom/LayersTest.java
@@ -68,7 +68,7 @@
         .whereLayer("store")
         .mayOnlyAccessLayers("spend", "resumption", "state")
         .whereLayer("peer")
-        .mayOnlyAccessLayers("spend", "telemetry", "state")
+        .mayOnlyAccessLayers("routing", "spend", "telemetry", "state")
         .whereLayer("telemetry")
         .mayNotAccessAnyLayer()
         .whereLayer("forwarding")
--- a/src/test/java/io/snipeloom/coordination/RoutingBenchmark.java
+++ b/src/test/java/io/snipeloom/coordination/RoutingBenchmark.java
@@ -1,8 +1,8 @@
 package io.snipeloom.coordination;
 
 import com.codahale.metrics.MetricRegistry;
-import io.snipeloom.routing.RendezvousHash;
 import io.snipeloom.state.CustomerId;
+import io.snipeloom.state.RendezvousHash;
 import io.snipeloom.state.RequestClass;
 import io.snipeloom.state.RequestClassId;
 import io.snipeloom.state.Urgency;
--- a/src/test/java/io/snipeloom/coordination/TrialTrace.java
+++ b/src/test/java/io/snipeloom/coordination/TrialTrace.java
@@ -1,7 +1,7 @@
 package io.snipeloom.coordination;
 
-import io.snipeloom.routing.RendezvousHash;
 import io.snipeloom.state.CustomerId;
+import io.snipeloom.state.RendezvousHash;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
--- a/src/test/java/io/snipeloom/peer/LoanClientTest.java
+++ b/src/test/java/io/snipeloom/peer/LoanClientTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.snipeloom.spend.CustomerHolders;
 import io.snipeloom.spend.LoanPeers;
 import io.snipeloom.spend.LoanRequest;
 import io.snipeloom.state.CustomerId;
@@ -21,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -105,7 +107,8 @@
     LoanResult result = new LoanResult();
     loop.submit(
             () -> {
-              client.updatePeers(Map.of("peer", address));
+              client.updatePeers(
+                  Map.of("peer", address), new CustomerHolders("own", Set.of("peer")));
               client.borrow(REQUEST, result);
             })
         .get(10, TimeUnit.SECONDS);
@@ -117,7 +120,8 @@
     LoanResult result = new LoanResult();
     loop.submit(
             () -> {
-              client.updatePeers(Map.of("peer", address));
+              client.updatePeers(
+                  Map.of("peer", address), new CustomerHolders("own", Set.of("peer")));
               client.borrow(REQUEST, result);
             })
         .get(10, TimeUnit.SECONDS);
--- a/src/test/java/io/snipeloom/routing/PartPlacementTest.java
+++ b/src/test/java/io/snipeloom/routing/PartPlacementTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import io.snipeloom.state.RendezvousHash;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
--- a/src/test/java/io/snipeloom/spend/ClaimPolicyTest.java
+++ b/src/test/java/io/snipeloom/spend/ClaimPolicyTest.java
@@ -14,19 +14,20 @@
   @Test
   void busiestInstanceTargetsEnoughForNineSecondOutage() {
     double tokensPerSecond = LIMIT / 70.0;
-    long target = POLICY.target(tokensPerSecond, 1, LIMIT / 2, 0, LIMIT);
+    long target =
+        POLICY.target(ClaimRole.EVEN, tokensPerSecond, tokensPerSecond, 1, LIMIT / 2, 0, LIMIT);
     assertThat(target, greaterThanOrEqualTo((long) (9 * tokensPerSecond)));
   }
 
   @Test
   void targetIsBoundedByMaxInstanceShare() {
-    long target = POLICY.target(1e9, 1, LIMIT, 0, LIMIT);
+    long target = POLICY.target(ClaimRole.EVEN, 1e9, 1e9, 1, LIMIT, 0, LIMIT);
     assertThat(target, lessThanOrEqualTo(LIMIT * 15 / 100));
   }
 
   @Test
   void targetShrinksAsTheTotalRunsOut() {
-    long target = POLICY.target(1e9, 1, 10_000, 0, LIMIT);
+    long target = POLICY.target(ClaimRole.EVEN, 1e9, 1e9, 1, 10_000, 0, LIMIT);
     assertThat(target, is(4_000L));
   }
 
@@ -38,6 +39,6 @@
 
   @Test
   void zeroHorizonClaimsNothingAhead() {
-    assertThat(new ClaimPolicy(0, 4).target(1e9, 1, LIMIT, 0, LIMIT), is(0L));
+    assertThat(new ClaimPolicy(0, 4).target(ClaimRole.EVEN, 1e9, 1e9, 1, LIMIT, 0, LIMIT), is(0L));
   }
 }
--- a/src/test/java/io/snipeloom/spend/SpendLoad.java
+++ b/src/test/java/io/snipeloom/spend/SpendLoad.java
@@ -2,12 +2,16 @@
 
 import io.snipeloom.state.CustomerId;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * Simulates the load of one customer on several instances, determined by a seed: prompts of widely
@@ -19,6 +23,7 @@
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
   private static final double MEAN_TOKENS = 8_000;
   private static final double LOG_SIZE_DEVIATION = 1;
+  private static final int MAX_LENDERS = 3;
   private static final long REQUEST_DURATION_NANOS = NANOS_PER_SECOND;
 
   private final Random random;
@@ -31,6 +36,7 @@
       new PriorityQueue<>((a, b) -> Long.compare(a.atNanos(), b.atNanos()));
   private final double[] requestsPerSecond;
   private long reportsEnd;
+  private final boolean holdersKnown;
   private boolean outage;
   private long now = 100 * NANOS_PER_SECOND;
   private long consumed;
@@ -40,6 +46,16 @@
   private record ScheduledTask(long atNanos, Runnable task) {}
 
   SpendLoad(long seed, long limit, boolean lendingEnabled, double... requestsPerSecond) {
+    this(seed, limit, lendingEnabled, true, requestsPerSecond);
+  }
+
+  private SpendLoad(
+      long seed,
+      long limit,
+      boolean lendingEnabled,
+      boolean holdersKnown,
+      double... requestsPerSecond) {
+    this.holdersKnown = holdersKnown;
     this.random = new Random(seed);
     this.limit = limit;
     this.lendingEnabled = lendingEnabled;
@@ -49,6 +65,11 @@
     }
   }
 
+  /** Creates a load on instances that do not agree on who claims ahead for the fleet. */
+  static SpendLoad withoutHolders(long seed, long limit, double... requestsPerSecond) {
+    return new SpendLoad(seed, limit, true, false, requestsPerSecond);
+  }
+
   /** Runs the simulation for the given time. */
   void run(double seconds) {
     long end = now + (long) (seconds * NANOS_PER_SECOND);
@@ -69,6 +90,7 @@
 
   void setOutage(boolean active) {
     outage = active;
+    instances.forEach(instance -> instance.control.setStoreAvailable(!active));
   }
 
   /** Kills all instances and starts them again after a delay, optionally with a new boot ID. */
@@ -149,6 +171,9 @@
               new ClaimPolicy(10, requestsPerSecond.length),
               lendingEnabled ? this : LoanPeers.NONE,
               SpendSchedule.NO_OP_EVENTS);
+      if (holdersKnown) {
+        control.changeHolders(holders());
+      }
       control.changeLimit(CUSTOMER, limit);
     }
 
@@ -179,19 +204,52 @@
       }
     }
 
+    /** Returns the instances asked for a loan: all of a small fleet, else three, holders first. */
+    private List<Instance> lenders() {
+      List<Instance> others = new ArrayList<>(instances);
+      others.remove(this);
+      if (others.size() < CustomerHolders.MAX_EVEN_FLEET) {
+        return others;
+      }
+      Collections.shuffle(others, random);
+      List<String> holders = holdersKnown ? holders().othersOf(CUSTOMER) : List.of();
+      others.sort(Comparator.comparing((Instance other) -> !holders.contains(other.name())));
+      return others.subList(0, MAX_LENDERS);
+    }
+
+    private CustomerHolders holders() {
+      Set<String> others = new HashSet<>();
+      for (int i = 0; i < requestsPerSecond.length; i++) {
+        if (i != number) {
+          others.add("edge-" + i);
+        }
+      }
+      return new CustomerHolders(name(), others);
+    }
+
+    private String name() {
+      return "edge-" + number;
+    }
+
     @Override
     public void borrow(LoanRequest request, Listener listener) {
-      for (Instance other : List.copyOf(instances)) {
-        if (other != this) {
-          other.control.lend(
-              request,
-              now,
-              tokens -> {
-                if (tokens > 0) {
-                  listener.onLent(tokens);
-                }
-              });
+      List<Instance> lenders = lenders();
+      boolean oneByOne = holdersKnown && lenders.size() < instances.size() - 1;
+      long[] missing = {request.missingTokens()};
+      for (Instance other : lenders) {
+        if (oneByOne && missing[0] <= 0) {
+          break;
         }
+        LoanRequest next = oneByOne ? request.less(request.missingTokens() - missing[0]) : request;
+        other.control.lend(
+            next,
+            now,
+            tokens -> {
+              if (tokens > 0) {
+                missing[0] -= tokens;
+                listener.onLent(tokens);
+              }
+            });
       }
       listener.onDone();
     }
--- a/src/test/java/io/snipeloom/spend/SpendLoadTest.java
+++ b/src/test/java/io/snipeloom/spend/SpendLoadTest.java
@@ -18,6 +18,9 @@
   private static final double OUTAGE_SECONDS = 8.5;
   private static final long LIMIT = 3_000_000;
 
+  /** The mean number of tokens that a request of the simulation uses. */
+  private static final double MEAN_USED_TOKENS = 6_400;
+
   @Test
   void loansReduceRefusalsWhenLoadMovesDuringAnOutage() {
     double withoutLoans = meanRefusedInOutage(false, 0.2, 0.2, 0.2, 2.4);
@@ -111,4 +114,54 @@
       assertThat("seed " + seed, load.consumed(), lessThanOrEqualTo(600_000L));
     }
   }
+
+  /**
+   * Guards against the tokens of a customer being spread over a large fleet in pieces smaller than
+   * a request, so that an outage of the store refuses most requests although enough is claimed.
+   */
+  @Test
+  void largeFleetServesAnOutageFromItsHolders() {
+    for (long limit : new long[] {600_000, 1_500_000, 3_000_000}) {
+      double refused = 0;
+      double refusedWithoutHolders = 0;
+      for (int seed = 0; seed < SEEDS; seed++) {
+        double[] rates = evenRates(33, limit);
+        refused += refusedInOutage(new SpendLoad(seed, limit, true, rates)) / SEEDS;
+        refusedWithoutHolders +=
+            refusedInOutage(SpendLoad.withoutHolders(seed, limit, rates)) / SEEDS;
+      }
+      String reason = "share refused of a total of " + limit;
+      assertThat(reason, refused, lessThan(0.15));
+      assertThat(reason, refused, lessThan(refusedWithoutHolders / 2));
+    }
+  }
+
+  /** Guards against tokens that stay claimed when all instances lose power while they hold them. */
+  @Test
+  void tokensHeldByManyInstancesStayBounded() {
+    for (int instances : new int[] {9, 33, 100, 300}) {
+      double held = 0;
+      for (int seed = 0; seed < 5; seed++) {
+        SpendLoad load = new SpendLoad(seed, 600_000, true, evenRates(instances, 600_000));
+        load.run(20);
+        held += load.heldShare() / 5;
+      }
+      assertThat("share held by " + instances, held, lessThan(0.25));
+    }
+  }
+
+  /** Returns rates at which the total would last for a little more than a minute. */
+  private static double[] evenRates(int instances, long limit) {
+    double[] rates = new double[instances];
+    Arrays.fill(rates, limit * 0.9 / 60 / MEAN_USED_TOKENS / instances);
+    return rates;
+  }
+
+  private static double refusedInOutage(SpendLoad load) {
+    load.run(20);
+    load.resetCounts();
+    load.setOutage(true);
+    load.run(3);
+    return load.refusedShare();
+  }
 }
