Borrowed tokens are returned after their claims have been read

An instance that returned tokens that it had borrowed planned the new total from what it had read last. Where others had claimed those tokens since, the total became negative and LedgerRecord threw IllegalArgumentException: out of the request or the tick that made the write, with the tokens taken out of use and never returned. Ruled out: a double return (consumed never passes the total).

A return larger than the known total is now put off until the ledger has been read on. After a reversion of the store the total stays clamped as before, since the claims may be gone.

--- a/src/main/java/io/snipeloom/spend/ClaimedTotals.java
+++ b/src/main/java/io/snipeloom/spend/ClaimedTotals.java
@@ -129,6 +129,11 @@
     return reverted && nowNanos - revertedNanos < HOLD_NANOS;
   }
 
+  /** Returns whether the store ever came back, so that a total may lack claims for good. */
+  boolean isReverted() {
+    return reverted;
+  }
+
   /** Returns whether the total of a customer has been read. */
   boolean isKnown(CustomerId customer) {
     return totals.containsKey(customer);
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -42,6 +42,10 @@
   private long era;
   private long claimedTotalsConfirmedNanos;
   private long pausedUntilNanos = Long.MIN_VALUE / 2;
+
+  /** Whether more is to be returned than the totals show as claimed; it was borrowed since. */
+  private boolean outdated;
+
   private boolean callInProgress;
   private boolean lastCallFailed;
   private long callStartNanos;
@@ -144,6 +148,10 @@
       append(nowNanos);
       return;
     }
+    if (outdated) {
+      read(nowNanos);
+      return;
+    }
     if (!callInProgress) {
       serveOrRefuseWaiters(nowNanos);
     }
@@ -218,6 +226,7 @@
   }
 
   private void read(long nowNanos) {
+    outdated = false;
     startCall();
     store.read(
         number,
@@ -394,6 +403,10 @@
     if (account.pendingReturn() > 0 || account.isBlockedByReport(nowNanos)) {
       usageReporter.requestReport();
     }
+    if (account.pendingReturn() > totals.of(account.customer()) && !totals.isReverted()) {
+      outdated = true;
+      return 0;
+    }
     long returned = account.takePendingReturn(nowNanos);
     if (returned > 0) {
       return -returned;
--- a/src/test/java/io/snipeloom/spend/SpendLoadTest.java
+++ b/src/test/java/io/snipeloom/spend/SpendLoadTest.java
@@ -150,6 +150,23 @@
     }
   }
 
+  /**
+   * Guards against an exception, and tokens lost by it, when an instance returns tokens that it has
+   * borrowed before it has read that they were claimed.
+   */
+  @Test
+  void borrowedTokensAreReturnedAfterTheirClaimsHaveBeenRead() {
+    for (int seed = 0; seed < SEEDS; seed++) {
+      long limit = 600_000;
+      SpendLoad load = SpendLoad.withoutHolders(seed, limit, evenRates(33, limit));
+      refusedInOutage(load);
+      load.run(5);
+      load.setOutage(false);
+      load.run(10);
+      assertThat("seed " + seed, load.consumed(), lessThanOrEqualTo(limit));
+    }
+  }
+
   /** Returns rates at which the total would last for a little more than a minute. */
   private static double[] evenRates(int instances, long limit) {
     double[] rates = new double[instances];
