--- a/src/test/java/io/snipeloom/edge/CrashingPartTest.java
+++ b/src/test/java/io/snipeloom/edge/CrashingPartTest.java
@@ -11,6 +11,7 @@
 import io.snipeloom.platform.FakeReplica;
 import io.snipeloom.platform.FakeStore;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
@@ -103,6 +104,25 @@
     assertReachedReplicasSince(before);
   }
 
+  /** Guards against an instance that was cut off from the store and never learns the verdict. */
+  @Test
+  void instanceThatWasCutOffRefusesOnceItReachesTheStore() throws Exception {
+    InetSocketAddress endpoint = store.addEndpoint();
+    try (EdgeFixture isolated = new EdgeFixture("edge-9", store, endpoint)) {
+      isolated.awaitReady();
+      store.disableEndpoint(endpoint);
+      isolated.awaitLog("event=store_lost");
+      crashReplicas();
+      store.enableEndpoint(endpoint);
+      isolated.awaitLog("event=convicted");
+      int before = replicas.crashingRequests().size();
+      for (int i = 0; i < 4; i++) {
+        assertRefused(sendCrashing(isolated));
+      }
+      assertReachedReplicasSince(before);
+    }
+  }
+
   /** Guards against sound requests that suffer from a verdict on a part that they do not have. */
   @Test
   void soundRequestsWithTheOtherPartsAreServedWhileCrashingOnesCome() throws Exception {
--- a/src/test/java/io/snipeloom/edge/StatedLimitTest.java
+++ b/src/test/java/io/snipeloom/edge/StatedLimitTest.java
@@ -10,6 +10,7 @@
 import io.snipeloom.platform.FakeReplica;
 import io.snipeloom.platform.FakeStore;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,6 +29,9 @@
   private static final long WINDOW_MILLIS = 4_000;
   private static final long TEST_MILLIS = 16_000;
 
+  /** The time until each instance has read the second heartbeats of all. */
+  private static final long MEMBERS_KNOWN_MILLIS = 5_500;
+
   /** The platform's bound on the arrivals of a window. */
   private static final int MOST_ARRIVALS =
       (int) (LIMIT_PER_SECOND * WINDOW_MILLIS / 1_000 * 1.5) + 5;
@@ -36,13 +40,16 @@
   private final List<FakeReplica> replicas = new ArrayList<>();
   private final List<Long> limitedArrivals = new CopyOnWriteArrayList<>();
   private FakeStore store;
+  private InetSocketAddress lastEndpoint;
 
   @BeforeEach
   void startFleet() throws Exception {
     store = FakeStore.start();
-    for (int i = 1; i <= INSTANCES; i++) {
+    for (int i = 1; i < INSTANCES; i++) {
       instances.add(new EdgeFixture("edge-" + i, store));
     }
+    lastEndpoint = store.addEndpoint();
+    instances.add(new EdgeFixture("edge-" + INSTANCES, store, lastEndpoint));
     startReplica("i-1", this::respondWithLimit);
     startReplica("i-2", StatedLimitTest::respond);
     startReplica("i-3", StatedLimitTest::respond);
@@ -63,6 +70,19 @@
   /** Guards against instances that each know of a limit and send more than it in sum. */
   @Test
   void replicaGetsNoMoreThanItsLimitFromAllInstancesTogether() throws Exception {
+    sendForSomeTime();
+  }
+
+  /** Guards against an instance that takes a larger share of a limit once it is cut off. */
+  @Test
+  void limitHoldsWhileAnInstanceIsCutOffFromTheStore() throws Exception {
+    Thread.sleep(MEMBERS_KNOWN_MILLIS);
+    store.disableEndpoint(lastEndpoint);
+    instances.get(INSTANCES - 1).awaitLog("event=store_lost");
+    sendForSomeTime();
+  }
+
+  private void sendForSomeTime() throws Exception {
     long startMillis = System.currentTimeMillis();
     for (int i = 0; System.currentTimeMillis() - startMillis < TEST_MILLIS; i++) {
       String response = instances.get(i % INSTANCES).send("/status/1", "a" + i, "");
--- a/src/test/java/io/snipeloom/platform/FakeStore.java
+++ b/src/test/java/io/snipeloom/platform/FakeStore.java
@@ -78,6 +78,11 @@
     disabledPorts.add(address.getPort());
   }
 
+  /** Serves calls to an address again. */
+  public synchronized void enableEndpoint(InetSocketAddress address) {
+    disabledPorts.remove(address.getPort());
+  }
+
   private boolean isDown(HttpExchange exchange) {
     return down || disabledPorts.contains(exchange.getLocalAddress().getPort());
   }
