--- a/src/test/java/io/snipeloom/peer/LoanClientTest.java
+++ b/src/test/java/io/snipeloom/peer/LoanClientTest.java
@@ -19,6 +19,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -38,6 +39,11 @@
   private static final LoanRequest REQUEST =
       new LoanRequest(CustomerId.of("customer"), 1_000, 5_000);
 
+  private static final CustomerHolders LARGE_FLEET =
+      new CustomerHolders(
+          "own",
+          Set.of("edge-1", "edge-2", "edge-3", "edge-4", "edge-5", "edge-6", "edge-7", "edge-8"));
+
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
@@ -115,6 +121,76 @@
     assertThat(result.isDone(), is(true));
   }
 
+  /**
+   * Guards against tokens that lie in pieces at several instances, of which none serves a request.
+   */
+  @Test
+  void secondHolderIsNotAskedWhenTheFirstLendsEnough() throws Exception {
+    List<String> asked = new CopyOnWriteArrayList<>();
+    try (ServerSocket other = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+      List<String> holders = LARGE_FLEET.othersOf(REQUEST.customer());
+      serve(peer, (request, out) -> answer(asked, holders.get(0), request, out, 1_000));
+      serve(other, (request, out) -> answer(asked, holders.get(1), request, out, 1_000));
+      LoanResult result = borrowFrom(Map.of(holders.get(0), peer, holders.get(1), other));
+      assertThat(result.isDone(), is(true));
+      assertThat(result.tokens, contains(1_000L));
+      assertThat(asked, contains(holders.get(0)));
+    }
+  }
+
+  /** Guards against a request that is refused because the first holder is frozen or gone. */
+  @Test
+  void nextHolderIsAskedWhenTheFirstIsSilent() throws Exception {
+    try (ServerSocket other = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+      List<String> holders = LARGE_FLEET.othersOf(REQUEST.customer());
+      serve(peer, (request, out) -> {});
+      serve(other, (request, out) -> send(out, response(request, 1_000)));
+      LoanResult result = borrowFrom(Map.of(holders.get(0), peer, holders.get(1), other));
+      assertThat(result.isDone(), is(true));
+      assertThat(result.tokens, contains(1_000L));
+    }
+  }
+
+  /** Guards against a holder with few tokens that leaves the request short. */
+  @Test
+  void nextHolderIsAskedForTheRest() throws Exception {
+    try (ServerSocket other = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+      List<String> holders = LARGE_FLEET.othersOf(REQUEST.customer());
+      serve(peer, (request, out) -> send(out, response(request, 300)));
+      serve(other, (request, out) -> send(out, response(request, request.loan().missingTokens())));
+      LoanResult result = borrowFrom(Map.of(holders.get(0), peer, holders.get(1), other));
+      assertThat(result.isDone(), is(true));
+      assertThat(result.tokens, contains(300L, 700L));
+    }
+  }
+
+  private static void answer(
+      List<String> asked, String name, LoanMessage.Request request, DataOutputStream out, long lent)
+      throws IOException {
+    asked.add(name);
+    send(out, response(request, lent));
+  }
+
+  private static LoanMessage.Response response(LoanMessage.Request request, long tokens) {
+    return new LoanMessage.Response(request.correlationId(), tokens);
+  }
+
+  private LoanResult borrowFrom(Map<String, ServerSocket> peers) throws Exception {
+    Map<String, InetSocketAddress> addresses = new HashMap<>();
+    peers.forEach(
+        (name, socket) ->
+            addresses.put(
+                name, new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort())));
+    LoanResult result = new LoanResult();
+    loop.submit(
+            () -> {
+              client.updatePeers(addresses, LARGE_FLEET);
+              client.borrow(REQUEST, result);
+            })
+        .get(10, TimeUnit.SECONDS);
+    return result;
+  }
+
   private LoanResult borrow() throws Exception {
     InetSocketAddress address = new InetSocketAddress(peer.getInetAddress(), peer.getLocalPort());
     LoanResult result = new LoanResult();
@@ -135,10 +211,14 @@
   }
 
   private void serve(Script script) {
+    serve(peer, script);
+  }
+
+  private static void serve(ServerSocket listener, Script script) {
     Thread thread =
         new Thread(
             () -> {
-              try (Socket socket = peer.accept()) {
+              try (Socket socket = listener.accept()) {
                 DataInputStream in = new DataInputStream(socket.getInputStream());
                 DataOutputStream out = new DataOutputStream(socket.getOutputStream());
                 while (true) {
