--- a/src/main/java/io/snipeloom/spend/ClaimRole.java
+++ b/src/main/java/io/snipeloom/spend/ClaimRole.java
@@ -80,7 +80,7 @@
   private static final int MAX_BURST_DIVISOR = 3;
 
   /** The burst of a holder is its available tokens divided by this number. */
-  private static final int HOLDER_BURST_DIVISOR = 3;
+  private static final int HOLDER_BURST_DIVISOR = 2;
 
   /**
    * While the lender cannot claim more tokens, it lends at most its available tokens divided by
