A replica that has shared parts cached is preferred beyond their own processing

A token that another replica has cached now counts twice in the score, since its processing delays the requests that come later too.

--- a/src/main/java/io/snipeloom/routing/PartPlacement.java
+++ b/src/main/java/io/snipeloom/routing/PartPlacement.java
@@ -7,7 +7,8 @@
 import java.util.function.ToIntFunction;
 
 /**
- * The replicas that the parts of one prompt are assigned to by rendezvous hashing.
+ * The replicas that the parts of one prompt are assigned to by rendezvous hashing, and whether any
+ * has them cached.
  *
  * <p>The candidates are ranked once for each part, when the part is first asked for, so that a
  * choice among many replicas takes time in proportion to their number. Not thread-safe.
@@ -20,6 +21,7 @@
   private final List<PromptPart> parts;
   private final ToIntFunction<PromptPart> copies;
   private final Long[] lowestWeights;
+  private final Boolean[] cachedAnywhere;
 
   /**
    * Creates the placement of a prompt.
@@ -34,6 +36,7 @@
     this.parts = prompt.parts();
     this.copies = copies;
     this.lowestWeights = new Long[parts.size()];
+    this.cachedAnywhere = new Boolean[parts.size()];
   }
 
   /**
@@ -49,6 +52,20 @@
         || weight(candidate, parts.get(index)) >= lowestWeights[index];
   }
 
+  /**
+   * Returns whether a part is probably cached by one of the candidates.
+   *
+   * @param index the index of the part in the prompt
+   */
+  boolean isCachedAnywhere(int index) {
+    if (cachedAnywhere[index] == null) {
+      PromptPart part = parts.get(index);
+      cachedAnywhere[index] =
+          candidates.stream().anyMatch(view -> view.prefixCache().contains(part));
+    }
+    return cachedAnywhere[index];
+  }
+
   /** Returns the lowest weight of the replicas that a part is assigned to. */
   private long lowestWeight(PromptPart part) {
     int count = copies.applyAsInt(part);
--- a/src/main/java/io/snipeloom/routing/ReplicaPicker.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaPicker.java
@@ -37,6 +37,12 @@
    */
   private static final double PLACEMENT_PREFERENCE = 0.25;
 
+  /**
+   * The weight of a token that another replica has cached, beside its own processing: it also
+   * delays the requests that come later.
+   */
+  private static final double RECOMPUTED_TOKEN_WEIGHT = 1;
+
   /**
    * The range of the random addition to a score, in tokens. Without it, instances that have the
    * same reports would all choose the same replica until the next ones.
@@ -196,12 +202,28 @@
         + (candidate.replica().zone().equals(zone) ? 0 : CROSS_ZONE_TOKENS);
   }
 
+  /** Returns the tokens that a replica would process although another one has them cached. */
+  private static long recomputedTokens(
+      ReplicaView candidate, Prompt prompt, PartPlacement placement) {
+    long tokens = 0;
+    boolean cached = true;
+    for (int i = 0; i < prompt.sharedParts().size(); i++) {
+      PromptPart part = prompt.parts().get(i);
+      cached &= candidate.prefixCache().contains(part);
+      if (!cached && placement.isCachedAnywhere(i)) {
+        tokens += part.tokens();
+      }
+    }
+    return tokens;
+  }
+
   /** Returns what the reports of other instances add to the score of a replica. */
   private double peerAdjustment(ReplicaView candidate, Prompt prompt, PartPlacement placement) {
     if (!peers.isKnown()) {
       return 0;
     }
     return peers.pendingTokens(candidate.replica().id())
+        + RECOMPUTED_TOKEN_WEIGHT * recomputedTokens(candidate, prompt, placement)
         - placementPreference(candidate, prompt, placement)
         + random.nextDouble() * SPREAD_TOKENS;
   }
--- a/src/test/java/io/snipeloom/load/FleetLoadSimulation.java
+++ b/src/test/java/io/snipeloom/load/FleetLoadSimulation.java
@@ -57,8 +57,22 @@
   /** How a fleet is played. */
   record Setup(int instances, int replicas, double load, long reportIntervalMillis) {}
 
-  /** What came of the requests. */
-  record Result(double inTime, long medianMillis, long p90Millis, double readTokensShare) {}
+  /**
+   * What came of the requests.
+   *
+   * @param inTime the share whose first event came within the target
+   * @param medianMillis the median time until the first event
+   * @param p90Millis the time within which nine in ten first events came
+   * @param readTokensShare the share of the prompt tokens that replicas processed
+   * @param recomputedShare the share of the prompt tokens that a replica processed although another
+   *     had them cached
+   */
+  record Result(
+      double inTime,
+      long medianMillis,
+      long p90Millis,
+      double readTokensShare,
+      double recomputedShare) {}
 
   private final Setup setup;
   private final Random random;
@@ -70,6 +84,7 @@
   private final List<Double> lateness = new ArrayList<>();
   private final List<Long> firstMillis = new ArrayList<>();
   private long readTokens;
+  private long recomputedTokens;
   private long promptTokens;
   private long now = SECOND_NANOS;
   private int nextPart;
@@ -108,7 +123,8 @@
         lateness.stream().mapToDouble(Double::doubleValue).average().orElse(0),
         firstMillis.get(count / 2),
         firstMillis.get(count * 9 / 10),
-        (double) readTokens / promptTokens);
+        (double) readTokens / promptTokens,
+        (double) recomputedTokens / promptTokens);
   }
 
   private void at(long atNanos, Runnable action) {
@@ -265,6 +281,10 @@
         ReplicaState.READY);
   }
 
+  private boolean isCachedAnywhere(PromptPart part) {
+    return engines.stream().anyMatch(engine -> engine.cached.containsKey(part.id()));
+  }
+
   /** An engine that processes prompts in the order of their arrival. */
   private final class Engine {
     private final Map<String, Long> cached = new LinkedHashMap<>(64, 0.75f, true);
@@ -295,6 +315,9 @@
       boolean prefixCached = true;
       for (PromptPart part : prompt.parts()) {
         prefixCached &= cached.containsKey(part.id());
+        if (!prefixCached && isCachedAnywhere(part)) {
+          recomputedTokens += part.tokens();
+        }
         if (prefixCached) {
           uncached -= part.tokens();
         }
--- a/src/test/java/io/snipeloom/load/FleetLoadTest.java
+++ b/src/test/java/io/snipeloom/load/FleetLoadTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThan;
 
 import org.junit.jupiter.api.Test;
 
@@ -32,6 +33,17 @@
     assertThat("100 instances", shareInTime(100, 127, 0.7), greaterThan(0.95));
   }
 
+  /**
+   * Guards against shared parts that every replica processes because another one is a little idler.
+   */
+  @Test
+  void partsThatOneReplicaHasCachedAreSeldomProcessedAgain() {
+    FleetLoadSimulation.Setup setup =
+        new FleetLoadSimulation.Setup(33, 42, 0.7, REPORT_INTERVAL_MILLIS);
+    double recomputed = FleetLoadSimulation.play(setup, 0, SECONDS).recomputedShare();
+    assertThat("share of prompt tokens", recomputed, lessThan(0.04));
+  }
+
   private static double shareInTime(int instances, int replicas, double load) {
     FleetLoadSimulation.Setup setup =
         new FleetLoadSimulation.Setup(instances, replicas, load, REPORT_INTERVAL_MILLIS);
