Test: three instances on a store that comes back, one of them cut off from it

severalInstancesStayWithinTheTotalTogether: requests before, during and after the cut, through all three, never use more than the total of the customer.

--- a/src/test/java/io/snipeloom/edge/StoreReversionTest.java
+++ b/src/test/java/io/snipeloom/edge/StoreReversionTest.java
@@ -3,12 +3,14 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.startsWith;
 
 import io.snipeloom.platform.FakeReplica;
 import io.snipeloom.spend.LedgerRecord;
 import io.snipeloom.state.CustomerId;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -24,6 +26,13 @@
   private static final String PROMPT_HEADERS =
       "Snipeloom-Token-Counts: 1000,100\r\nSnipeloom-Prompt-Prefix: aa:1000\r\n";
   private static final long AWAIT_TIMEOUT_MILLIS = 20_000;
+  private static final long INPUT_TOKENS = 1_000;
+
+  /** A total that a few more requests than one round of the test sends exhaust. */
+  private static final long SMALL_TOTAL = 30_000;
+
+  /** How long nobody claims after the store came back, with a margin. */
+  private static final long CLAIMS_HELD_MILLIS = 2_500;
 
   private final List<FakeReplica> replicas = new ArrayList<>();
   private EdgeFixture edge;
@@ -87,6 +96,47 @@
     awaitClaimed(claimed);
   }
 
+  /**
+   * Guards against tokens that are spent twice by several instances, of which one is cut off from
+   * the store while it comes back and learns of that later than the others.
+   */
+  @Test
+  void severalInstancesStayWithinTheTotalTogether() throws Exception {
+    edge.configure(2, SMALL_TOTAL);
+    InetSocketAddress endpoint = edge.store.addEndpoint();
+    try (EdgeFixture second = new EdgeFixture("edge-2", edge.store);
+        EdgeFixture isolated = new EdgeFixture("edge-3", edge.store, endpoint)) {
+      List<EdgeFixture> fleet = List.of(edge, second, isolated);
+      for (EdgeFixture instance : fleet) {
+        instance.awaitReady();
+        instance.awaitLog("event=configuration version=2 applied=true");
+      }
+      edge.store.copy();
+      int served = sendOnce(fleet, "a", 4);
+      assertThat("served before", served, greaterThan(0));
+      edge.store.disableEndpoint(endpoint);
+      edge.store.revert();
+      edge.awaitLog("event=store_reverted era=2 before=1");
+      served += sendOnce(fleet, "b", 6);
+      edge.store.enableEndpoint(endpoint);
+      isolated.awaitLog("event=store_reverted era=2 before=1");
+      Thread.sleep(CLAIMS_HELD_MILLIS);
+      served += sendOnce(fleet, "c", 20);
+      assertThat("tokens used", served * INPUT_TOKENS, lessThanOrEqualTo(SMALL_TOTAL));
+    }
+  }
+
+  /** Sends prompts to all instances in turn and returns how many were served. */
+  private static int sendOnce(List<EdgeFixture> fleet, String prefix, int rounds)
+      throws IOException {
+    int served = 0;
+    for (int i = 0; i < rounds * fleet.size(); i++) {
+      String response = fleet.get(i % fleet.size()).send("/draft/1", prefix + i, PROMPT_HEADERS);
+      served += response.startsWith("HTTP/1.1 200") ? 1 : 0;
+    }
+    return served;
+  }
+
   private void awaitClaimed(long tokens) throws InterruptedException {
     long deadlineMillis = System.currentTimeMillis() + AWAIT_TIMEOUT_MILLIS;
     while (claimed() < tokens && System.currentTimeMillis() < deadlineMillis) {
