A holder that has left the fleet before it is asked is passed over

Found in reading: a loan asks holders one after the other, up to 80 ms apart from when they were chosen; if the members changed meanwhile, the connection was gone and a NullPointerException ended the callback, so the loan waited for its timeout and the request was refused. holderThatHasLeftMeanwhileIsPassedOver failed before (no token in 10 s), passes now.

--- a/src/main/java/io/snipeloom/peer/LoanClient.java
+++ b/src/main/java/io/snipeloom/peer/LoanClient.java
@@ -130,8 +130,13 @@
         return;
       }
       String name = lenders.poll();
+      LoanConnection connection = connections.get(name);
+      if (connection == null) {
+        askNext();
+        return;
+      }
       pending.add(name);
-      connections.get(name).request(request.less(lentTokens), tokens -> onResponse(name, tokens));
+      connection.request(request.less(lentTokens), tokens -> onResponse(name, tokens));
       var unused = loop.schedule(() -> onSlow(name), NEXT_LENDER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/test/java/io/snipeloom/peer/LoanClientTest.java
+++ b/src/test/java/io/snipeloom/peer/LoanClientTest.java
@@ -151,6 +151,30 @@
     }
   }
 
+  /** Guards against an exception when the next holder has left the fleet before it is asked. */
+  @Test
+  void holderThatHasLeftMeanwhileIsPassedOver() throws Exception {
+    try (ServerSocket other = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+      List<String> holders = LARGE_FLEET.othersOf(REQUEST.customer());
+      serve(peer, (request, out) -> {});
+      serve(other, (request, out) -> send(out, response(request, 1_000)));
+      Map<String, InetSocketAddress> all =
+          addresses(Map.of(holders.get(0), peer, holders.get(1), peer, holders.get(2), other));
+      Map<String, InetSocketAddress> left = new HashMap<>(all);
+      left.remove(holders.get(1));
+      LoanResult result = new LoanResult();
+      loop.submit(
+              () -> {
+                client.updatePeers(all, LARGE_FLEET);
+                client.borrow(REQUEST, result);
+                client.updatePeers(left, LARGE_FLEET);
+              })
+          .get(10, TimeUnit.SECONDS);
+      assertThat(result.isDone(), is(true));
+      assertThat(result.first.get(10, TimeUnit.SECONDS), is(1_000L));
+    }
+  }
+
   /** Guards against a holder with few tokens that leaves the request short. */
   @Test
   void nextHolderIsAskedForTheRest() throws Exception {
@@ -176,11 +200,7 @@
   }
 
   private LoanResult borrowFrom(Map<String, ServerSocket> peers) throws Exception {
-    Map<String, InetSocketAddress> addresses = new HashMap<>();
-    peers.forEach(
-        (name, socket) ->
-            addresses.put(
-                name, new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort())));
+    Map<String, InetSocketAddress> addresses = addresses(peers);
     LoanResult result = new LoanResult();
     loop.submit(
             () -> {
@@ -191,6 +211,15 @@
     return result;
   }
 
+  private static Map<String, InetSocketAddress> addresses(Map<String, ServerSocket> peers) {
+    Map<String, InetSocketAddress> addresses = new HashMap<>();
+    peers.forEach(
+        (name, socket) ->
+            addresses.put(
+                name, new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort())));
+    return addresses;
+  }
+
   private LoanResult borrow() throws Exception {
     InetSocketAddress address = new InetSocketAddress(peer.getInetAddress(), peer.getLocalPort());
     LoanResult result = new LoanResult();
