--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -170,6 +170,7 @@
     service = route.serviceFor(Math.random());
     scheduleDeadline();
     traits = traitsOfRequest();
+    log.setRequest(requestId());
     Optional<Conviction> conviction = fleet.crashes().find(traits);
     if (conviction.isPresent()) {
       refuse(conviction.get());
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -21,6 +21,7 @@
 final class ExchangeLog {
   private final EventLog log;
   private String id = "";
+  private String request = "";
 
   ExchangeLog(EventLog log) {
     this.log = log;
@@ -31,6 +32,11 @@
     id = attemptId;
   }
 
+  /** Sets the identifier of the request, which is the same for each attempt of the caller. */
+  void setRequest(String identifier) {
+    request = identifier;
+  }
+
   /** Logs that the tokens of a request could not be reserved. */
   void tokensRefused(
       CustomerId customer,
@@ -91,6 +97,8 @@
         "sent",
         "id",
         id,
+        "request",
+        request,
         "replica",
         view.replica().id(),
         "version",
