Red test: requests that come again crash replicas beyond the bound

RecurringRequestSimulationTest plays 1 to 8 requests that crash replicas and come again every two seconds, on two services, at 1, 4, 26 and 33 instances, with waves of crashes, a store that is away, slow, loses answers or reverts, and an instance that is cut off, frozen or restarted.

--- a/src/test/java/io/snipeloom/crashes/CrashEvidenceSimulationTest.java
+++ b/src/test/java/io/snipeloom/crashes/CrashEvidenceSimulationTest.java
@@ -60,8 +60,7 @@
       failures.addAll(
           play(
               SEEDS,
-              new CrashSimulation.Options(
-                  instances, REPLICAS, 2, 8_000, 0.1, 0.4, waveEveryMillis, MILLIS)));
+              crashingRequests(instances, 2, 8_000).withOtherCrashes(0.1, 0.4, waveEveryMillis)));
     }
     assertThat(failures, is(empty()));
   }
@@ -91,23 +90,22 @@
     assertThat(failures, is(empty()));
   }
 
-  private static CrashSimulation.Options crashingRequests(
-      int instances, double perSecond, long fromMillis) {
-    return new CrashSimulation.Options(instances, REPLICAS, perSecond, fromMillis, 0, 0, 0, MILLIS);
+  private static CrashScenario crashingRequests(int instances, double perSecond, long fromMillis) {
+    return CrashScenario.of(instances, REPLICAS, MILLIS).withCrashingPart(perSecond, fromMillis);
   }
 
-  private static CrashSimulation.Options otherCrashes(
+  private static CrashScenario otherCrashes(
       int instances, double singlesPerSecond, double waveShare, long waveEveryMillis) {
-    return new CrashSimulation.Options(
-        instances, REPLICAS, 0, 0, singlesPerSecond, waveShare, waveEveryMillis, MILLIS);
+    return CrashScenario.of(instances, REPLICAS, MILLIS)
+        .withOtherCrashes(singlesPerSecond, waveShare, waveEveryMillis);
   }
 
   /** Returns what went wrong with any of the seeds. */
-  private static List<String> play(int seeds, CrashSimulation.Options options) {
+  private static List<String> play(int seeds, CrashScenario scenario) {
     List<String> failures = new ArrayList<>();
     for (long seed = 0; seed < seeds; seed++) {
-      CrashSimulation simulation = new CrashSimulation(seed, options).run();
-      String what = ", seed " + seed + ", " + options;
+      CrashSimulation simulation = new CrashSimulation(seed, scenario).run();
+      String what = ", seed " + seed + ", " + scenario;
       if (!simulation.wronglyConvicted().isEmpty()) {
         failures.add("convicted " + simulation.wronglyConvicted() + what);
       }
--- a/src/test/java/io/snipeloom/crashes/CrashSimulation.java
+++ b/src/test/java/io/snipeloom/crashes/CrashSimulation.java
@@ -1,19 +1,21 @@
 package io.snipeloom.crashes;
 
+import static io.snipeloom.crashes.SimulatedTime.MILLI;
+
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Consumer;
 
 /**
  * Plays instances, replicas and callers in simulated time, all drawn from a seed: prompts with
- * shared parts, waves in which many replicas crash, and requests with one part that crashes each
- * replica that begins to answer them. Not thread-safe.
+ * shared parts, waves in which many replicas crash, requests with one part that crashes each
+ * replica that begins to answer them, and single requests that do so and come again. Not
+ * thread-safe.
  */
 final class CrashSimulation {
   /** The requests per second of all callers. */
@@ -25,63 +27,56 @@
   private static final int CALLER_TRIES = 2;
 
   private static final int PARTS_PER_LEVEL = 40;
-  private static final long MILLI = 1_000_000L;
   private static final long CALLER_DELAY_NANOS = 150 * MILLI;
   private static final long TICK_NANOS = 50 * MILLI;
   private static final long SURVIVED_NANOS = 300 * MILLI;
-  private static final long MAX_STORE_DELAY_NANOS = 10 * MILLI;
   private static final long RESTART_NANOS = 3_000 * MILLI;
+  private static final long STABLE_NANOS = 3_000 * MILLI;
+
+  /** The time between two sends of a request that comes again, by its caller. */
+  private static final long RECURRING_NANOS = 2_000 * MILLI;
+
+  /** The share of sound requests of which others are copies, as reads without a body are. */
+  private static final double COPIED_SHARE = 0.2;
 
+  /** The number of different requests among them. */
+  private static final int COPIED_REQUESTS = 20;
+
+  private final SimulatedTime time;
   private final Random random;
-  private final Options options;
-  private final List<Instance> instances = new ArrayList<>();
+  private final CrashScenario scenario;
+  private final List<SimulatedInstance> instances = new ArrayList<>();
   private final List<Replica> replicas = new ArrayList<>();
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(
-          Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::sequence));
   private final Set<RequestTrait> everConvicted = new HashSet<>();
   private final Set<RequestTrait> crashingRequests = new HashSet<>();
-  private long nowNanos;
-  private long sequence;
+  private final Map<RequestTrait, Recurring> recurring = new HashMap<>();
   private int startedReplicas;
   private int crashesUnderPart;
   private long fifthCrashNanos = Long.MAX_VALUE;
   private int lateArrivals;
-
-  /**
-   * What a simulation plays.
-   *
-   * @param instances the number of instances
-   * @param replicas the number of replicas
-   * @param crashingPerSecond the requests per second with the crashing part, 0 for none
-   * @param crashesFromMillis when the first of them comes
-   * @param singlesPerSecond the replicas per second that crash alone for other reasons
-   * @param waveShare the share of replicas that crash in each wave, 0 for no waves
-   * @param waveEveryMillis the time between two waves
-   * @param millis how long it lasts
-   */
-  record Options(
-      int instances,
-      int replicas,
-      double crashingPerSecond,
-      long crashesFromMillis,
-      double singlesPerSecond,
-      double waveShare,
-      long waveEveryMillis,
-      long millis) {}
-
-  private record Event(long atNanos, long sequence, Runnable task) {}
+  private int soundRequests;
+  private int refusedSoundRequests;
+
+  /** The crashes under a request that comes again, and how often it was sent afterwards. */
+  private static final class Recurring {
+    private int crashes;
+    private long thirdCrashNanos = Long.MAX_VALUE;
+    private int lateArrivals;
+  }
 
   /** A request of a caller and where its attempts went. */
   private static final class Request {
     private final RequestTrait id;
     private final List<RequestTrait> traits;
+    private final int service;
     private final boolean crashing;
     private int attempts;
+    private boolean refused;
 
-    Request(RequestTrait id, List<RequestTrait> traits, boolean crashing) {
+    Request(RequestTrait id, List<RequestTrait> traits, int service, boolean crashing) {
       this.id = id;
       this.traits = traits;
+      this.service = service;
       this.crashing = crashing;
     }
   }
@@ -89,12 +84,12 @@
   /** A request at a replica. */
   private static final class Sent {
     private final Request request;
-    private final Instance from;
+    private final SimulatedInstance from;
     private final long sentNanos;
     private boolean survived;
     private boolean ended;
 
-    Sent(Request request, Instance from, long sentNanos) {
+    Sent(Request request, SimulatedInstance from, long sentNanos) {
       this.request = request;
       this.from = from;
       this.sentNanos = sentNanos;
@@ -103,106 +98,56 @@
 
   private static final class Replica {
     private final String id;
+    private final int service;
     private final List<Sent> inFlight = new ArrayList<>();
     private boolean alive = true;
 
-    Replica(String id) {
+    Replica(String id, int service) {
       this.id = id;
+      this.service = service;
     }
   }
 
-  /** An instance, which shares evidence with the others through a store that delays. */
-  private final class Instance implements ConvictionStore, CrashControl.Listener {
-    private final String name;
-    private final CrashControl control;
-
-    Instance(String name) {
-      this.name = name;
-      this.control =
-          new CrashControl(this, () -> nowNanos / MILLI, () -> options.instances(), this);
-    }
-
-    @Override
-    public void append(EvidenceBatch batch, Consumer<Boolean> listener) {
-      EvidenceBatch read = EvidenceBatch.parse(batch.toBytes());
-      store(
-          reader -> {
-            if (reader != this) {
-              reader.control.onEvidence(name, read, nowNanos);
-            }
-          },
-          listener);
-    }
-
-    @Override
-    public void put(Conviction conviction, Consumer<Boolean> listener) {
-      store(reader -> reader.control.onStored(conviction), listener);
-    }
-
-    @Override
-    public void remove(RequestTrait trait, Consumer<Boolean> listener) {
-      store(reader -> reader.control.onRemoved(trait), listener);
-    }
-
-    private void store(Consumer<Instance> apply, Consumer<Boolean> listener) {
-      long delayNanos = (long) (random.nextDouble() * MAX_STORE_DELAY_NANOS);
-      for (Instance reader : instances) {
-        long readNanos = (long) (random.nextDouble() * MAX_STORE_DELAY_NANOS);
-        after(delayNanos + readNanos, () -> apply.accept(reader));
-      }
-      after(delayNanos, () -> listener.accept(true));
-    }
-
-    @Override
-    public void onConvicted(Conviction conviction) {
-      everConvicted.add(conviction.trait());
-    }
-
-    @Override
-    public void onConvictionEnded(RequestTrait trait, CrashControl.EndReason reason) {}
-
-    @Override
-    public void onCrash(CrashReport report) {}
-
-    @Override
-    public void onEvidence(String instance, EvidenceBatch batch) {}
-
-    @Override
-    public void onStoreFailed(int crashes) {}
-  }
-
-  CrashSimulation(long seed, Options options) {
-    this.random = new Random(seed);
-    this.options = options;
-    for (int i = 0; i < options.instances(); i++) {
-      instances.add(new Instance("edge-" + i));
+  CrashSimulation(long seed, CrashScenario scenario) {
+    this.time = new SimulatedTime(seed);
+    this.random = time.random();
+    this.scenario = scenario;
+    SimulatedConvictionStore store = new SimulatedConvictionStore(time, scenario.disturbance());
+    for (int i = 0; i < scenario.instances(); i++) {
+      boolean troubled = i == 0 || scenario.disturbance().isOfStore();
+      instances.add(
+          new SimulatedInstance(
+              "edge-" + i,
+              time,
+              store,
+              troubled ? scenario.disturbance() : CrashScenario.Disturbance.NONE,
+              scenario.instances(),
+              everConvicted));
     }
-    for (int i = 0; i < options.replicas(); i++) {
-      startReplica();
+    for (int i = 0; i < scenario.replicas(); i++) {
+      startReplica(i % scenario.services());
     }
   }
 
   /** Plays to the end. */
   CrashSimulation run() {
-    every(TICK_NANOS, () -> instances.forEach(instance -> instance.control.tick(nowNanos)));
+    time.every(TICK_NANOS, () -> instances.forEach(SimulatedInstance::tick));
     scheduleRequest(SOUND_REQUESTS_PER_SECOND, false);
-    if (options.crashingPerSecond() > 0) {
-      after(
-          options.crashesFromMillis() * MILLI,
-          () -> scheduleRequest(options.crashingPerSecond(), true));
+    if (scenario.crashingPerSecond() > 0) {
+      time.after(
+          scenario.crashesFromMillis() * MILLI,
+          () -> scheduleRequest(scenario.crashingPerSecond(), true));
     }
-    if (options.singlesPerSecond() > 0) {
-      scheduleSingleCrash();
+    for (int i = 0; i < scenario.recurring(); i++) {
+      scheduleRecurring(i);
     }
-    if (options.waveShare() > 0) {
-      every(options.waveEveryMillis() * MILLI, this::crashWave);
+    if (scenario.singlesPerSecond() > 0) {
+      scheduleSingleCrash();
     }
-    long endNanos = options.millis() * MILLI;
-    while (!events.isEmpty() && events.peek().atNanos() <= endNanos) {
-      Event event = events.poll();
-      nowNanos = event.atNanos();
-      event.task().run();
+    if (scenario.waveShare() > 0) {
+      time.every(scenario.waveEveryMillis() * MILLI, this::crashWave);
     }
+    time.runUntil(scenario.millis() * MILLI);
     return this;
   }
 
@@ -211,11 +156,21 @@
     return lateArrivals;
   }
 
+  /** Returns the same for the request that comes again of which there were most. */
+  int lateArrivalsOfRecurring() {
+    return recurring.values().stream().mapToInt(one -> one.lateArrivals).max().orElse(0);
+  }
+
   /** Returns how many replicas crashed under the crashing part. */
   int crashesUnderPart() {
     return crashesUnderPart;
   }
 
+  /** Returns how many replicas crashed under requests that come again. */
+  int crashesUnderRecurring() {
+    return recurring.values().stream().mapToInt(one -> one.crashes).sum();
+  }
+
   /** Returns the traits of sound requests that an instance convicted. */
   Set<RequestTrait> wronglyConvicted() {
     Set<RequestTrait> wrong = new HashSet<>(everConvicted);
@@ -224,25 +179,70 @@
     return wrong;
   }
 
+  /** Returns how many of a thousand sound requests were refused. */
+  double refusedSoundPerThousand() {
+    return 1_000.0 * refusedSoundRequests / soundRequests;
+  }
+
   private static RequestTrait crashingPart() {
     return RequestTrait.ofPart("bad");
   }
 
-  private void startReplica() {
-    replicas.add(new Replica("replica-" + ++startedReplicas));
+  private void startReplica(int service) {
+    replicas.add(new Replica("replica-" + ++startedReplicas, service));
   }
 
   private void scheduleRequest(double perSecond, boolean crashing) {
-    after(
-        drawInterval(perSecond),
+    time.after(
+        time.drawIntervalNanos(perSecond),
         () -> {
-          Instance instance = instances.get(random.nextInt(instances.size()));
-          RequestTrait id = new RequestTrait(RequestTrait.Kind.REQUEST, Long.toHexString(sequence));
-          send(new Request(id, drawTraits(id, crashing), crashing), instance);
+          SimulatedInstance instance = drawInstance();
+          send(drawRequest(crashing), instance);
           scheduleRequest(perSecond, crashing);
         });
   }
 
+  private Request drawRequest(boolean crashing) {
+    String id = Long.toHexString(time.sequence());
+    if (scenario.recurring() == 0) {
+      RequestTrait trait = requestTrait(id);
+      if (!crashing) {
+        soundRequests++;
+      }
+      return new Request(trait, drawTraits(trait, crashing), 0, crashing);
+    }
+    soundRequests++;
+    int service = random.nextInt(scenario.services());
+    if (random.nextDouble() < COPIED_SHARE) {
+      RequestTrait copied = requestTrait("copied-" + service + "-" + drawSkewed(COPIED_REQUESTS));
+      return new Request(copied, List.of(copied), service, false);
+    }
+    RequestTrait trait = requestTrait(id);
+    return new Request(trait, drawTraits(trait, false), service, false);
+  }
+
+  private static RequestTrait requestTrait(String id) {
+    return new RequestTrait(RequestTrait.Kind.REQUEST, id);
+  }
+
+  private void scheduleRecurring(int index) {
+    RequestTrait id = requestTrait("recurring-" + index);
+    List<RequestTrait> traits = drawTraits(id, false);
+    int service = index % scenario.services();
+    recurring.put(id, new Recurring());
+    crashingRequests.add(id);
+    time.after(
+        (long) (random.nextDouble() * 2 * RECURRING_NANOS),
+        () ->
+            time.every(
+                RECURRING_NANOS,
+                () -> send(new Request(id, traits, service, true), drawInstance())));
+  }
+
+  private SimulatedInstance drawInstance() {
+    return instances.get(random.nextInt(instances.size()));
+  }
+
   /** Draws the shared parts of a prompt: few popular ones first, and many rare ones after them. */
   private List<RequestTrait> drawTraits(RequestTrait id, boolean crashing) {
     List<RequestTrait> traits = new ArrayList<>();
@@ -263,28 +263,46 @@
     return (int) (uniform * uniform * uniform * count);
   }
 
-  private void send(Request request, Instance instance) {
-    if (instance.control.find(request.traits).isPresent()) {
+  private void send(Request request, SimulatedInstance instance) {
+    if (instance.isFrozen()) {
+      return;
+    }
+    if (instance.control().find(request.traits).isPresent()) {
+      if (!request.crashing && !request.refused) {
+        request.refused = true;
+        refusedSoundRequests++;
+      }
       return;
     }
-    Optional<Replica> found = pickReplica();
+    Optional<Replica> found = pickReplica(request.service);
     if (found.isEmpty()) {
       return;
     }
     Replica replica = found.get();
-    Sent sent = new Sent(request, instance, nowNanos);
+    Sent sent = new Sent(request, instance, time.nowNanos());
     request.attempts++;
-    instance.control.onSent(request.traits, nowNanos);
+    instance.control().onSent(request.traits, time.nowNanos());
     replica.inFlight.add(sent);
-    if (request.crashing && nowNanos - fifthCrashNanos > 3_000 * MILLI) {
+    countLateArrival(request, instance);
+    long queueNanos = (long) (random.nextDouble() * 400 * MILLI);
+    time.after(50 * MILLI + queueNanos, () -> begin(replica, sent));
+  }
+
+  private void countLateArrival(Request request, SimulatedInstance instance) {
+    Recurring comesAgain = recurring.get(request.id);
+    if (comesAgain != null) {
+      boolean late = time.nowNanos() - comesAgain.thirdCrashNanos > STABLE_NANOS;
+      if (late && instance.isInTouch()) {
+        comesAgain.lateArrivals++;
+      }
+    } else if (request.crashing && time.nowNanos() - fifthCrashNanos > STABLE_NANOS) {
       lateArrivals++;
     }
-    long queueNanos = (long) (random.nextDouble() * 400 * MILLI);
-    after(50 * MILLI + queueNanos, () -> begin(replica, sent));
   }
 
-  private Optional<Replica> pickReplica() {
-    List<Replica> alive = replicas.stream().filter(replica -> replica.alive).toList();
+  private Optional<Replica> pickReplica(int service) {
+    List<Replica> alive =
+        replicas.stream().filter(replica -> replica.alive && replica.service == service).toList();
     return alive.isEmpty()
         ? Optional.empty()
         : Optional.of(alive.get(random.nextInt(alive.size())));
@@ -295,21 +313,34 @@
       return;
     }
     if (sent.request.crashing) {
+      countCrash(sent.request);
+      crash(replica);
+      return;
+    }
+    time.after(SURVIVED_NANOS, () -> survive(replica, sent));
+    time.after(
+        (long) (600 * MILLI + random.nextDouble() * 4_000 * MILLI), () -> end(replica, sent));
+  }
+
+  private void countCrash(Request request) {
+    Recurring comesAgain = recurring.get(request.id);
+    if (comesAgain == null) {
       crashesUnderPart++;
       if (crashesUnderPart == 5) {
-        fifthCrashNanos = nowNanos;
+        fifthCrashNanos = time.nowNanos();
       }
-      crash(replica);
       return;
     }
-    after(SURVIVED_NANOS, () -> survive(replica, sent));
-    after((long) (600 * MILLI + random.nextDouble() * 4_000 * MILLI), () -> end(replica, sent));
+    comesAgain.crashes++;
+    if (comesAgain.crashes == 3) {
+      comesAgain.thirdCrashNanos = time.nowNanos();
+    }
   }
 
   private void survive(Replica replica, Sent sent) {
-    if (replica.alive && !sent.ended) {
+    if (replica.alive && !sent.ended && !sent.from.isFrozen()) {
       sent.survived = true;
-      sent.from.control.onSound(sent.request.traits, nowNanos);
+      sent.from.control().onSound(sent.request.traits, time.nowNanos());
     }
   }
 
@@ -321,21 +352,17 @@
   }
 
   private void scheduleSingleCrash() {
-    after(
-        drawInterval(options.singlesPerSecond()),
+    time.after(
+        time.drawIntervalNanos(scenario.singlesPerSecond()),
         () -> {
-          pickReplica().ifPresent(this::crash);
+          pickReplica(random.nextInt(scenario.services())).ifPresent(this::crash);
           scheduleSingleCrash();
         });
   }
 
-  private long drawInterval(double perSecond) {
-    return (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1e9);
-  }
-
   private void crashWave() {
     for (Replica replica : List.copyOf(replicas)) {
-      if (replica.alive && random.nextDouble() < options.waveShare()) {
+      if (replica.alive && random.nextDouble() < scenario.waveShare()) {
         crash(replica);
       }
     }
@@ -344,40 +371,34 @@
   private void crash(Replica replica) {
     replica.alive = false;
     replicas.remove(replica);
-    after(RESTART_NANOS, this::startReplica);
-    long crashedNanos = nowNanos;
-    for (Instance instance : instances) {
-      List<InFlight> seen =
-          replica.inFlight.stream()
-              .filter(sent -> sent.from == instance && !sent.survived && !sent.ended)
-              .map(
-                  sent ->
-                      new InFlight(sent.request.id.value(), sent.request.traits, sent.sentNanos))
-              .toList();
-      if (!seen.isEmpty()) {
-        after(2 * MILLI, () -> instance.control.onCrash(replica.id, crashedNanos, seen, nowNanos));
-      }
+    time.after(RESTART_NANOS, () -> startReplica(replica.service));
+    for (SimulatedInstance instance : instances) {
+      tellCrash(replica, instance);
     }
     for (Sent sent : replica.inFlight) {
       if (!sent.ended && sent.request.attempts % MAX_ATTEMPTS != 0) {
-        after(MILLI, () -> send(sent.request, sent.from));
+        time.after(MILLI, () -> send(sent.request, sent.from));
       } else if (!sent.ended && sent.request.attempts < CALLER_TRIES * MAX_ATTEMPTS) {
-        Instance other = instances.get(random.nextInt(instances.size()));
-        after(CALLER_DELAY_NANOS, () -> send(sent.request, other));
+        SimulatedInstance other = drawInstance();
+        time.after(CALLER_DELAY_NANOS, () -> send(sent.request, other));
       }
     }
   }
 
-  private void every(long intervalNanos, Runnable task) {
-    after(
-        intervalNanos,
-        () -> {
-          task.run();
-          every(intervalNanos, task);
-        });
-  }
-
-  private void after(long delayNanos, Runnable task) {
-    events.add(new Event(nowNanos + delayNanos, sequence++, task));
+  private void tellCrash(Replica replica, SimulatedInstance instance) {
+    long crashedNanos = time.nowNanos();
+    List<InFlight> seen =
+        replica.inFlight.stream()
+            .filter(sent -> sent.from == instance && !sent.survived && !sent.ended)
+            .map(sent -> new InFlight(sent.request.id.value(), sent.request.traits, sent.sentNanos))
+            .toList();
+    if (!seen.isEmpty()) {
+      time.after(
+          2 * MILLI,
+          () ->
+              instance.whenRunning(
+                  () ->
+                      instance.control().onCrash(replica.id, crashedNanos, seen, time.nowNanos())));
+    }
   }
 }
