--- a/src/main/java/io/snipeloom/crashes/ConvictionStore.java
+++ b/src/main/java/io/snipeloom/crashes/ConvictionStore.java
@@ -20,7 +20,15 @@
   void put(Conviction conviction, Consumer<Boolean> listener);
 
   /**
-   * Removes the conviction of a trait.
+   * Claims the trial of a refused request, which the first claim in the order of the store has.
+   *
+   * @param claimant who claims it
+   * @param listener called once with true if the claim was stored; if false, it may have been
+   */
+  void claimTrial(RequestTrait request, String claimant, Consumer<Boolean> listener);
+
+  /**
+   * Removes the conviction of a trait and the claims of its trial.
    *
    * @param listener called once with true if it was removed; if false, it may have been
    */
--- a/src/main/java/io/snipeloom/crashes/CrashControl.java
+++ b/src/main/java/io/snipeloom/crashes/CrashControl.java
@@ -1,77 +1,55 @@
 package io.snipeloom.crashes;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 /**
  * Decides which requests are refused because requests like them crash replicas.
  *
- * <p>Each instance records the crashes that it sees in the store and reads those of the others, so
- * that all together need no more crashes than one alone. A conviction is stored too; it outlasts
- * every process. While the store is away, an instance decides by what it sees itself and records it
+ * <p>A request is refused once {@link RequestCrashCounts#MAX_CRASHES} replicas ended while it was
+ * in flight there, whatever ended them. It may be sent once more, by one instance, to find out
+ * whether it crashes replicas after all. Requests with a part in their prompts are refused once
+ * {@link CrashEvidence} shows that the part crashes replicas.
+ *
+ * <p>Each instance records what it sees in the store and reads what the others see, so that all
+ * together need no more crashes than one alone. A conviction is stored too; it outlasts every
+ * process. While the store is away, an instance decides by what it sees itself and records it
  * later.
  *
  * <p>Confined to the event loop thread.
  */
 public final class CrashControl {
-  /** How long a conviction lasts unless it is lifted before, in milliseconds. */
-  private static final long CONVICTION_MILLIS = 86_400_000L;
-
-  /** The most convictions that are kept; the oldest one makes room. */
-  private static final int MAX_CONVICTIONS = 1_000;
-
-  /** The most crashes that wait to be recorded; the oldest one makes room. */
-  private static final int MAX_UNRECORDED = 64;
+  /** The time between two decisions while no evidence is added. */
+  private static final long DECISION_INTERVAL_NANOS = 250_000_000L;
 
-  /** The most calls per second with which the whole fleet records that traits are sound. */
-  private static final int MAX_FLEET_RECORDINGS_PER_SECOND = 100;
+  /** How long after the last crash under a request it may be tried, so that a wave is over. */
+  private static final long TRIAL_DELAY_NANOS = 1_000_000_000L;
 
   /** The pause after a call to the store that failed. */
   private static final long RETRY_DELAY_NANOS = 500_000_000L;
 
-  /** The time between two decisions while no evidence is added. */
-  private static final long DECISION_INTERVAL_NANOS = 250_000_000L;
-
-  private static final long NANOS_PER_SECOND = 1_000_000_000L;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final ConvictionStore store;
+  private final String claimant;
   private final LongSupplier timeOfDayMillis;
-  private final IntSupplier fleetSize;
   private final Listener listener;
   private final TraitShares shares = new TraitShares();
   private final CrashEvidence evidence = new CrashEvidence();
-  private final Map<RequestTrait, Conviction> convictions = new LinkedHashMap<>();
-  private final Set<RequestTrait> unstored = new LinkedHashSet<>();
-  private final Set<RequestTrait> unremoved = new LinkedHashSet<>();
-  private final Deque<Seen> unrecorded = new ArrayDeque<>();
-  private final Set<RequestTrait> soundToRecord = new LinkedHashSet<>();
+  private final RequestCrashCounts counts = new RequestCrashCounts();
+  private final RequestTrials trials;
+  private final Convictions convictions;
+  private final EvidenceRecorder recorder;
   private boolean undecided;
   private boolean evidenceAdded;
+  private boolean restoringTrial;
+  private long lastTrialFailureNanos = Long.MIN_VALUE / 2;
   private long lastDecisionNanos = Long.MIN_VALUE / 2;
-  private boolean storing;
-  private boolean recording;
-  private long lastFailureNanos = Long.MIN_VALUE / 2;
-  private long lastSoundRecordingNanos = Long.MIN_VALUE / 2;
-
-  /** A crash that this instance saw. */
-  private record Seen(CrashReport report, long crashedNanos) {
-    CrashReport reportAt(long nowNanos) {
-      return report.withAgeMillis(Math.max(0, (nowNanos - crashedNanos) / NANOS_PER_MILLI));
-    }
-  }
 
   /** Why a conviction ended. */
   public enum EndReason {
@@ -97,83 +75,212 @@
     /** Called when this instance saw a replica crash. */
     void onCrash(CrashReport report);
 
+    /**
+     * Called when this instance saw a replica end under a request.
+     *
+     * @param crashes the replicas that are known to have ended under it
+     */
+    void onRequestCrash(RequestTrait request, ReplicaIncarnation replica, int crashes);
+
+    /** Called when it is known whether this instance has the trial of a request. */
+    void onTrial(RequestTrait request, boolean granted);
+
     /** Called when evidence of another instance was read. */
     void onEvidence(String instance, EvidenceBatch batch);
 
-    /** Called when evidence or a conviction could not be stored; it will be tried again. */
-    void onStoreFailed(int crashes);
+    /** Called when evidence could not be stored; it will be tried again. */
+    void onEvidenceNotStored(int crashes);
+
+    /** Called when convictions could not be stored or removed; it will be tried again. */
+    void onConvictionNotStored(int convictions);
   }
 
   /**
    * Creates a control without evidence and convictions.
    *
    * @param store stores evidence and convictions
+   * @param claimant identifies this incarnation of the instance
    * @param timeOfDayMillis the time of day, in Unix milliseconds
    * @param fleetSize the number of instances, at least 1
    * @param listener receives what changes
    */
   public CrashControl(
       ConvictionStore store,
+      String claimant,
       LongSupplier timeOfDayMillis,
       IntSupplier fleetSize,
       Listener listener) {
     this.store = store;
+    this.claimant = claimant;
     this.timeOfDayMillis = timeOfDayMillis;
-    this.fleetSize = fleetSize;
     this.listener = listener;
+    this.trials = new RequestTrials(claimant);
+    this.convictions = new Convictions(store, timeOfDayMillis, listener, this::forget);
+    this.recorder = new EvidenceRecorder(store, fleetSize, listener, evidence);
+  }
+
+  /**
+   * Decides on a request that has arrived. The answer may take as long as a write to the store.
+   *
+   * @param listener called once
+   */
+  public void admit(RequestTraits traits, long nowNanos, Consumer<Admission> listener) {
+    Optional<Conviction> conviction = find(traits);
+    if (conviction.isEmpty()) {
+      listener.accept(Admission.ADMITTED);
+    } else if (isTrialDue(traits, nowNanos)) {
+      claimTrial(traits.request(), conviction.get(), nowNanos, listener);
+    } else {
+      listener.accept(Admission.refused(conviction.get()));
+    }
+  }
+
+  private boolean isTrialDue(RequestTraits traits, long nowNanos) {
+    RequestTrait request = traits.request();
+    long lastCrashNanos = counts.lastCrashNanos(request).orElse(nowNanos - TRIAL_DELAY_NANOS);
+    return findPart(traits).isEmpty()
+        && convictions.contains(request)
+        && trials.isOpen(request)
+        && !trials.isPending(request)
+        && nowNanos - lastCrashNanos >= TRIAL_DELAY_NANOS;
+  }
+
+  private void claimTrial(
+      RequestTrait request, Conviction conviction, long nowNanos, Consumer<Admission> whenDecided) {
+    trials.await(
+        request,
+        granted -> {
+          listener.onTrial(request, granted);
+          whenDecided.accept(granted ? Admission.TRIAL : Admission.refused(conviction));
+        },
+        nowNanos);
+    store.claimTrial(
+        request,
+        claimant,
+        stored -> {
+          if (!stored) {
+            trials.onNotStored(request);
+          }
+        });
   }
 
   /**
    * Returns why a request is to be refused.
    *
-   * @param traits the traits of the request
-   * @return the conviction of one of them, empty if there is none
+   * @return the conviction of one of its traits, empty if there is none
    */
-  public Optional<Conviction> find(Collection<RequestTrait> traits) {
-    if (convictions.isEmpty()) {
-      return Optional.empty();
+  public Optional<Conviction> find(RequestTraits traits) {
+    return findPart(traits).or(() -> findRequest(traits.request()));
+  }
+
+  /** Returns why a request is to be refused although it has a trial, empty if it is not. */
+  public Optional<Conviction> findPart(RequestTraits traits) {
+    return traits.parts().stream().flatMap(part -> convictions.find(part).stream()).findFirst();
+  }
+
+  private Optional<Conviction> findRequest(RequestTrait request) {
+    Optional<Conviction> conviction = convictions.find(request);
+    int crashes = counts.count(request);
+    if (conviction.isPresent() || crashes < RequestCrashCounts.MAX_CRASHES) {
+      return conviction;
     }
-    return traits.stream().filter(convictions::containsKey).findFirst().map(convictions::get);
+    return Optional.of(new Conviction(request, crashes, timeOfDayMillis.getAsLong()));
+  }
+
+  /** Returns whether what a conviction refuses may be tried soon. */
+  public boolean mayBeTried(Conviction conviction) {
+    return conviction.trait().kind() == RequestTrait.Kind.REQUEST
+        && trials.isOpen(conviction.trait());
+  }
+
+  /** Returns whether a replica may have ended under a request. */
+  public boolean isSuspected(RequestTraits traits) {
+    return counts.count(traits.request()) > 0;
   }
 
   /** Counts an attempt that is sent to a replica. */
-  public void onSent(Collection<RequestTrait> traits, long nowNanos) {
-    shares.onSent(traits, nowNanos);
+  public void onSent(RequestTraits traits, long nowNanos) {
+    shares.onSent(traits.parts(), nowNanos);
+  }
+
+  /**
+   * Records that the connection of an attempt broke. Until {@link #onAlive}, the replica counts as
+   * ended.
+   *
+   * @param brokenNanos when the connection broke
+   */
+  public void onBroken(ReplicaIncarnation replica, InFlight attempt, long brokenNanos) {
+    RequestTrait request = attempt.traits().request();
+    counts.add(request, replica.service(), replica.id(), brokenNanos, false);
+  }
+
+  /** Records that a replica is alive although connections to it broke. */
+  public void onAlive(ReplicaIncarnation replica, List<InFlight> broken) {
+    broken.forEach(attempt -> counts.onAlive(attempt.traits().request(), replica.id()));
+  }
+
+  /**
+   * Records that a replica ended or may have ended, for reasons of which nothing is known.
+   *
+   * @param endedNanos when it ended
+   * @param inFlight what this instance had in flight there
+   */
+  public void onEnded(ReplicaIncarnation replica, long endedNanos, List<InFlight> inFlight) {
+    for (InFlight attempt : inFlight) {
+      RequestTrait request = attempt.traits().request();
+      if (counts.add(request, replica.service(), replica.id(), endedNanos, true)) {
+        recorder.addRequestCrash(request, replica, endedNanos);
+        listener.onRequestCrash(request, replica, counts.certainCount(request));
+        convictIfCounted(request);
+      }
+    }
   }
 
   /**
    * Records that a replica crashed.
    *
-   * @param replica the incarnation of the replica
    * @param crashedNanos when it crashed
    * @param inFlight what this instance had in flight there
    */
-  public void onCrash(String replica, long crashedNanos, List<InFlight> inFlight, long nowNanos) {
-    CrashReport report = CrashReport.of(replica, crashedNanos, inFlight, shares, nowNanos);
-    unrecorded.addLast(new Seen(report, crashedNanos));
-    while (unrecorded.size() > MAX_UNRECORDED) {
-      unrecorded.removeFirst();
+  public void onCrash(
+      ReplicaIncarnation replica, long crashedNanos, List<InFlight> inFlight, long nowNanos) {
+    onEnded(replica, crashedNanos, inFlight);
+    List<InFlight> suspects = inFlight.stream().filter(attempt -> !attempt.survived()).toList();
+    if (suspects.isEmpty()) {
+      return;
     }
+    CrashReport report = CrashReport.of(replica.id(), crashedNanos, suspects, shares, nowNanos);
+    recorder.addCrash(report, crashedNanos);
     listener.onCrash(report);
     learn(report, nowNanos);
   }
 
+  /** Records that a replica has gone on for a while with the answer to a request. */
+  public void onSurvived(RequestTraits traits, long nowNanos) {
+    for (RequestTrait part : traits.parts()) {
+      if (evidence.isSuspected(part)) {
+        recorder.addSound(part);
+      }
+      evidence.addSound(part, nowNanos);
+      convictions.lift(part, EndReason.SOUND);
+    }
+  }
+
   /**
-   * Records that a replica survived a request.
+   * Records that a replica ran a request to a good end.
    *
-   * @param traits the traits of the request
+   * @param service the service of the replica
+   * @param sentNanos when the request was sent to it
+   * @param trial whether it was the trial of the request
    */
-  public void onSound(Collection<RequestTrait> traits, long nowNanos) {
-    for (RequestTrait trait : traits) {
-      if (evidence.isSuspected(trait)) {
-        soundToRecord.add(trait);
-      }
-      if (trait.kind().isShared() || evidence.isSuspected(trait)) {
-        evidence.addSound(trait, nowNanos);
-      }
-      if (end(trait, EndReason.SOUND)) {
-        unremoved.add(trait);
-      }
+  public void onCompleted(RequestTraits traits, String service, long sentNanos, boolean trial) {
+    RequestTrait request = traits.request();
+    boolean wasSuspected = counts.onCompleted(request, service, sentNanos);
+    if (wasSuspected) {
+      recorder.addCompletion(request, service, sentNanos);
+    }
+    if (wasSuspected || trial) {
+      liftUnlessCounted(request);
     }
   }
 
@@ -187,9 +294,20 @@
     listener.onEvidence(instance, batch);
     for (SoundTrait sound : batch.sound()) {
       evidence.addSound(sound.trait(), nowNanos - sound.ageMillis() * NANOS_PER_MILLI);
-      soundToRecord.remove(sound.trait());
+      recorder.onSoundRecorded(sound.trait());
     }
     batch.crashes().forEach(report -> learn(report, nowNanos));
+    for (RequestCrash crash : batch.requestCrashes()) {
+      long atNanos = nowNanos - crash.ageMillis() * NANOS_PER_MILLI;
+      counts.add(crash.request(), crash.service(), crash.replica(), atNanos, true);
+      convictIfCounted(crash.request());
+    }
+    for (CompletedRequest completed : batch.completions()) {
+      long sentNanos = nowNanos - completed.sentMillisAgo() * NANOS_PER_MILLI;
+      if (counts.onCompleted(completed.request(), completed.service(), sentNanos)) {
+        liftUnlessCounted(completed.request());
+      }
+    }
   }
 
   private void learn(CrashReport report, long nowNanos) {
@@ -198,42 +316,55 @@
     evidenceAdded = true;
     for (Suspect suspect : report.suspects()) {
       if (evidence.lastSoundNanos(suspect.trait(), nowNanos).isPresent()) {
-        soundToRecord.add(suspect.trait());
+        recorder.addSound(suspect.trait());
       }
     }
   }
 
+  private void convictIfCounted(RequestTrait request) {
+    int crashes = counts.certainCount(request);
+    if (crashes >= RequestCrashCounts.MAX_CRASHES && !convictions.contains(request)) {
+      convictions.convict(request, crashes);
+    }
+  }
+
+  private void liftUnlessCounted(RequestTrait request) {
+    if (counts.count(request) < RequestCrashCounts.MAX_CRASHES) {
+      convictions.lift(request, EndReason.SOUND);
+    }
+  }
+
   /** Stores all convictions again, because the store may have lost them. */
   public void onStoreReverted() {
-    unstored.addAll(convictions.keySet());
+    convictions.onStoreReverted();
+    trials.onStoreReverted();
   }
 
   /** Applies a conviction that is stored. */
   public void onStored(Conviction conviction) {
-    unstored.remove(conviction.trait());
-    if (convictions.put(conviction.trait(), conviction) == null) {
-      listener.onConvicted(conviction);
-      displaceOldest();
-    }
+    convictions.onStored(conviction);
+  }
+
+  /** Applies a claim of a trial that is stored, in the order of the store. */
+  public void onTrialClaimed(RequestTrait request, String byClaimant) {
+    trials.onClaimed(request, byClaimant);
   }
 
   /** Applies that the conviction of a trait is no longer stored. */
   public void onRemoved(RequestTrait trait) {
-    unremoved.remove(trait);
-    evidence.clear(trait);
-    end(trait, EndReason.REMOVED);
+    forget(trait);
+    convictions.onRemoved(trait);
   }
 
   /**
    * Applies all convictions that are stored. Those of this instance that it has yet to store stay.
+   *
+   * @param stored the convictions
+   * @param claimedTrials the refused requests whose trials are claimed, and by whom
    */
-  public void onListed(Collection<Conviction> stored) {
-    Set<RequestTrait> kept = new HashSet<>(unstored);
-    stored.forEach(conviction -> kept.add(conviction.trait()));
-    List<RequestTrait> gone = new ArrayList<>(convictions.keySet());
-    gone.removeAll(kept);
-    gone.forEach(this::onRemoved);
-    stored.forEach(this::onStored);
+  public void onListed(Collection<Conviction> stored, Map<RequestTrait, String> claimedTrials) {
+    convictions.onListed(stored).forEach(this::onRemoved);
+    trials.onListed(claimedTrials);
   }
 
   /** Decides and starts the calls that are due. To be called about 20 times a second. */
@@ -241,134 +372,54 @@
     if (undecided && (evidenceAdded || nowNanos - lastDecisionNanos >= DECISION_INTERVAL_NANOS)) {
       decide(nowNanos);
     }
-    endExpired();
-    if (nowNanos - lastFailureNanos < RETRY_DELAY_NANOS) {
-      return;
-    }
-    storeConvictions(nowNanos);
-    recordEvidence(nowNanos);
+    convictions.tick(nowNanos);
+    recorder.tick(nowNanos);
+    trials.tick(nowNanos);
+    restoreTrial(nowNanos);
   }
 
   private void decide(long nowNanos) {
-    List<CrashEvidence.Culprit> culprits =
-        evidence.findCulprits(convictions::containsKey, nowNanos);
+    List<CrashEvidence.Culprit> culprits = findCulprits(nowNanos);
     while (!culprits.isEmpty()) {
-      for (CrashEvidence.Culprit culprit : culprits) {
-        Conviction conviction =
-            new Conviction(culprit.trait(), culprit.crashes(), timeOfDayMillis.getAsLong());
-        convictions.put(culprit.trait(), conviction);
-        unstored.add(culprit.trait());
-        listener.onConvicted(conviction);
-      }
-      displaceOldest();
-      culprits = evidence.findCulprits(convictions::containsKey, nowNanos);
+      culprits.forEach(culprit -> convictions.convict(culprit.trait(), culprit.crashes()));
+      culprits = findCulprits(nowNanos);
     }
     undecided = evidence.mayDecideLater(nowNanos);
     evidenceAdded = false;
     lastDecisionNanos = nowNanos;
   }
 
-  private void displaceOldest() {
-    while (convictions.size() > MAX_CONVICTIONS) {
-      RequestTrait oldest = convictions.keySet().iterator().next();
-      end(oldest, EndReason.DISPLACED);
-      unremoved.add(oldest);
-    }
-  }
-
-  private void endExpired() {
-    if (convictions.isEmpty()) {
-      return;
-    }
-    long now = timeOfDayMillis.getAsLong();
-    List<RequestTrait> expired =
-        convictions.values().stream()
-            .filter(conviction -> now - conviction.decidedAtMillis() > CONVICTION_MILLIS)
-            .map(Conviction::trait)
-            .toList();
-    for (RequestTrait trait : expired) {
-      end(trait, EndReason.EXPIRED);
-      unremoved.add(trait);
-    }
-  }
-
-  /** Ends a conviction and returns whether there was one. */
-  private boolean end(RequestTrait trait, EndReason reason) {
-    unstored.remove(trait);
-    if (convictions.remove(trait) == null) {
-      return false;
-    }
-    evidence.clear(trait);
-    listener.onConvictionEnded(trait, reason);
-    return true;
+  private List<CrashEvidence.Culprit> findCulprits(long nowNanos) {
+    return evidence.findCulprits(convictions::contains, counts.crashingByReplica(), nowNanos);
   }
 
-  private void storeConvictions(long nowNanos) {
-    if (storing) {
+  private void restoreTrial(long nowNanos) {
+    Optional<RequestTrait> next = trials.nextUnstored();
+    if (restoringTrial || next.isEmpty() || nowNanos - lastTrialFailureNanos < RETRY_DELAY_NANOS) {
       return;
     }
-    if (!unremoved.isEmpty()) {
-      RequestTrait trait = unremoved.iterator().next();
-      storing = true;
-      store.remove(trait, done -> onCallEnded(done, () -> unremoved.remove(trait), nowNanos));
-    } else if (!unstored.isEmpty()) {
-      RequestTrait trait = unstored.iterator().next();
-      storing = true;
-      store.put(
-          convictions.get(trait),
-          done -> onCallEnded(done, () -> unstored.remove(trait), nowNanos));
-    }
+    restoringTrial = true;
+    RequestTrait request = next.get();
+    store.claimTrial(
+        request, trials.claimantOf(request), done -> onTrialRestored(done, request, nowNanos));
   }
 
-  private void onCallEnded(boolean done, Runnable onDone, long startNanos) {
-    storing = false;
+  private void onTrialRestored(boolean done, RequestTrait request, long startNanos) {
+    restoringTrial = false;
     if (done) {
-      onDone.run();
+      trials.onStoredAgain(request);
     } else {
-      lastFailureNanos = startNanos;
-      listener.onStoreFailed(unrecorded.size());
+      lastTrialFailureNanos = startNanos;
+      listener.onConvictionNotStored(1);
     }
   }
 
-  private void recordEvidence(long nowNanos) {
-    boolean soundDue =
-        !soundToRecord.isEmpty()
-            && nowNanos - lastSoundRecordingNanos >= soundRecordingIntervalNanos();
-    if (recording || (unrecorded.isEmpty() && !soundDue)) {
-      return;
-    }
-    recording = true;
-    lastSoundRecordingNanos = nowNanos;
-    List<Seen> seen = List.copyOf(unrecorded);
-    List<CrashReport> reports = seen.stream().map(one -> one.reportAt(nowNanos)).toList();
-    EvidenceBatch batch = new EvidenceBatch(reports, soundTraits(nowNanos));
-    soundToRecord.clear();
-    store.append(batch, done -> onRecorded(done, seen, batch, nowNanos));
-  }
-
-  private List<SoundTrait> soundTraits(long nowNanos) {
-    List<SoundTrait> sound = new ArrayList<>();
-    for (RequestTrait trait : soundToRecord) {
-      OptionalLong atNanos = evidence.lastSoundNanos(trait, nowNanos);
-      if (atNanos.isPresent()) {
-        sound.add(new SoundTrait(trait, (nowNanos - atNanos.getAsLong()) / NANOS_PER_MILLI));
-      }
-    }
-    return sound;
-  }
-
-  private void onRecorded(boolean done, List<Seen> seen, EvidenceBatch batch, long startNanos) {
-    recording = false;
-    if (done) {
-      unrecorded.removeAll(seen);
+  private void forget(RequestTrait trait) {
+    if (trait.kind() == RequestTrait.Kind.REQUEST) {
+      counts.clear(trait);
+      trials.clear(trait);
     } else {
-      batch.sound().forEach(sound -> soundToRecord.add(sound.trait()));
-      lastFailureNanos = startNanos;
-      listener.onStoreFailed(unrecorded.size());
+      evidence.clear(trait);
     }
   }
-
-  private long soundRecordingIntervalNanos() {
-    return fleetSize.getAsInt() * NANOS_PER_SECOND / MAX_FLEET_RECORDINGS_PER_SECOND;
-  }
 }
--- a/src/main/java/io/snipeloom/crashes/CrashEvidence.java
+++ b/src/main/java/io/snipeloom/crashes/CrashEvidence.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,7 +13,7 @@
 import java.util.function.Predicate;
 
 /**
- * Infers from crashes which trait of requests causes them.
+ * Infers from crashes which part of prompts causes them.
  *
  * <p>A crash takes all requests of its replica with it, so each of them is a suspect. These rules
  * tell the cause from the bystanders:
@@ -26,9 +25,10 @@
  *       counted before.
  *   <li>A trait that is absent from most crashes of its time did not cause the others.
  *   <li>The less likely a trait is to be at a replica by chance, the more its presence says.
- *   <li>What different requests may share is the cause only if different requests crashed.
- *   <li>A crash that a convicted trait explains says nothing about others, unless that trait is of
- *       one request only, of which a part may be the true cause.
+ *   <li>A trait is the cause only if different requests with it crashed, and what one of them does
+ *       again says little more.
+ *   <li>A crash that a convicted trait explains says nothing about others, and one that a crashing
+ *       request explains says nothing about what other requests have.
  * </ul>
  *
  * <p>Not thread-safe.
@@ -37,18 +37,21 @@
   /** The crashes that convict a trait of which no survived request is known. */
   private static final int CRASHES_TO_CONVICT = 4;
 
-  /**
-   * The crashes that convict a trait that was sound lately, one of several alike, or one request,
-   * which may have been sent several times beside the culprit.
-   */
+  /** The crashes that convict a trait that was sound lately, or one of several alike. */
   private static final int CRASHES_TO_CONVICT_DOUBTFUL = 5;
 
   /** The number of different requests whose crashes convict a trait that they share. */
-  private static final int REQUESTS_TO_CONVICT = 2;
+  private static final int REQUESTS_TO_CONVICT = 3;
+
+  /** The most crashes under one request that count for each of its traits. */
+  private static final int MAX_CRASHES_OF_REQUEST = 2;
 
   /** The evidence that convicts: the negative logarithm of the probability of a coincidence. */
   private static final double EVIDENCE_TO_CONVICT = 3;
 
+  /** The evidence that convicts a trait that was sound lately. */
+  private static final double EVIDENCE_TO_CONVICT_DOUBTFUL = 6;
+
   /**
    * The share of the crashes since its first one at which a culprit was present, at least. It is
    * below one half, so that several culprits at a time are found.
@@ -89,11 +92,13 @@
 
   /** A crash of a replica with all that the instances had in flight there. */
   private static final class Crash {
+    private final String replica;
     private final long atNanos;
     private final Map<RequestTrait, Presence> suspects = new HashMap<>();
     private int attempts;
 
-    Crash(long atNanos) {
+    Crash(String replica, long atNanos) {
+      this.replica = replica;
       this.atNanos = atNanos;
     }
 
@@ -116,27 +121,32 @@
   private record Count(
       RequestTrait trait,
       int crashes,
-      Set<String> requests,
+      Map<String, Integer> crashesOfRequests,
       double evidence,
       long firstNanos,
       long lastNanos) {
     Count plus(Crash crash, Presence presence) {
-      Set<String> allRequests = new HashSet<>(requests);
-      allRequests.add(presence.request());
+      Map<String, Integer> ofRequests = new HashMap<>(crashesOfRequests);
+      ofRequests.merge(presence.request(), 1, Integer::sum);
       return new Count(
           trait,
           crashes + 1,
-          allRequests,
+          ofRequests,
           evidence + crash.evidence(presence),
           firstNanos,
           crash.atNanos);
     }
+
+    /** Returns whether the request under which a crash happened has crashed often before. */
+    boolean isExhausted(Presence presence) {
+      return crashesOfRequests.getOrDefault(presence.request(), 0) >= MAX_CRASHES_OF_REQUEST;
+    }
   }
 
   /** Adds what one instance saw of a crash. */
   void addCrash(CrashReport report, long nowNanos) {
     long atNanos = nowNanos - report.ageMillis() * NANOS_PER_MILLI;
-    Crash crash = crashes.computeIfAbsent(report.replica(), replica -> new Crash(atNanos));
+    Crash crash = crashes.computeIfAbsent(report.replica(), replica -> new Crash(replica, atNanos));
     crash.attempts += report.attempts();
     for (Suspect suspect : report.suspects()) {
       long sentNanos = atNanos - suspect.sentMillisBefore() * NANOS_PER_MILLI;
@@ -188,12 +198,15 @@
    * Returns the traits that cause crashes which no convicted trait explains.
    *
    * @param convicted returns whether a trait has been convicted
+   * @param crashingRequests the requests that crash replicas whatever parts they have, of each
+   *     replica that ended under them
    * @param nowNanos the current time
    */
-  List<Culprit> findCulprits(Predicate<RequestTrait> convicted, long nowNanos) {
+  List<Culprit> findCulprits(
+      Predicate<RequestTrait> convicted, Map<String, Set<String>> crashingRequests, long nowNanos) {
     List<Crash> unexplained = unexplained(convicted);
     List<Count> eligible =
-        count(unexplained).stream()
+        count(unexplained, crashingRequests).stream()
             .filter(count -> !convicted.test(count.trait()))
             .filter(count -> isEligible(count, nowNanos))
             .filter(count -> coverage(count, unexplained) >= MIN_COVERAGE)
@@ -229,14 +242,13 @@
   }
 
   private boolean isEligible(Count count, long nowNanos) {
-    boolean shared = count.trait().kind().isShared();
     boolean soundLately = lastSoundNanos(count.trait(), nowNanos).isPresent();
-    int needed = shared && !soundLately ? CRASHES_TO_CONVICT : CRASHES_TO_CONVICT_DOUBTFUL;
+    int needed = soundLately ? CRASHES_TO_CONVICT_DOUBTFUL : CRASHES_TO_CONVICT;
+    double evidenceNeeded = soundLately ? EVIDENCE_TO_CONVICT_DOUBTFUL : EVIDENCE_TO_CONVICT;
     long delayNanos = soundLately ? MIN_DELAY_SOUND_NANOS : MIN_DELAY_NANOS;
-    int requestsNeeded = shared ? REQUESTS_TO_CONVICT : 1;
     return count.crashes() >= needed
-        && count.requests().size() >= requestsNeeded
-        && count.evidence() >= EVIDENCE_TO_CONVICT
+        && count.crashesOfRequests().size() >= REQUESTS_TO_CONVICT
+        && count.evidence() >= evidenceNeeded
         && nowNanos - count.firstNanos() >= delayNanos;
   }
 
@@ -252,7 +264,6 @@
   private List<Crash> unexplained(Predicate<RequestTrait> convicted) {
     List<Crash> inOrder = new ArrayList<>(crashes.values());
     inOrder.sort(Comparator.comparingLong(crash -> crash.atNanos));
-    Predicate<RequestTrait> explaining = trait -> trait.kind().isShared() && convicted.test(trait);
     List<Crash> unexplained = new ArrayList<>();
     int first = 0;
     int end = 0;
@@ -265,25 +276,28 @@
         end++;
       }
       boolean alone = end - first < SIMULTANEOUS_CRASHES;
-      if (alone && crash.suspects.keySet().stream().noneMatch(explaining)) {
+      if (alone && crash.suspects.keySet().stream().noneMatch(convicted)) {
         unexplained.add(crash);
       }
     }
     return unexplained;
   }
 
-  private Collection<Count> count(List<Crash> inOrder) {
+  private Collection<Count> count(List<Crash> inOrder, Map<String, Set<String>> crashingRequests) {
     Map<RequestTrait, Count> counts = new HashMap<>();
     for (Crash crash : inOrder) {
+      Set<String> crashing = crashingRequests.getOrDefault(crash.replica, Set.of());
       crash.suspects.forEach(
           (trait, presence) -> {
             Count before =
                 counts.getOrDefault(
-                    trait, new Count(trait, 0, Set.of(), 0, crash.atNanos, crash.atNanos));
+                    trait, new Count(trait, 0, Map.of(), 0, crash.atNanos, crash.atNanos));
             boolean sentSince =
                 before.crashes() == 0
                     || presence.lastSentNanos() - before.lastNanos() >= -TIME_TOLERANCE_NANOS;
-            if (sentSince && isSuspected(trait, crash.atNanos)) {
+            boolean explained = !crashing.isEmpty() && !crashing.contains(presence.request());
+            boolean further = sentSince && !explained && !before.isExhausted(presence);
+            if (further && isSuspected(trait, crash.atNanos)) {
               counts.put(trait, before.plus(crash, presence));
             }
           });
--- a/src/main/java/io/snipeloom/crashes/CrashReport.java
+++ b/src/main/java/io/snipeloom/crashes/CrashReport.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /**
- * What one instance had in flight at a replica when it crashed. Immutable.
+ * The parts that one instance had in flight at a replica when it crashed. Immutable.
  *
  * @param replica the incarnation of the replica
  * @param ageMillis how long ago it crashed, in milliseconds, at least 0
@@ -47,11 +47,14 @@
     Map<RequestTrait, Suspect> suspects = new LinkedHashMap<>();
     for (InFlight attempt : youngestFirst) {
       long sentMillisBefore = Math.max(0, (crashedNanos - attempt.sentNanos()) / NANOS_PER_MILLI);
-      for (RequestTrait trait : attempt.traits()) {
+      for (RequestTrait part : attempt.traits().parts()) {
         suspects.putIfAbsent(
-            trait,
+            part,
             new Suspect(
-                trait, sentMillisBefore, attempt.request(), shares.shareOf(trait, nowNanos)));
+                part,
+                sentMillisBefore,
+                attempt.traits().request().value(),
+                shares.shareOf(part, nowNanos)));
       }
     }
     return new CrashReport(
--- a/src/main/java/io/snipeloom/crashes/EvidenceBatch.java
+++ b/src/main/java/io/snipeloom/crashes/EvidenceBatch.java
@@ -12,17 +12,25 @@
 /**
  * The evidence that one instance records with one call to the store. Immutable.
  *
- * @param crashes the crashes that it saw
- * @param sound suspected traits of requests that replicas survived
+ * @param crashes the crashes that it saw, with the parts in flight
+ * @param sound suspected parts of requests that replicas survived
+ * @param requestCrashes the replicas that ended under single requests
+ * @param completions suspected requests that replicas ran to a good end
  */
-public record EvidenceBatch(List<CrashReport> crashes, List<SoundTrait> sound) {
+public record EvidenceBatch(
+    List<CrashReport> crashes,
+    List<SoundTrait> sound,
+    List<RequestCrash> requestCrashes,
+    List<CompletedRequest> completions) {
   /** The version of the encoding; batches of any other version are rejected. */
-  private static final int ENCODING_VERSION = 1;
+  private static final int ENCODING_VERSION = 2;
 
   /** Makes immutable copies of the lists. */
   public EvidenceBatch {
     crashes = List.copyOf(crashes);
     sound = List.copyOf(sound);
+    requestCrashes = List.copyOf(requestCrashes);
+    completions = List.copyOf(completions);
   }
 
   /**
@@ -40,12 +48,26 @@
       for (SoundTrait one : sound) {
         packer.packString(one.trait().toString()).packLong(one.ageMillis());
       }
+      packRequests(packer);
       return packer.toByteArray();
     } catch (IOException e) {
       throw SnipeloomException.of(ErrorCode.INTERNAL, "cannot encode crash evidence").withCause(e);
     }
   }
 
+  private void packRequests(MessageBufferPacker packer) throws IOException {
+    packer.packArrayHeader(requestCrashes.size());
+    for (RequestCrash one : requestCrashes) {
+      packer.packString(one.request().toString()).packString(one.service());
+      packer.packString(one.replica()).packLong(one.ageMillis());
+    }
+    packer.packArrayHeader(completions.size());
+    for (CompletedRequest one : completions) {
+      packer.packString(one.request().toString()).packString(one.service());
+      packer.packLong(one.sentMillisAgo());
+    }
+  }
+
   private static void pack(MessageBufferPacker packer, CrashReport crash) throws IOException {
     packer.packString(crash.replica()).packLong(crash.ageMillis()).packInt(crash.attempts());
     packer.packArrayHeader(crash.suspects().size());
@@ -79,13 +101,39 @@
         sound.add(
             new SoundTrait(RequestTrait.parse(unpacker.unpackString()), unpacker.unpackLong()));
       }
-      return new EvidenceBatch(crashes, sound);
+      return new EvidenceBatch(
+          crashes, sound, parseRequestCrashes(unpacker), parseCompletions(unpacker));
     } catch (IOException | RuntimeException e) {
       throw SnipeloomException.of(ErrorCode.MALFORMED_RECORD, "crash evidence cannot be decoded")
           .withCause(e);
     }
   }
 
+  private static List<RequestCrash> parseRequestCrashes(MessageUnpacker unpacker)
+      throws IOException {
+    int count = unpacker.unpackArrayHeader();
+    List<RequestCrash> crashes = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      RequestTrait request = RequestTrait.parse(unpacker.unpackString());
+      crashes.add(
+          new RequestCrash(
+              request, unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong()));
+    }
+    return crashes;
+  }
+
+  private static List<CompletedRequest> parseCompletions(MessageUnpacker unpacker)
+      throws IOException {
+    int count = unpacker.unpackArrayHeader();
+    List<CompletedRequest> completions = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      RequestTrait request = RequestTrait.parse(unpacker.unpackString());
+      completions.add(
+          new CompletedRequest(request, unpacker.unpackString(), unpacker.unpackLong()));
+    }
+    return completions;
+  }
+
   private static CrashReport parseCrash(MessageUnpacker unpacker) throws IOException {
     String replica = unpacker.unpackString();
     long ageMillis = unpacker.unpackLong();
--- a/src/main/java/io/snipeloom/crashes/InFlight.java
+++ b/src/main/java/io/snipeloom/crashes/InFlight.java
@@ -1,18 +1,11 @@
 package io.snipeloom.crashes;
 
-import java.util.List;
-
 /**
- * An attempt that a replica had not proved to survive when its connection broke.
+ * An attempt at a replica whose answer was not complete when its connection broke. Immutable.
  *
- * @param request the identifier of its request, the same for each repetition
  * @param traits the traits of its request
  * @param sentNanos when it was sent, as {@link System#nanoTime}
+ * @param survived whether the replica had gone on with the answer for a while, so that no part of
+ *     the prompt has crashed it
  */
-public record InFlight(String request, List<RequestTrait> traits, long sentNanos) {
-
-  /** Makes an immutable copy of the traits. */
-  public InFlight {
-    traits = List.copyOf(traits);
-  }
-}
+public record InFlight(RequestTraits traits, long sentNanos, boolean survived) {}
--- a/src/main/java/io/snipeloom/crashes/RequestTrait.java
+++ b/src/main/java/io/snipeloom/crashes/RequestTrait.java
@@ -29,21 +29,14 @@
   /** What requests have in common. */
   public enum Kind {
     /** A part of the prompt. */
-    PART("part", true),
+    PART("part"),
     /** The whole request: its caller, its path and its body. */
-    REQUEST("request", false);
+    REQUEST("request");
 
     private final String text;
-    private final boolean shared;
 
-    Kind(String text, boolean shared) {
+    Kind(String text) {
       this.text = text;
-      this.shared = shared;
-    }
-
-    /** Returns whether different requests commonly have such a trait in common. */
-    boolean isShared() {
-      return shared;
     }
 
     private static Kind parse(String text) {
--- a/src/main/java/io/snipeloom/crashes/TraitShares.java
+++ b/src/main/java/io/snipeloom/crashes/TraitShares.java
@@ -32,13 +32,10 @@
     }
   }
 
-  /** Counts an attempt. */
+  /** Counts an attempt with the traits that different requests share. */
   void onSent(Collection<RequestTrait> traits, long nowNanos) {
     total = total.plusOne(nowNanos);
     for (RequestTrait trait : traits) {
-      if (!trait.kind().isShared()) {
-        continue;
-      }
       weights.put(trait, weights.getOrDefault(trait, new Weight(0, nowNanos)).plusOne(nowNanos));
     }
     Iterator<RequestTrait> eldest = weights.keySet().iterator();
@@ -48,7 +45,7 @@
     }
   }
 
-  /** Returns the share of a trait, from 0 to 1; 0 if different requests do not share it. */
+  /** Returns the share of a trait, from 0 to 1. */
   double shareOf(RequestTrait trait, long nowNanos) {
     Weight weight = weights.get(trait);
     return weight == null ? 0 : weight.at(nowNanos) / (total.at(nowNanos) + ASSUMED_ATTEMPTS);
--- a/src/main/java/io/snipeloom/edge/ConvictionFeed.java
+++ b/src/main/java/io/snipeloom/edge/ConvictionFeed.java
@@ -11,7 +11,9 @@
 import io.snipeloom.store.TopicWatch;
 import io.snipeloom.telemetry.EventLog;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -39,10 +41,16 @@
   @Override
   public void onListed(List<KeyedRecord> records) {
     List<Conviction> convictions = new ArrayList<>();
+    Map<RequestTrait, String> trials = new HashMap<>();
     for (KeyedRecord record : records) {
       logFailure(record, () -> decode(record).ifPresent(convictions::add));
+      logFailure(
+          record,
+          () ->
+              KeyedConvictions.triedRequest(record)
+                  .ifPresent(request -> trials.put(request, KeyedConvictions.claimant(record))));
     }
-    crashes.onListed(convictions);
+    crashes.onListed(convictions, trials);
     listed = true;
   }
 
@@ -63,7 +71,12 @@
 
   private void apply(KeyedRecord record) {
     Optional<String> recordedBy = KeyedConvictions.recordingInstance(record);
-    if (recordedBy.isPresent()) {
+    Optional<RequestTrait> tried = KeyedConvictions.triedRequest(record);
+    if (tried.isPresent()) {
+      if (!record.isRemoval()) {
+        crashes.onTrialClaimed(tried.get(), KeyedConvictions.claimant(record));
+      }
+    } else if (recordedBy.isPresent()) {
       if (!recordedBy.get().equals(instance)) {
         EvidenceBatch batch = EvidenceBatch.parse(record.value());
         crashes.onEvidence(recordedBy.get(), batch, System.nanoTime());
--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -328,6 +328,7 @@
   private CrashControl newCrashControl() {
     return new CrashControl(
         new KeyedConvictions(store, CRASH_TOPIC, settings.instance()),
+        settings.instance() + "/" + incarnation,
         System::currentTimeMillis,
         () -> fleetSize,
         new CrashEventLogger(log, metrics, () -> loop.execute(proxyServer::refuseConvicted)));
--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -9,13 +9,12 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.snipeloom.crashes.InFlight;
-import io.snipeloom.crashes.RequestTrait;
+import io.snipeloom.crashes.RequestTraits;
 import io.snipeloom.routing.ForwardMetadata;
 import io.snipeloom.routing.ReplicaView;
 import io.snipeloom.routing.ResponseMetadata;
 import io.snipeloom.routing.StatedLimit;
 import io.snipeloom.routing.StatedPause;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -37,6 +36,12 @@
   /** How long after its first event a stream shows that its replica survives it. */
   private static final long SURVIVED_NANOS = 300_000_000L;
 
+  /** How long a replica that has begun its answer sends nothing until it may have ended. */
+  private static final long SILENT_NANOS = 1_000_000_000L;
+
+  /** The first status of an answer that says that the request was not run to a good end. */
+  private static final int FIRST_ERROR_STATUS = 300;
+
   private final EventLoop loop;
   private final Fleet fleet;
   private final CallerRequest request;
@@ -68,11 +73,11 @@
     /** Returns whether the caller still waits for a response. */
     boolean isCallerWaiting();
 
-    /** Returns the identifier of the request, the same for each repetition. */
-    String requestId();
-
     /** Returns the traits of the request. */
-    List<RequestTrait> traits();
+    RequestTraits traits();
+
+    /** Returns whether the request is sent to find out whether it crashes replicas. */
+    boolean isTrial();
 
     /** Returns the metadata that is added to the request for a replica. */
     ForwardMetadata forwardMetadata(ReplicaView view);
@@ -241,6 +246,7 @@
     connection.close();
     end();
     view.health().onUnreachable(System.nanoTime());
+    reportBroken();
     owner.onFailed(this, AttemptFailure.SILENT, "no data for " + limitMillis + " ms");
   }
 
@@ -332,14 +338,45 @@
     owner.onFailed(this, AttemptFailure.BROKEN, reason);
   }
 
-  /** Records that the replica did not crash under the request. */
+  /** Records that no part of the prompt has crashed the replica. */
   private void recordSurvived() {
     if (!survived) {
       survived = true;
-      fleet.crashes().onSound(owner.traits(), System.nanoTime());
+      fleet.crashes().onSurvived(owner.traits(), System.nanoTime());
+    }
+  }
+
+  /** Records that the replica has run the request to a good end. */
+  private void recordCompleted() {
+    if (status < FIRST_ERROR_STATUS) {
+      String service = view.replica().service();
+      fleet.crashes().onCompleted(owner.traits(), service, sentNanos, owner.isTrial());
+    }
+  }
+
+  /** Finds out whether the replica has ended, if it has been silent when the time is over. */
+  void lookAtSilentReplica() {
+    boolean silent = status == 0 || System.nanoTime() - lastReceivedNanos >= SILENT_NANOS;
+    if (sent && !ended && silent) {
+      reportBroken();
     }
   }
 
+  /** Records that nobody waits for the answer any more, and that the replica may yet end. */
+  void abandon() {
+    if (sent && !ended) {
+      crashDetector.onAbandoned(view.replica(), inFlight(), System.nanoTime());
+    }
+  }
+
+  private void reportBroken() {
+    crashDetector.onBroken(view.replica(), inFlight(), System.nanoTime());
+  }
+
+  private InFlight inFlight() {
+    return new InFlight(owner.traits(), sentNanos, survived);
+  }
+
   /** Records the first complete event, by which time the replica has processed the prompt. */
   void onFirstEvent() {
     if (!prefillDone) {
@@ -367,6 +404,7 @@
     }
     view.health().onResponse(true);
     recordSurvived();
+    recordCompleted();
     if (streaming) {
       owner.onStreamEnd(this);
     } else {
@@ -381,11 +419,8 @@
     }
     end();
     view.health().onConnectionLost();
-    if (sent && !survived) {
-      crashDetector.onBroken(
-          view.replica(),
-          new InFlight(owner.requestId(), owner.traits(), sentNanos),
-          System.nanoTime());
+    if (sent) {
+      reportBroken();
     }
     owner.onFailed(this, AttemptFailure.BROKEN, reason);
   }
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -6,8 +6,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.snipeloom.crashes.Admission;
 import io.snipeloom.crashes.Conviction;
 import io.snipeloom.crashes.RequestTrait;
+import io.snipeloom.crashes.RequestTraits;
 import io.snipeloom.resumption.OriginLookup;
 import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.routing.CustomerConfiguration;
@@ -26,12 +28,10 @@
 import io.snipeloom.telemetry.FleetMetrics;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -64,7 +64,8 @@
   private final RelayedStream stream = new RelayedStream();
 
   private RequestMetadata metadata;
-  private List<RequestTrait> traits = List.of();
+  private RequestTraits traits;
+  private boolean onTrial;
   private FleetConfiguration configuration;
   private Route route;
   private String service;
@@ -118,6 +119,9 @@
   /** Cancels the request because its caller disconnected. */
   void onCallerGone() {
     if (!done) {
+      if (attempt != null) {
+        attempt.abandon();
+      }
       stopAttempt("caller disconnected");
       finish("caller_gone", 0, "");
     }
@@ -125,8 +129,11 @@
 
   /** Ends the request if requests like it are refused by now and its answer has not begun. */
   void refuseIfConvicted() {
-    Optional<Conviction> conviction = fleet.crashes().find(traits);
-    if (!done && !headSent && conviction.isPresent()) {
+    if (done || headSent || traits == null) {
+      return;
+    }
+    Optional<Conviction> conviction = findConviction(onTrial);
+    if (conviction.isPresent()) {
       stopAttempt("convicted");
       refuse(conviction.get());
     }
@@ -170,33 +177,42 @@
     service = route.serviceFor(Math.random());
     scheduleDeadline();
     traits = traitsOfRequest();
-    log.setRequest(requestId());
-    Optional<Conviction> conviction = fleet.crashes().find(traits);
-    if (conviction.isPresent()) {
-      refuse(conviction.get());
+    log.setRequest(traits.request().value());
+    fleet.crashes().admit(traits, System.nanoTime(), this::onAdmission);
+  }
+
+  private RequestTraits traitsOfRequest() {
+    RequestTrait identity =
+        RequestTrait.ofRequest(
+            customer.map(known -> known.id().value()).orElse(""),
+            request.method() + " " + request.uri(),
+            request.body().nioBuffer());
+    List<RequestTrait> parts =
+        metadata.prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
+            .map(PromptPart::id)
+            .filter(id -> !id.isEmpty())
+            .map(RequestTrait::ofPart)
+            .distinct()
+            .toList();
+    return new RequestTraits(identity, parts);
+  }
+
+  private void onAdmission(Admission admission) {
+    if (done) {
       return;
     }
-    if (resumesStream()) {
+    onTrial = admission.trial();
+    if (admission.conviction().isPresent()) {
+      refuse(admission.conviction().get());
+    } else if (resumesStream()) {
       findOrigin();
     } else {
       reserveTokens();
     }
   }
 
-  /** Returns the traits of the request, first the one that identifies it. */
-  private List<RequestTrait> traitsOfRequest() {
-    Set<RequestTrait> found = new LinkedHashSet<>();
-    found.add(
-        RequestTrait.ofRequest(
-            customer.map(known -> known.id().value()).orElse(""),
-            request.method() + " " + request.uri(),
-            request.body().nioBuffer()));
-    for (PromptPart part : metadata.prompt().map(Prompt::sharedParts).orElse(List.of())) {
-      if (!part.id().isEmpty()) {
-        found.add(RequestTrait.ofPart(part.id()));
-      }
-    }
-    return List.copyOf(found);
+  private Optional<Conviction> findConviction(boolean tried) {
+    return tried ? fleet.crashes().findPart(traits) : fleet.crashes().find(traits);
   }
 
   private void refuse(Conviction conviction) {
@@ -204,7 +220,7 @@
     if (mayHaveRun) {
       fail(ErrorCode.UPSTREAM_FAILED, reason);
     } else {
-      respond(LocalResponse.convicted(reason));
+      respond(LocalResponse.convicted(reason, fleet.crashes().mayBeTried(conviction)));
     }
   }
 
@@ -261,6 +277,9 @@
     if (done) {
       return;
     }
+    if (attempt != null) {
+      attempt.lookAtSilentReplica();
+    }
     stopAttempt("deadline exceeded");
     fail(ErrorCode.DEADLINE_EXCEEDED, "deadline exceeded");
   }
@@ -306,7 +325,7 @@
   }
 
   private void dispatch() {
-    Optional<Conviction> conviction = fleet.crashes().find(traits);
+    Optional<Conviction> conviction = findConviction(onTrial && sends == 0);
     if (conviction.isPresent()) {
       refuse(conviction.get());
       return;
@@ -368,13 +387,13 @@
   }
 
   @Override
-  public String requestId() {
-    return traits.get(0).value();
+  public RequestTraits traits() {
+    return traits;
   }
 
   @Override
-  public List<RequestTrait> traits() {
-    return traits;
+  public boolean isTrial() {
+    return onTrial;
   }
 
   @Override
--- a/src/main/java/io/snipeloom/forwarding/LocalResponse.java
+++ b/src/main/java/io/snipeloom/forwarding/LocalResponse.java
@@ -37,6 +37,9 @@
    */
   static final long CONVICTED_RETRY_MILLIS = 600_000;
 
+  /** Retry delay of such a request that one instance may yet try once more. */
+  static final long TRIAL_RETRY_MILLIS = 2_000;
+
   /** The status of a refusal that promises that the request was not run. */
   private static final int SERVICE_UNAVAILABLE = 503;
 
@@ -47,10 +50,17 @@
     return new LocalResponse(code, code.httpStatus(), reason, 0);
   }
 
-  /** Returns the refusal of a request that was not executed because requests like it crash. */
-  static LocalResponse convicted(String reason) {
+  /**
+   * Returns the refusal of a request that was not executed because requests like it crash.
+   *
+   * @param mayBeTried whether it may be sent once more to find out whether it does
+   */
+  static LocalResponse convicted(String reason, boolean mayBeTried) {
     return new LocalResponse(
-        ErrorCode.REQUEST_CONVICTED, SERVICE_UNAVAILABLE, reason, CONVICTED_RETRY_MILLIS);
+        ErrorCode.REQUEST_CONVICTED,
+        SERVICE_UNAVAILABLE,
+        reason,
+        mayBeTried ? TRIAL_RETRY_MILLIS : CONVICTED_RETRY_MILLIS);
   }
 
   /**
--- a/src/main/java/io/snipeloom/store/KeyedConvictions.java
+++ b/src/main/java/io/snipeloom/store/KeyedConvictions.java
@@ -4,6 +4,7 @@
 import io.snipeloom.crashes.ConvictionStore;
 import io.snipeloom.crashes.EvidenceBatch;
 import io.snipeloom.crashes.RequestTrait;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -16,6 +17,7 @@
 public final class KeyedConvictions implements ConvictionStore {
   private static final int ONLY_PARTITION = 0;
   private static final String CONVICTION_PREFIX = "conviction/";
+  private static final String TRIAL_PREFIX = "trial/";
   private static final String EVIDENCE_PREFIX = "evidence/";
   private static final byte[] REMOVAL = {};
 
@@ -49,6 +51,28 @@
         : Optional.empty();
   }
 
+  /**
+   * Returns the refused request whose trial a record claims, or whose claim it removes.
+   *
+   * @param record a record of the topic
+   * @return the trait of the request, empty if the record is no claim
+   * @throws io.snipeloom.state.SnipeloomException if its key names no trait
+   */
+  public static Optional<RequestTrait> triedRequest(KeyedRecord record) {
+    return record.key().startsWith(TRIAL_PREFIX)
+        ? Optional.of(RequestTrait.parse(record.key().substring(TRIAL_PREFIX.length())))
+        : Optional.empty();
+  }
+
+  /**
+   * Returns who claims a trial.
+   *
+   * @param record a record that is a claim
+   */
+  public static String claimant(KeyedRecord record) {
+    return new String(record.value(), StandardCharsets.UTF_8);
+  }
+
   /**
    * Returns the instance that recorded evidence.
    *
@@ -71,9 +95,28 @@
     write(CONVICTION_PREFIX + conviction.trait(), conviction.toBytes(), listener);
   }
 
+  @Override
+  public void claimTrial(RequestTrait request, String claimant, Consumer<Boolean> listener) {
+    write(TRIAL_PREFIX + request, claimant.getBytes(StandardCharsets.UTF_8), listener);
+  }
+
+  /** Removes the claim first, so that a conviction that is left has its trial left at the most. */
   @Override
   public void remove(RequestTrait trait, Consumer<Boolean> listener) {
-    write(CONVICTION_PREFIX + trait, REMOVAL, listener);
+    if (trait.kind() == RequestTrait.Kind.PART) {
+      write(CONVICTION_PREFIX + trait, REMOVAL, listener);
+      return;
+    }
+    write(
+        TRIAL_PREFIX + trait,
+        REMOVAL,
+        removed -> {
+          if (removed) {
+            write(CONVICTION_PREFIX + trait, REMOVAL, listener);
+          } else {
+            listener.accept(false);
+          }
+        });
   }
 
   private void write(String key, byte[] value, Consumer<Boolean> listener) {
