--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -107,6 +107,11 @@
             .formatted(service, replica.port(), version, state));
   }
 
+  /** Removes the entry of a replica from the store. */
+  void unregister(String id) {
+    store.put(REPLICA_TOPIC, id, "");
+  }
+
   /**
    * Waits until the instance reports that it is ready and has logged each replica in the store,
    * also those that were registered through another instance's fixture.
--- a/src/test/java/io/snipeloom/edge/ReplicaWillingnessTest.java
+++ b/src/test/java/io/snipeloom/edge/ReplicaWillingnessTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.allOf;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.startsWith;
@@ -11,7 +12,10 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,6 +25,7 @@
 @Timeout(60)
 class ReplicaWillingnessTest {
   private static final int REQUESTS = 30;
+  private static final Pattern RETRY_AFTER = Pattern.compile("retry-after: ([0-9.]+)");
 
   private final List<FakeReplica> replicas = new ArrayList<>();
   private EdgeFixture edge;
@@ -76,6 +81,81 @@
     edge.awaitLog("event=replica_pauses id=a");
   }
 
+  /** Guards against a pause that is forgotten because the entry was away for a moment. */
+  @Test
+  void pauseOutlivesAnEntryThatGoesAndComesBack() throws Exception {
+    final FakeReplica busy =
+        startReplica("i-1", 503, "Snipeloom-Not-Executed: 1\r\nRetry-After: 30");
+    configure();
+    edge.send("/status/1", "a1", "");
+    reregister("i-1", busy);
+    sendRefused("b", 3);
+    assertThat("requests to the busy replica", busy.requests().size(), is(1));
+  }
+
+  /** Guards against new requests to a leaving replica whose entry was away for a moment. */
+  @Test
+  void replicaThatLeavesGetsNoRequestsAfterItsEntryComesBack() throws Exception {
+    final FakeReplica leaving = startReplica("i-1", 200, "Server-Leaving: 1");
+    configure();
+    sendAll("a", 1);
+    reregister("i-1", leaving);
+    sendRefused("b", 3);
+    assertThat("requests to the leaving replica", leaving.requests().size(), is(1));
+  }
+
+  /** Guards against a rejection that is not read because the time of the request was over. */
+  @Test
+  void pauseIsReadThatComesRightAfterTheDeadline() throws Exception {
+    final FakeReplica busy =
+        startReplica(
+            "i-1",
+            (request, socket) -> {
+              Thread.sleep(340);
+              return respond(request, socket, 503, "Snipeloom-Not-Executed: 1\r\nRetry-After: 30");
+            });
+    configure();
+    edge.send("/status/1", "a1", "Snipeloom-Deadline-Ms: 300\r\n");
+    Thread.sleep(200);
+    sendRefused("b", 3);
+    assertThat("requests to the busy replica", busy.requests().size(), is(1));
+  }
+
+  /** Guards against a rejection that is not read because it names no attempt. */
+  @Test
+  void pauseIsReadFromAnAnswerThatNamesNoAttempt() throws Exception {
+    final FakeReplica busy =
+        startReplica(
+            "i-1",
+            (request, socket) -> {
+              String answer = FakeReplica.completeResponse("", 503, "ok");
+              FakeReplica.write(
+                  socket, answer.replace("Snipeloom-Attempt-Id: ", "Retry-After: 30"));
+              return true;
+            });
+    configure();
+    edge.send("/status/1", "a1", "Snipeloom-Deadline-Ms: 300\r\n");
+    sendRefused("b", 3);
+    assertThat("requests to the busy replica", busy.requests().size(), is(1));
+  }
+
+  /** Guards against callers that all come back in the moment in which the pause ends. */
+  @Test
+  void timesToComeBackAreSpreadWhenAllReplicasPause() throws Exception {
+    startReplica("i-1", 503, "Snipeloom-Not-Executed: 1\r\nRetry-After: 30");
+    configure();
+    edge.send("/status/1", "a", "");
+    List<Double> seconds = new ArrayList<>();
+    for (int i = 0; i < REQUESTS; i++) {
+      String refused = edge.send("/status/1", "b" + i, "Snipeloom-Deadline-Ms: 600000\r\n");
+      Matcher matcher = RETRY_AFTER.matcher(refused);
+      assertThat(matcher.find(), is(true));
+      seconds.add(Double.parseDouble(matcher.group(1)));
+    }
+    double range = Collections.max(seconds) - Collections.min(seconds);
+    assertThat("seconds between the first and the last", range, greaterThan(1.0));
+  }
+
   /** Guards against requests that are held, or sent all the same, when no replica wants them. */
   @Test
   void requestIsRefusedAtOnceWhenAllReplicasPause() throws Exception {
@@ -103,14 +183,30 @@
     }
   }
 
+  private void sendRefused(String prefix, int count) throws IOException {
+    for (int i = 0; i < count; i++) {
+      assertThat(edge.send("/status/1", prefix + i, ""), startsWith("HTTP/1.1 503"));
+    }
+  }
+
+  private void reregister(String id, FakeReplica replica) throws Exception {
+    edge.unregister(id);
+    edge.awaitLog("event=replica_entry_removed replica=" + id);
+    edge.register(id, "app", replica, "ready");
+    Thread.sleep(300);
+  }
+
   private void configure() throws Exception {
     edge.configure(1, 1_000_000);
     edge.awaitReady();
   }
 
   private FakeReplica startReplica(String id, int status, String header) throws IOException {
-    FakeReplica replica =
-        FakeReplica.start((request, socket) -> respond(request, socket, status, header));
+    return startReplica(id, (request, socket) -> respond(request, socket, status, header));
+  }
+
+  private FakeReplica startReplica(String id, FakeReplica.Script script) throws IOException {
+    FakeReplica replica = FakeReplica.start(script);
     replicas.add(replica);
     edge.register(id, "app", replica, "ready");
     return replica;
