What a replica says of itself outlives its entry

What callers' replicas saw: a replica that had asked for a pause, or said that it leaves, got requests again as soon as its entry had gone and come back. Cause: the entry's removal discarded what the replica had said, which belongs to its incarnation. Class: a statement kept with a record that comes and goes. The same held for a stated limit.

--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -48,6 +48,7 @@
   private final CrashControl crashes;
   private final Supplier<RetryAllowance> newRetryAllowance;
   private final Map<ReplicaId, ReplicaView> views = new HashMap<>();
+  private final DepartedReplicas departed = new DepartedReplicas();
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
   private final Map<String, RetryAllowance> retryAllowances = new HashMap<>();
   private final List<SentPrompt> sentPrompts = new ArrayList<>();
@@ -115,7 +116,8 @@
   }
 
   /**
-   * Adds or updates a replica. A restarted replica starts with no observed load and health.
+   * Adds or updates a replica. A restarted replica starts with no observed load and health. One
+   * whose entry was away for a while goes on with what is known of it.
    *
    * @param replica the registry entry of the replica
    * @return true if the replica is new, was restarted or changed its state
@@ -125,23 +127,25 @@
     Replica previous = directory.put(replica);
     boolean restarted = previous == null || !previous.isSameIncarnation(replica);
     ReplicaView view = views.get(replica.id());
-    if (view == null || restarted) {
-      views.put(replica.id(), ReplicaView.of(replica, traitsOf(replica)));
+    if (view == null || !view.replica().isSameIncarnation(replica)) {
+      view = departed.take(replica).orElseGet(() -> ReplicaView.of(replica, traitsOf(replica)));
       closePool(replica.address());
-    } else {
-      views.put(replica.id(), view.with(replica));
     }
+    views.put(replica.id(), view.with(replica));
     return restarted || previous.state() != replica.state();
   }
 
   /**
-   * Discards the observed load and health of a replica that left, and its idle connections.
+   * Takes a replica whose entry has gone out of use and closes its idle connections.
    *
    * @param id the replica
    */
   public void forget(ReplicaId id) {
     ReplicaView view = views.remove(id);
     if (view != null) {
+      if (view.isRestrained(System.nanoTime())) {
+        departed.add(view);
+      }
       closePool(view.replica().address());
     }
   }
--- a/src/main/java/io/snipeloom/routing/ReplicaView.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaView.java
@@ -38,6 +38,15 @@
         new ReplicaWillingness());
   }
 
+  /**
+   * Returns whether the replica wants fewer requests or none at the moment, by its own answers.
+   *
+   * @param nowNanos the current time
+   */
+  public boolean isRestrained(long nowNanos) {
+    return !willingness.takesRequests(nowNanos) || limit.stated().kind() == StatedLimit.Kind.STATED;
+  }
+
   /**
    * Returns a view of an updated entry that shares the tracked state.
    *
