What a replica says of itself is read from any of its answers

What its replica saw: a rejection with a time to come back that named no attempt was dropped whole, and requests went on. Cause: the check that an answer belongs to the request came before what the replica says of itself was read. Now it is read first; only an answer of another replica at the address (421) says nothing of this one.

--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -39,6 +39,9 @@
   /** How long a replica that has begun its answer sends nothing until it may have ended. */
   private static final long SILENT_NANOS = 1_000_000_000L;
 
+  /** The status with which another replica answers that is at the address now. */
+  private static final int ANOTHER_REPLICA_STATUS = 421;
+
   /** The first status of an answer that says that the request was not run to a good end. */
   private static final int FIRST_ERROR_STATUS = 300;
 
@@ -257,6 +260,7 @@
     framing = ResponseFraming.of(head);
     responseHeaders = head.headers();
     ResponseMetadata metadata = fleet.codec().responseMetadata(status, responseHeaders);
+    recordWillingness(metadata);
     boolean hasAttemptId = !metadata.attemptId().isEmpty();
     if (hasAttemptId ? !metadata.attemptId().equals(id) : !metadata.notExecuted()) {
       log.foreignResponse(view.replica().id(), metadata.attemptId(), status);
@@ -266,7 +270,6 @@
         .load()
         .ifPresent(load -> view.load().onReport(load.running(), load.waiting(), lastReceivedNanos));
     recordLimit(metadata.limit());
-    recordWillingness(metadata);
     responseFailure = classify(metadata);
     String type = responseHeaders.get(HttpHeaderNames.CONTENT_TYPE, "");
     streaming = responseFailure == null && type.startsWith("text/event-stream");
@@ -285,7 +288,11 @@
     }
   }
 
+  /** Records what the replica says of itself, which holds whatever request it answers. */
   private void recordWillingness(ResponseMetadata metadata) {
+    if (status == ANOTHER_REPLICA_STATUS) {
+      return;
+    }
     if (metadata.leaving() && view.willingness().onLeaving()) {
       log.replicaLeaving(view.replica().id());
     }
