A rejection that comes right after the time of a request is still read

What its replica saw: it rejected a request with a time to come back when the request's time was over, as it does when the request waits in its queue, and got the next ones all the same. Cause: instance and replica end the request in the same moment, and the instance closed the connection before the answer arrived; the same after its silence timeout. Class: an attempt that has ended hears nothing of its replica. Now the connection is kept for 200 ms. Before: 2 requests at the replica, now 1 (ReplicaWillingnessTest; the test sends a request that is not repeated, because the repeat of an idempotent one is a second request of its own). Not covered: a caller that leaves closes at once.

--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -39,6 +39,9 @@
   /** How long a replica that has begun its answer sends nothing until it may have ended. */
   private static final long SILENT_NANOS = 1_000_000_000L;
 
+  /** How long the connection of an attempt is kept after its deadline, for a late rejection. */
+  private static final long LATE_HEAD_MILLIS = 200;
+
   /** The status with which another replica answers that is at the address now. */
   private static final int ANOTHER_REPLICA_STATUS = 421;
 
@@ -185,6 +188,19 @@
     end();
   }
 
+  /**
+   * Ends the attempt because its time is over. What the replica says of itself when it rejects the
+   * request a little later is still read.
+   */
+  void expire() {
+    if (!sent || ended || status != 0) {
+      stop();
+      return;
+    }
+    end();
+    var unused = loop.schedule(connection::close, LATE_HEAD_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   private void onConnection(ClientConnection opened) {
     if (ended || !owner.isCallerWaiting()) {
       opened.close();
@@ -246,8 +262,7 @@
     if (!owner.mayRetryAfterSilence()) {
       return;
     }
-    connection.close();
-    end();
+    expire();
     view.health().onUnreachable(System.nanoTime());
     reportBroken();
     owner.onFailed(this, AttemptFailure.SILENT, "no data for " + limitMillis + " ms");
@@ -261,6 +276,10 @@
     responseHeaders = head.headers();
     ResponseMetadata metadata = fleet.codec().responseMetadata(status, responseHeaders);
     recordWillingness(metadata);
+    if (ended) {
+      connection.close();
+      return false;
+    }
     boolean hasAttemptId = !metadata.attemptId().isEmpty();
     if (hasAttemptId ? !metadata.attemptId().equals(id) : !metadata.notExecuted()) {
       log.foreignResponse(view.replica().id(), metadata.attemptId(), status);
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -279,6 +279,7 @@
     }
     if (attempt != null) {
       attempt.lookAtSilentReplica();
+      attempt.expire();
     }
     stopAttempt("deadline exceeded");
     fail(ErrorCode.DEADLINE_EXCEEDED, "deadline exceeded");
--- a/src/test/java/io/snipeloom/edge/ReplicaWillingnessTest.java
+++ b/src/test/java/io/snipeloom/edge/ReplicaWillingnessTest.java
@@ -115,7 +115,7 @@
               return respond(request, socket, 503, "Snipeloom-Not-Executed: 1\r\nRetry-After: 30");
             });
     configure();
-    edge.send("/status/1", "a1", "Snipeloom-Deadline-Ms: 300\r\n");
+    edge.send("/vote/1", "a1", "Snipeloom-Deadline-Ms: 300\r\n");
     Thread.sleep(200);
     sendRefused("b", 3);
     assertThat("requests to the busy replica", busy.requests().size(), is(1));
