--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -82,6 +82,10 @@
     channel.close();
   }
 
+  boolean isOpen() {
+    return channel.isActive();
+  }
+
   boolean isUsable() {
     return channel.isActive() && listener == null;
   }
--- a/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
+++ b/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import jdk.net.ExtendedSocketOptions;
@@ -43,6 +44,9 @@
    */
   private static final double KEEP_ALIVE_FRACTION = 0.6;
 
+  /** How long after it was accepted a connection shows that the peer goes on. */
+  private static final long PROBE_CHECK_MILLIS = 100;
+
   private static final int KEEPALIVE_PROBE_SECONDS = 1;
   private static final int KEEPALIVE_PROBE_COUNT = 2;
   private static final int MAX_HEADER_BYTES = 65_536;
@@ -81,13 +85,26 @@
 
   /**
    * Establishes a new connection to find out whether the peer is running. If it is, the connection
-   * is kept for the next request.
+   * is kept for the next request. A peer that accepts a connection and closes it at once may be
+   * ending, so that a second one is tried.
    */
   void probe(Consumer<ProbeResult> onResult) {
+    probe(connection -> probe(last -> onResult.accept(ProbeResult.ACCEPTED), onResult), onResult);
+  }
+
+  private void probe(Consumer<ClientConnection> onClosed, Consumer<ProbeResult> onResult) {
     connect(
         connection -> {
           offer(connection);
-          onResult.accept(ProbeResult.ACCEPTED);
+          Runnable check =
+              () -> {
+                if (connection.isOpen()) {
+                  onResult.accept(ProbeResult.ACCEPTED);
+                } else {
+                  onClosed.accept(connection);
+                }
+              };
+          var unused = loop.schedule(check, PROBE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         },
         failure -> onResult.accept(ProbeResult.of(failure)));
   }
--- a/src/main/java/io/snipeloom/forwarding/CrashDetector.java
+++ b/src/main/java/io/snipeloom/forwarding/CrashDetector.java
@@ -1,5 +1,6 @@
 package io.snipeloom.forwarding;
 
+import io.netty.channel.EventLoop;
 import io.snipeloom.crashes.InFlight;
 import io.snipeloom.crashes.ReplicaIncarnation;
 import io.snipeloom.routing.Replica;
@@ -13,6 +14,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Tells replicas that ended from connections that merely broke.
@@ -26,9 +28,13 @@
   /** How long after its caller left an attempt may still run at its replica. */
   private static final long ABANDONED_NANOS = 2_000_000_000L;
 
+  /** How long after its caller left the replica of an attempt is looked at. */
+  private static final long LOOK_DELAY_NANOS = 1_000_000_000L;
+
   /** The most attempts without a caller that are kept; the oldest one makes room. */
   private static final int MAX_ABANDONED = 1_024;
 
+  private final EventLoop loop;
   private final Fleet fleet;
   private final EventLog log;
   private final FleetMetrics metrics;
@@ -41,7 +47,8 @@
   /** An attempt whose caller left. */
   private record Abandoned(Replica replica, InFlight inFlight, long atNanos) {}
 
-  CrashDetector(Fleet fleet, EventLog log, FleetMetrics metrics) {
+  CrashDetector(EventLoop loop, Fleet fleet, EventLog log, FleetMetrics metrics) {
+    this.loop = loop;
     this.fleet = fleet;
     this.log = log;
     this.metrics = metrics;
@@ -72,12 +79,15 @@
 
   /**
    * Records that the caller of an attempt left, after which the replica may yet end under it. If
-   * another replica has, this one is looked at.
+   * another replica has, this one is looked at a little later.
    */
   void onAbandoned(Replica replica, InFlight inFlight, long nowNanos) {
     if (fleet.crashes().isSuspected(inFlight.traits())) {
-      onBroken(replica, inFlight, nowNanos);
-      return;
+      var unused =
+          loop.schedule(
+              () -> onBroken(replica, inFlight, System.nanoTime()),
+              LOOK_DELAY_NANOS,
+              TimeUnit.NANOSECONDS);
     }
     abandoned.addLast(new Abandoned(replica, inFlight, nowNanos));
     while (abandoned.size() > MAX_ABANDONED
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -58,7 +58,7 @@
     this.fleet = fleet;
     this.log = log;
     this.metrics = metrics;
-    this.crashDetector = new CrashDetector(fleet, log, metrics);
+    this.crashDetector = new CrashDetector(loop, fleet, log, metrics);
   }
 
   /**
--- a/src/test/java/io/snipeloom/edge/CrashingReplicas.java
+++ b/src/test/java/io/snipeloom/edge/CrashingReplicas.java
@@ -25,7 +25,8 @@
   /** The time from the first event of a stream to its end. */
   private static final long STREAM_MILLIS = 700;
 
-  private static final long RESTART_MILLIS = 400;
+  /** The time until a replica that crashed is back. */
+  static final long RESTART_MILLIS = 400;
 
   private final FakeStore store;
   private final String service;
--- a/src/test/java/io/snipeloom/edge/CrashingRequestTest.java
+++ b/src/test/java/io/snipeloom/edge/CrashingRequestTest.java
@@ -23,6 +23,7 @@
 class CrashingRequestTest {
   private static final int INSTANCES = 4;
   private static final int REPLICAS = 8;
+  private static final int CULPRITS = 4;
   private static final String CRASHING_PATH = "/status/crash";
 
   /** The platform's bound on the crashes of one request before it has to be known. */
@@ -86,6 +87,48 @@
         lessThanOrEqualTo(MOST_REQUESTS_AFTERWARDS));
   }
 
+  /**
+   * Guards against requests that hide each other because several of them crash replicas, and
+   * against an instance that has forgotten them when it starts again.
+   */
+  @Test
+  void severalRequestsThatCrashReplicasAreRefusedAlsoAfterRestart() throws Exception {
+    for (int round = 0; round < KNOWN_AFTER_CRASHES; round++) {
+      for (int culprit = 0; culprit < CULPRITS; culprit++) {
+        send(instances.get((round + culprit) % INSTANCES), CRASHING_PATH + culprit);
+        awaitReplicas();
+      }
+    }
+    Thread.sleep(STABLE_MILLIS);
+    final int before = replicas.crashingRequests().size();
+    restart(0);
+    for (int round = 0; round < INSTANCES; round++) {
+      for (int culprit = 0; culprit < CULPRITS; culprit++) {
+        send(instances.get((round + culprit) % INSTANCES), CRASHING_PATH + culprit);
+        Thread.sleep(20);
+      }
+    }
+    for (int culprit = 0; culprit < CULPRITS; culprit++) {
+      assertThat(send(instances.get(0), CRASHING_PATH + culprit), startsWith("HTTP/1.1 503"));
+    }
+    assertThat(
+        "requests that reached replicas",
+        replicas.crashingRequests().size() - before,
+        lessThanOrEqualTo(CULPRITS * MOST_REQUESTS_AFTERWARDS));
+    assertThat(send(instances.get(0), "/status/other"), startsWith("HTTP/1.1 200"));
+  }
+
+  /** Waits until a replica that crashed is back, so that there is one for each request. */
+  private static void awaitReplicas() throws InterruptedException {
+    Thread.sleep(CrashingReplicas.RESTART_MILLIS);
+  }
+
+  private void restart(int index) throws Exception {
+    instances.get(index).halt();
+    instances.set(index, new EdgeFixture("edge-" + (index + 1), store));
+    instances.get(index).awaitReady();
+  }
+
   private String send(EdgeFixture instance, String path) throws IOException {
     return instance.send(path, "a" + ++requests, "");
   }
