Connections that break at live replicas do not refuse a request

Cause: each replica counted from its broken connection until it was found alive, 0.1 s later, so that connections that broke at three live replicas in that time refused the request at this instance. Now a broken connection counts only as the last one that may end, after two for certain.

--- a/src/main/java/io/snipeloom/crashes/RequestCrashCounts.java
+++ b/src/main/java/io/snipeloom/crashes/RequestCrashCounts.java
@@ -14,7 +14,8 @@
  *
  * <p>A replica counts once, whatever ended it. It no longer counts once a replica of its service
  * has run the request to a good end that was sent there later. A replica whose connection broke
- * counts from then on until it is found alive.
+ * counts until it is found alive if it would be the last one that may end; else connections that
+ * break at several replicas at a time would refuse a sound request.
  *
  * <p>Not thread-safe.
  */
@@ -99,7 +100,7 @@
     Map<String, Set<String>> crashing = new HashMap<>();
     crashes.forEach(
         (request, ofRequest) -> {
-          if (ofRequest.size() > MAX_CRASHES) {
+          if (certainCount(request) > MAX_CRASHES) {
             for (String replica : ofRequest.keySet()) {
               crashing.computeIfAbsent(replica, key -> new HashSet<>()).add(request.value());
             }
@@ -113,9 +114,11 @@
     crashes.remove(request);
   }
 
-  /** Returns how many replicas ended or may have ended under a request. */
+  /** Returns how many replicas count as ended under a request. */
   int count(RequestTrait request) {
-    return crashes.getOrDefault(request, Map.of()).size();
+    int certain = certainCount(request);
+    boolean isNextLast = certain == MAX_CRASHES - 1;
+    return isNextLast && crashes.get(request).size() > certain ? MAX_CRASHES : certain;
   }
 
   /** Returns when the last replica ended under a request, empty if none is known. */
