--- a/src/test/java/io/snipeloom/edge/ReplicaWillingnessTest.java
+++ b/src/test/java/io/snipeloom/edge/ReplicaWillingnessTest.java
@@ -142,7 +142,7 @@
   /** Guards against callers that all come back in the moment in which the pause ends. */
   @Test
   void timesToComeBackAreSpreadWhenAllReplicasPause() throws Exception {
-    startReplica("i-1", 503, "Snipeloom-Not-Executed: 1\r\nRetry-After: 0.9");
+    startReplica("i-1", 503, "Snipeloom-Not-Executed: 1\r\nRetry-After: 0.7");
     configure();
     edge.send("/vote/1", "a", "");
     List<Double> returns = new ArrayList<>();
