The way of a request is split by what it decides

Nothing changes for callers. Ruled out: a split by phase with a state machine, since the phases share the one attempt and its timers. Before and after: EdgeDaemonTest, CrashDetectionTest, StreamVersionTest, StatedLimitTest, ReplicaWillingnessTest, ResponseEndTest and EndlessResponseTest pass (10 classes in one run).

--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -1,23 +1,15 @@
 package io.snipeloom.forwarding;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.snipeloom.crashes.Admission;
 import io.snipeloom.crashes.Conviction;
-import io.snipeloom.crashes.RequestTrait;
 import io.snipeloom.crashes.RequestTraits;
-import io.snipeloom.resumption.OriginLookup;
 import io.snipeloom.resumption.StreamOrigin;
-import io.snipeloom.routing.CustomerConfiguration;
 import io.snipeloom.routing.FleetConfiguration;
 import io.snipeloom.routing.ForwardMetadata;
-import io.snipeloom.routing.Prompt;
-import io.snipeloom.routing.PromptPart;
-import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.ReplicaView;
 import io.snipeloom.routing.RequestMetadata;
 import io.snipeloom.routing.Route;
@@ -26,12 +18,8 @@
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.telemetry.FleetMetrics;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -50,8 +38,6 @@
    */
   private static final int MAX_UNRECEIVED_EVENTS = 8;
 
-  private static final int MAX_PRIORITY = 9;
-
   private final EventLoop loop;
   private final Fleet fleet;
   private final CrashDetector crashDetector;
@@ -60,32 +46,21 @@
   private final CallerRequest request;
   private final CallerChannel caller;
   private final Runnable onDone;
-  private final List<ReplicaId> tried = new ArrayList<>();
+  private final CallerResponse response;
+  private final AttemptHistory history = new AttemptHistory();
   private final RelayedStream stream = new RelayedStream();
 
   private RequestMetadata metadata;
-  private RequestTraits traits;
+  private RoutedRequest routed;
   private boolean onTrial;
-  private FleetConfiguration configuration;
-  private Route route;
-  private String service;
-  private Optional<CustomerConfiguration> customer = Optional.empty();
   private Reservation reservation;
-  private long deadlineNanos;
   private ScheduledFuture<?> deadlineTimer;
   private Attempt attempt;
   private ResponseProgress progress = ResponseProgress.NONE;
-  private long firstByteMillis = -1;
-  private int sends;
-  private int possibleRuns;
-  private int connectFailures;
-  private boolean mayHaveRun;
-  private boolean interrupted;
 
   /** How long it takes until a replica accepts requests again; 0 unless all of them reject. */
   private long lackMillis;
 
-  private boolean headSent;
   private boolean done;
 
   Exchange(
@@ -105,6 +80,7 @@
     this.request = request;
     this.caller = caller;
     this.onDone = onDone;
+    this.response = new CallerResponse(caller, metrics, request.arrivedNanos());
   }
 
   /** Starts processing the request. */
@@ -129,7 +105,7 @@
 
   /** Ends the request if requests like it are refused by now and its answer has not begun. */
   void refuseIfConvicted() {
-    if (done || headSent || traits == null) {
+    if (done || response.isBegun() || routed == null) {
       return;
     }
     Optional<Conviction> conviction = findConviction(onTrial);
@@ -157,44 +133,23 @@
               Long.MAX_VALUE));
       return;
     }
-    configuration = current.get();
+    FleetConfiguration configuration = current.get();
     String host = request.headers().get(HttpHeaderNames.HOST, "");
     Optional<Route> found = configuration.route(host, request.path());
     if (found.isEmpty()) {
       respond(LocalResponse.of(ErrorCode.NOT_FOUND, "no route matches the host and path"));
       return;
     }
-    route = found.get();
     metadata = fleet.codec().requestMetadata(request.headers());
     log.setAttemptId(metadata.attemptId());
-    if (!configuration.customers().isEmpty() && !route.anonymous()) {
-      customer = metadata.apiKey().flatMap(configuration::customerOf);
-      if (customer.isEmpty()) {
-        respond(LocalResponse.of(ErrorCode.UNAUTHENTICATED, "unknown API key"));
-        return;
-      }
+    routed = RoutedRequest.of(configuration, found.get(), metadata, request, Math.random());
+    if (routed.isUnauthenticated()) {
+      respond(LocalResponse.of(ErrorCode.UNAUTHENTICATED, "unknown API key"));
+      return;
     }
-    service = route.serviceFor(Math.random());
     scheduleDeadline();
-    traits = traitsOfRequest();
-    log.setRequest(traits.request().value());
-    fleet.crashes().admit(traits, System.nanoTime(), this::onAdmission);
-  }
-
-  private RequestTraits traitsOfRequest() {
-    RequestTrait identity =
-        RequestTrait.ofRequest(
-            customer.map(known -> known.id().value()).orElse(""),
-            request.method() + " " + request.uri(),
-            request.body().nioBuffer());
-    List<RequestTrait> parts =
-        metadata.prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
-            .map(PromptPart::id)
-            .filter(id -> !id.isEmpty())
-            .map(RequestTrait::ofPart)
-            .distinct()
-            .toList();
-    return new RequestTraits(identity, parts);
+    log.setRequest(routed.traits().request().value());
+    fleet.crashes().admit(routed.traits(), System.nanoTime(), this::onAdmission);
   }
 
   private void onAdmission(Admission admission) {
@@ -204,7 +159,7 @@
     onTrial = admission.trial();
     if (admission.conviction().isPresent()) {
       refuse(admission.conviction().get());
-    } else if (resumesStream()) {
+    } else if (routed.resumesStream()) {
       findOrigin();
     } else {
       reserveTokens();
@@ -212,51 +167,37 @@
   }
 
   private Optional<Conviction> findConviction(boolean tried) {
-    return tried ? fleet.crashes().findPart(traits) : fleet.crashes().find(traits);
+    return tried
+        ? fleet.crashes().findPart(routed.traits())
+        : fleet.crashes().find(routed.traits());
   }
 
   private void refuse(Conviction conviction) {
     String reason = conviction.trait() + " crashed replicas " + conviction.crashes() + " times";
-    if (mayHaveRun) {
+    if (history.mayHaveRun()) {
       fail(ErrorCode.UPSTREAM_FAILED, reason);
     } else {
       respond(LocalResponse.convicted(reason, fleet.crashes().mayBeTried(conviction)));
     }
   }
 
-  /** Returns whether the caller goes on with a stream of which it has received events. */
-  private boolean resumesStream() {
-    return route.isResumableStream() && metadata.lastEventId().isPresent();
-  }
-
   private void findOrigin() {
-    long now = System.nanoTime();
-    if (metadata.resumedAttempt().isPresent()) {
-      fleet.streams().find(metadata.resumedAttempt().get(), now, this::onOriginLookup);
-    } else {
-      onOriginLookup(fleet.streams().findUnstated(service, now));
-    }
+    new ResumedStream(fleet.streams(), routed, log, metrics)
+        .find(System.nanoTime(), this::resume, this::refuseToResume);
   }
 
-  private void onOriginLookup(OriginLookup lookup) {
-    if (done) {
-      return;
-    }
-    log.streamOrigin(metadata.resumedAttempt().orElse(""), lookup);
-    metrics.count("stream_origin_" + lookup.source().name().toLowerCase(Locale.ROOT));
-    Optional<StreamOrigin> found = lookup.origin();
-    if (found.isEmpty()) {
-      refuseToResume("the origin of the stream is not known");
-    } else if (!route.leadsTo(found.get().service())) {
-      refuseToResume("the route no longer leads to the service that began the stream");
-    } else {
-      stream.resumeFrom(found.get());
-      service = found.get().service();
+  private void resume(StreamOrigin origin) {
+    if (!done) {
+      stream.resumeFrom(origin);
+      routed = routed.withService(origin.service());
       reserveTokens();
     }
   }
 
   private void refuseToResume(String reason) {
+    if (done) {
+      return;
+    }
     long retryMillis =
         fleet.isStoreAvailable()
             ? LocalResponse.CRASH_RETRY_MILLIS
@@ -266,10 +207,7 @@
   }
 
   private void scheduleDeadline() {
-    long limitMillis =
-        Math.min(route.timeoutMillis(), metadata.timeoutMillis().orElse(Long.MAX_VALUE));
-    deadlineNanos = request.arrivedNanos() + limitMillis * NANOS_PER_MILLI;
-    long delayNanos = Math.max(0, deadlineNanos - System.nanoTime());
+    long delayNanos = Math.max(0, routed.deadlineNanos() - System.nanoTime());
     deadlineTimer = loop.schedule(this::onDeadline, delayNanos, TimeUnit.NANOSECONDS);
   }
 
@@ -286,12 +224,11 @@
   }
 
   private void reserveTokens() {
-    boolean prepaid = customer.isPresent() && customer.get().prepaidTokens().isPresent();
-    if (!prepaid || metadata.prompt().isEmpty()) {
+    if (!routed.isPrepaid()) {
       dispatch();
       return;
     }
-    reservation = new Reservation(fleet, customer.get().id(), metadata.prompt().get());
+    reservation = new Reservation(fleet, routed.customer().get().id(), metadata.prompt().get());
     long requestedNanos = System.nanoTime();
     reservation.request(
         outcome -> {
@@ -326,62 +263,31 @@
   }
 
   private void dispatch() {
-    Optional<Conviction> conviction = findConviction(onTrial && sends == 0);
+    Optional<Conviction> conviction = findConviction(onTrial && history.sends() == 0);
     if (conviction.isPresent()) {
       refuse(conviction.get());
       return;
     }
-    long now = System.nanoTime();
-    List<ReplicaView> candidates =
-        Fleet.untried(stream.suitable(fleet.availableReplicas(service)), tried);
-    Optional<ReplicaView> picked =
-        metadata
-            .prompt()
-            .map(prompt -> fleet.picker().pick(candidates, prompt, now))
-            .orElseGet(() -> fleet.picker().pick(candidates, now));
-    if (picked.isEmpty()) {
-      failForLackOfReplicas(candidates, now);
+    ReplicaChoice choice = ReplicaChoice.of(fleet, routed, stream, history, System.nanoTime());
+    if (choice.picked().isEmpty()) {
+      lackMillis = choice.retryMillis();
+      fail(ErrorCode.NO_UPSTREAM, choice.reason());
       return;
     }
-    ReplicaView view = picked.get();
-    fleet.picker().onPicked(view, now);
-    long uncachedTokens =
-        metadata
-            .prompt()
-            .map(prompt -> fleet.picker().uncachedTokens(view, candidates, prompt, now))
-            .orElse(0L);
     attempt =
         new Attempt(
             loop,
             fleet,
             request,
             metadata.attemptId(),
-            view,
-            uncachedTokens,
+            choice.picked().get(),
+            choice.uncachedTokens(),
             log,
             crashDetector,
             this);
     attempt.connect();
   }
 
-  /** Rejects the request, to come back when the first of the replicas takes requests again. */
-  private void failForLackOfReplicas(List<ReplicaView> candidates, long nowNanos) {
-    long pauseMillis =
-        candidates.stream()
-            .mapToLong(view -> view.willingness().pauseMillis(nowNanos))
-            .min()
-            .orElse(0);
-    if (candidates.isEmpty()) {
-      fail(ErrorCode.NO_UPSTREAM, "no replica accepts requests");
-    } else if (pauseMillis > 0) {
-      lackMillis = LocalResponse.spread(pauseMillis, Math.random());
-      fail(ErrorCode.NO_UPSTREAM, "the replicas want no requests for some time");
-    } else {
-      lackMillis = LocalResponse.LIMIT_RETRY_MILLIS;
-      fail(ErrorCode.NO_UPSTREAM, "the replicas take no more requests a second");
-    }
-  }
-
   @Override
   public boolean isCallerWaiting() {
     return !done && caller.isOpen();
@@ -389,7 +295,7 @@
 
   @Override
   public RequestTraits traits() {
-    return traits;
+    return routed.traits();
   }
 
   @Override
@@ -399,26 +305,15 @@
 
   @Override
   public ForwardMetadata forwardMetadata(ReplicaView view) {
-    return new ForwardMetadata(
-        view.replica().id(),
-        Math.max(1, remainingMillis()),
-        customer.map(found -> found.id().value()),
-        priority(),
-        stream.lastEventId());
-  }
-
-  private int priority() {
-    OptionalInt customerPriority =
-        customer.map(CustomerConfiguration::priority).orElse(OptionalInt.empty());
-    return Math.min(MAX_PRIORITY, customerPriority.orElse(route.priority()));
+    return routed.forwardMetadata(view.replica().id(), stream.lastEventId(), System.nanoTime());
   }
 
   @Override
   public void onSent(Attempt sent) {
     long now = System.nanoTime();
-    sends++;
-    if (sends == 1) {
-      fleet.retryAllowanceOf(service).onRequest(now);
+    history.onSent();
+    if (history.sends() == 1) {
+      fleet.retryAllowanceOf(routed.service()).onRequest(now);
     }
     metadata
         .prompt()
@@ -430,7 +325,7 @@
     log.sent(
         sent.view(),
         stream.position(metadata),
-        metadata.prompt().map(Prompt::sharedParts).orElse(List.of()),
+        routed.sharedParts(),
         sent.uncachedTokens(),
         fleet.picker().peers(),
         now,
@@ -439,13 +334,12 @@
 
   @Override
   public long silenceTimeoutMillis() {
-    return RetryRules.silenceTimeoutMillis(route);
+    return RetryRules.silenceTimeoutMillis(routed.route());
   }
 
   @Override
   public boolean mayRetryAfterSilence() {
-    return RetryRules.mayRetry(
-        route, AttemptFailure.SILENT, possibleRuns + 1, sends, connectFailures, remainingMillis());
+    return history.mayRetryAfterSilence(routed.route(), remainingMillis());
   }
 
   @Override
@@ -454,10 +348,10 @@
     if (!complete.isReadable()) {
       return;
     }
-    mayHaveRun = true;
+    history.onExecuted();
     source.onFirstEvent();
     recordOrigin(source);
-    sendHeadOnce(source);
+    response.sendHeadOnce(source);
     caller.sendContent(complete);
     if (!caller.isWritable()) {
       source.setAutoRead(false);
@@ -466,7 +360,7 @@
 
   private void recordOrigin(Attempt source) {
     Optional<StreamOrigin> begun = stream.onEvents(source.view().replica());
-    if (begun.isPresent() && route.isResumableStream()) {
+    if (begun.isPresent() && routed.route().isResumableStream()) {
       fleet.streams().onBegun(metadata.attemptId(), begun.get(), System.nanoTime());
     }
   }
@@ -484,7 +378,7 @@
   @Override
   public void onStreamEnd(Attempt source) {
     onCompleted(source);
-    sendHeadOnce(source);
+    response.sendHeadOnce(source);
     ByteBuf remainder = stream.takeRemainder();
     if (remainder.isReadable()) {
       caller.sendContent(remainder);
@@ -502,49 +396,38 @@
   private void onCompleted(Attempt source) {
     attempt = null;
     progress = stream.progress(source.framing());
-    mayHaveRun = true;
-    tried.add(source.view().replica().id());
-  }
-
-  private void sendHeadOnce(Attempt source) {
-    if (!headSent) {
-      headSent = true;
-      recordFirstByte();
-      caller.sendHead(source.status(), source.headersForCaller());
-    }
+    history.onCompleted(source.view().replica().id());
   }
 
   /** Relays the complete response of a replica to the caller unchanged. */
   private void relay(Attempt source) {
-    if (headSent) {
+    if (response.isBegun()) {
       fail(ErrorCode.UPSTREAM_FAILED, "replica responded with status " + source.status());
       return;
     }
-    recordFirstByte();
-    caller.sendResponse(source.status(), source.headersForCaller(), source.body());
+    response.relay(source);
     finish("served", source.status(), "");
   }
 
-  private void recordFirstByte() {
-    firstByteMillis = elapsedMillis();
-    metrics.firstByte(firstByteMillis);
-  }
-
   @Override
   public void onFailed(Attempt failed, AttemptFailure failure, String reason) {
     attempt = null;
-    tried.add(failed.view().replica().id());
-    recordFailure(failure);
+    history.onFailed(failed.view().replica().id(), failure);
     progress = stream.progress(failed.framing());
     long remainingMillis = remainingMillis();
     boolean retry =
         caller.isOpen()
-            && RetryRules.mayRetry(
-                route, failure, possibleRuns, sends, connectFailures, remainingMillis)
+            && history.mayRetry(routed.route(), failure, remainingMillis)
             && (failure == AttemptFailure.NOT_CONNECTED
-                || fleet.retryAllowanceOf(service).tryRetry(System.nanoTime()));
+                || fleet.retryAllowanceOf(routed.service()).tryRetry(System.nanoTime()));
     log.attemptFailed(
-        failed.view().replica().id(), failure, reason, progress, sends, remainingMillis, retry);
+        failed.view().replica().id(),
+        failure,
+        reason,
+        progress,
+        history.sends(),
+        remainingMillis,
+        retry);
     metrics.count("attempt_failed_" + failure.name().toLowerCase(Locale.ROOT));
     if (retry) {
       stream.beginAttempt();
@@ -556,27 +439,16 @@
     }
   }
 
-  private void recordFailure(AttemptFailure failure) {
-    if (failure == AttemptFailure.NOT_CONNECTED) {
-      connectFailures++;
-    }
-    if (failure.mayHaveRun()) {
-      possibleRuns++;
-      mayHaveRun = true;
-      interrupted |= failure != AttemptFailure.ERROR_ANSWER;
-    }
-  }
-
   /**
    * Sends the final response of a request that will not be retried, or truncates a response that
    * has already begun.
    */
   private void fail(ErrorCode code, String reason) {
-    if (headSent) {
-      interrupted = true;
+    if (response.isBegun()) {
+      history.onCutOff();
       caller.abort();
       finish("broken_off", 0, reason);
-    } else if (mayHaveRun) {
+    } else if (history.mayHaveRun()) {
       ErrorCode reported = code == ErrorCode.DEADLINE_EXCEEDED ? code : ErrorCode.OUTCOME_UNKNOWN;
       respond(LocalResponse.of(reported, reason));
     } else if (code == ErrorCode.DEADLINE_EXCEEDED) {
@@ -592,8 +464,9 @@
     if (lackMillis > 0) {
       return lackMillis;
     }
-    boolean atCapacity = sends > 0 && connectFailures == 0;
-    return atCapacity ? LocalResponse.AT_CAPACITY_RETRY_MILLIS : LocalResponse.CRASH_RETRY_MILLIS;
+    return history.isRefusedByReplicas()
+        ? LocalResponse.AT_CAPACITY_RETRY_MILLIS
+        : LocalResponse.CRASH_RETRY_MILLIS;
   }
 
   private void stopAttempt(String reason) {
@@ -602,35 +475,24 @@
     }
     log.cancelled(attempt.view().replica().id(), reason);
     if (attempt.isSent()) {
-      mayHaveRun = true;
-      interrupted = true;
+      history.onStopped();
     }
     attempt.stop();
     attempt = null;
   }
 
   private long remainingMillis() {
-    return (deadlineNanos - System.nanoTime()) / NANOS_PER_MILLI;
+    return routed.remainingMillis(System.nanoTime());
   }
 
   private long elapsedMillis() {
     return (System.nanoTime() - request.arrivedNanos()) / NANOS_PER_MILLI;
   }
 
-  private void respond(LocalResponse response) {
-    HttpHeaders headers =
-        fleet.codec().localResponseHeaders(metadata == null ? "" : metadata.attemptId());
-    headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    if (response.retryAfterMillis() > 0) {
-      headers.set(
-          HttpHeaderNames.RETRY_AFTER, String.valueOf(response.retryAfterMillis() / 1000.0));
-    }
-    String body =
-        "{\"code\":\"%s\",\"message\":\"%s\"}"
-            .formatted(response.code().text(), response.reason().replaceAll("[\"\\\\]", "'"));
-    caller.sendResponse(
-        response.status(), headers, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-    finish(response.code().text(), response.status(), response.reason());
+  private void respond(LocalResponse local) {
+    String attemptId = metadata == null ? "" : metadata.attemptId();
+    response.sendLocal(local, fleet.codec().localResponseHeaders(attemptId));
+    finish(local.code().text(), local.status(), local.reason());
   }
 
   private void finish(String outcome, int status, String reason) {
@@ -645,17 +507,17 @@
     metrics.count("request_" + outcome.replace('.', '_'));
     log.request(
         new ExchangeLog.Summary(
-            customer.map(found -> found.id().value()).orElse(""),
-            route == null ? "" : route.name(),
-            configuration == null ? 0 : configuration.version(),
+            routed == null ? "" : routed.customerName(),
+            routed == null ? "" : routed.route().name(),
+            routed == null ? 0 : routed.configuration().version(),
             outcome,
             status,
             reason,
-            sends,
-            tried,
+            history.sends(),
+            history.tried(),
             progress,
             consumedTokens,
-            firstByteMillis,
+            response.firstByteMillis(),
             totalMillis));
     onDone.run();
   }
@@ -665,10 +527,12 @@
     if (reservation == null) {
       return 0;
     }
-    if (!mayHaveRun) {
+    if (!history.mayHaveRun()) {
       return reservation.settleUnused();
     }
-    int producedEvents = stream.eventCount() + (interrupted ? MAX_UNRECEIVED_EVENTS : 0);
-    return reservation.settleExecuted((long) producedEvents * fleet.tokensPerEvent(service));
+    int producedEvents =
+        stream.eventCount() + (history.isInterrupted() ? MAX_UNRECEIVED_EVENTS : 0);
+    return reservation.settleExecuted(
+        (long) producedEvents * fleet.tokensPerEvent(routed.service()));
   }
 }
