--- a/src/main/java/io/snipeloom/edge/ClassArchiveTrainingRun.java
+++ b/src/main/java/io/snipeloom/edge/ClassArchiveTrainingRun.java
@@ -2,6 +2,7 @@
 
 import io.snipeloom.platform.ConfigurationDecoder;
 import io.snipeloom.platform.ReplicaDecoder;
+import io.snipeloom.routing.Places;
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.telemetry.EventLog;
 import java.io.IOException;
@@ -12,6 +13,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.jar.JarFile;
 
 /**
@@ -64,7 +67,10 @@
             0.1,
             1,
             10,
-            1);
+            1,
+            Places.UNKNOWN,
+            Optional.empty(),
+            OptionalInt.empty());
     EventLog log = EventLog.to(new PrintStream(System.out));
     EdgeDaemon daemon = EdgeDaemon.of(settings, "rehearsal", "", log);
     daemon.start();
--- a/src/main/java/io/snipeloom/edge/EdgeSettings.java
+++ b/src/main/java/io/snipeloom/edge/EdgeSettings.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.snipeloom.routing.ColdStartBounds;
+import io.snipeloom.routing.Places;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import java.io.IOException;
@@ -9,8 +11,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 
 /**
@@ -31,6 +37,9 @@
  *     the number of requests
  * @param retryWindowSeconds the length of the retry window, in seconds
  * @param graceSeconds the time between the signal to stop and the kill, in seconds
+ * @param places where the instance and the other availability zones are
+ * @param coldStart the bounds on requests to cold replicas; empty if none are in force
+ * @param memoryMegabytes the memory that the process may use; empty if it is not limited
  */
 public record EdgeSettings(
     String instance,
@@ -44,9 +53,14 @@
     double retryRatio,
     double retrySlack,
     double retryWindowSeconds,
-    double graceSeconds) {
+    double graceSeconds,
+    Places places,
+    Optional<ColdStartBounds> coldStart,
+    OptionalInt memoryMegabytes) {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int MAX_PORT = 65_535;
+  private static final double MAX_COLD_OVERSHOOT = 1_000;
+  private static final int MAX_MEMORY_MEGABYTES = 16_777_216;
 
   private static final Set<String> FIELDS =
       Set.of(
@@ -61,7 +75,12 @@
           "retryRatio",
           "retrySlack",
           "retryWindowSeconds",
-          "graceSeconds");
+          "graceSeconds",
+          "region",
+          "regionsByZone",
+          "coldOvershoot",
+          "coldSlack",
+          "memoryMegabytes");
 
   /**
    * Reads and validates a settings file in JSON.
@@ -90,7 +109,10 @@
             reader.number("retryRatio", 0, 10),
             reader.number("retrySlack", 0, 1e9),
             reader.number("retryWindowSeconds", 0.1, 3_600),
-            reader.number("graceSeconds", 0.5, 3_600));
+            reader.number("graceSeconds", 0.5, 3_600),
+            reader.places(),
+            reader.coldStart(),
+            reader.memoryMegabytes());
     reader.rejectUnknownFields();
     if (!reader.errors.isEmpty()) {
       throw invalid(file, String.join("; ", reader.errors));
@@ -145,6 +167,35 @@
       return InetSocketAddress.createUnresolved("none", 1);
     }
 
+    Places places() {
+      if (!root.has("region") && !root.has("regionsByZone")) {
+        return Places.UNKNOWN;
+      }
+      String region = text("region");
+      Map<String, String> regions = new HashMap<>();
+      JsonNode zones = root.path("regionsByZone");
+      zones.properties().forEach(zone -> regions.put(zone.getKey(), zone.getValue().asText()));
+      if (!zones.isObject() || regions.containsValue("")) {
+        errors.add("regionsByZone must be an object of non-blank strings");
+      }
+      return new Places(region, regions);
+    }
+
+    Optional<ColdStartBounds> coldStart() {
+      if (!root.has("coldOvershoot") && !root.has("coldSlack")) {
+        return Optional.empty();
+      }
+      return Optional.of(
+          new ColdStartBounds(
+              number("coldOvershoot", 1, MAX_COLD_OVERSHOOT), number("coldSlack", 0, 1e9)));
+    }
+
+    OptionalInt memoryMegabytes() {
+      return root.has("memoryMegabytes")
+          ? OptionalInt.of((int) number("memoryMegabytes", 1, MAX_MEMORY_MEGABYTES))
+          : OptionalInt.empty();
+    }
+
     void rejectUnknownFields() {
       Iterator<String> names = root.fieldNames();
       while (names.hasNext()) {
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -2,6 +2,7 @@
 
 import io.snipeloom.platform.FakeReplica;
 import io.snipeloom.platform.FakeStore;
+import io.snipeloom.routing.Places;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.transport.FreePorts;
 import java.io.ByteArrayOutputStream;
@@ -12,6 +13,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.UUID;
 import java.util.function.Predicate;
 
@@ -50,7 +53,10 @@
             0.2,
             40,
             10,
-            5);
+            5,
+            Places.UNKNOWN,
+            Optional.empty(),
+            OptionalInt.empty());
     daemon =
         EdgeDaemon.of(
             settings,
--- a/src/test/java/io/snipeloom/edge/EdgeSettingsTest.java
+++ b/src/test/java/io/snipeloom/edge/EdgeSettingsTest.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -50,6 +51,38 @@
             containsString("retryRation is not a known field")));
   }
 
+  @Test
+  void placesAndColdStartBoundsAreOptional() throws IOException {
+    EdgeSettings settings =
+        parse(
+            VALID.replace(
+                "\"graceSeconds\": 8",
+                """
+                "graceSeconds": 8, "region": "north", "regionsByZone": {"zone-a": "north"},
+                "coldOvershoot": 1.5, "coldSlack": 5, "memoryMegabytes": 280
+                """));
+    assertThat(settings.places().regionOf("zone-a"), is(Optional.of("north")));
+    assertThat(settings.coldStart().get().maxPerSecond(8), is(17.0));
+    assertThat(settings.memoryMegabytes().getAsInt(), is(280));
+    assertThat(parse(VALID).coldStart(), is(Optional.empty()));
+  }
+
+  @Test
+  void coldStartBoundWithoutTheOtherIsReported() {
+    SnipeloomException error =
+        assertThrows(
+            SnipeloomException.class,
+            () ->
+                parse(
+                    VALID.replace(
+                        "\"graceSeconds\": 8", "\"graceSeconds\": 8, \"coldOvershoot\": -1")));
+    assertThat(
+        error.getMessage(),
+        allOf(
+            containsString("coldOvershoot must be a number"),
+            containsString("coldSlack must be a number")));
+  }
+
   @Test
   void malformedJsonIsRejected() {
     assertThrows(SnipeloomException.class, () -> parse("{"));
