Requests to cold replicas are bounded over the fleet; evacuations and homes bind where requests go

A replica that came back got its whole load at once from each instance; a zone that operators evacuated went on getting requests; route and customer could not name regions.

What holds: ShareRoster entitles instances to shares so that all entitled ones know each other, whatever else they know; LimitShares deals out whole requests of any sliding second by it, SendWindow counts them when chosen and again when sent; WarmUp says what is cold. Evacuations and Homes filter the candidates and are asked again just before a request is written.

Ruled out: the members by which stated limits are shared (an instance is dropped without regard to what it believes itself), a lease for each replica (a call each, none while the store is away), the configuration at arrival alone (a retry would leave the new homes).

--- a/src/main/java/io/snipeloom/edge/ConfigurationFeed.java
+++ b/src/main/java/io/snipeloom/edge/ConfigurationFeed.java
@@ -9,39 +9,63 @@
 import io.snipeloom.store.StoreOutcome;
 import io.snipeloom.store.TopicWatch;
 import io.snipeloom.telemetry.EventLog;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
- * Applies the configuration documents that operators publish in the store. A document that cannot
- * be decoded is logged and ignored. Confined to the event loop thread.
+ * Applies the configuration documents and the evacuations that operators publish in the store. A
+ * document that cannot be decoded is logged and ignored. Confined to the event loop thread.
  */
 final class ConfigurationFeed implements TopicWatch.Listener {
+  /** The most problems that are remembered as logged. */
+  private static final int MAX_LOGGED_PROBLEMS = 100;
+
   private final Fleet fleet;
   private final EventLog log;
   private final Consumer<StoreOutcome> onOutcome;
+  private final EvacuationFeed evacuations;
+  private final Set<String> loggedProblems = new HashSet<>();
 
   ConfigurationFeed(Fleet fleet, EventLog log, Consumer<StoreOutcome> onOutcome) {
     this.fleet = fleet;
     this.log = log;
     this.onOutcome = onOutcome;
+    this.evacuations = new EvacuationFeed(fleet, log);
   }
 
   @Override
   public void onListed(List<KeyedRecord> records) {
+    evacuations.onListed(records);
     records.forEach(this::apply);
   }
 
   @Override
   public void onAppended(List<KeyedRecord> records) {
+    records.forEach(evacuations::onAppended);
     records.forEach(this::apply);
   }
 
   @Override
   public void onOutcome(StoreOutcome outcome) {
+    if (outcome == StoreOutcome.REVERTED) {
+      fleet.placement().evacuations().onStoreReverted();
+    }
     onOutcome.accept(outcome);
   }
 
+  /** Ends the evacuations that listings have lacked for long enough. */
+  void tick(long nowNanos) {
+    evacuations.tick(nowNanos);
+  }
+
+  private void logOnce(String problem) {
+    if (loggedProblems.size() < MAX_LOGGED_PROBLEMS && loggedProblems.add(problem)) {
+      log.log("configuration_problem", "reason", problem, "taken_for", "the strictest");
+    }
+  }
+
   private void apply(KeyedRecord record) {
     if (!record.key().equals(PlatformTopics.CONFIGURATION_KEY) || record.isRemoval()) {
       return;
@@ -57,6 +81,7 @@
           applied,
           "bytes",
           record.value().length);
+      configuration.problems().forEach(this::logOnce);
     } catch (SnipeloomException e) {
       log.log("configuration_refused", "reason", e.getMessage());
     }
--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -17,9 +17,11 @@
 import io.snipeloom.routing.DemandReport;
 import io.snipeloom.routing.LimitShares;
 import io.snipeloom.routing.PeerDemand;
+import io.snipeloom.routing.PlacementRules;
 import io.snipeloom.routing.Replica;
 import io.snipeloom.routing.ReplicaPicker;
 import io.snipeloom.routing.RetryAllowance;
+import io.snipeloom.routing.ShareRoster;
 import io.snipeloom.spend.ClaimPolicy;
 import io.snipeloom.spend.CustomerHolders;
 import io.snipeloom.spend.MachineClock;
@@ -105,9 +107,11 @@
   private final KeyedLog store;
   private final LoanClient loanClient;
   private final DemandSender demandSender;
+  private final ShareRoster roster = new ShareRoster();
   private final LimitShares limitShares;
   private final PeerDemand peerDemand = new PeerDemand();
   private final Fleet fleet;
+  private final ConfigurationFeed configurationFeed;
   private final ConvictionFeed convictionFeed;
   private final ProxyServer proxyServer;
   private final CountDownLatch drained = new CountDownLatch(1);
@@ -116,6 +120,7 @@
   private long era;
   private long startNanos;
   private boolean peerDemandKnown;
+  private boolean entitled;
   private boolean draining;
   private boolean listenerClosing;
   private boolean listenerClosed;
@@ -144,7 +149,7 @@
             new ClaimPolicy(OUTAGE_COVERAGE_SECONDS, fleetSize),
             loanClient,
             new SpendEventLogger(log, metrics));
-    this.limitShares = new LimitShares(settings.instance(), System::currentTimeMillis);
+    this.limitShares = new LimitShares(settings.instance(), System::currentTimeMillis, roster);
     this.fleet =
         new Fleet(
             loop,
@@ -153,7 +158,10 @@
             spend,
             newStreamContinuity(),
             newCrashControl(),
-            this::newRetryAllowance);
+            this::newRetryAllowance,
+            new PlacementRules(settings.places()),
+            settings.coldStart());
+    this.configurationFeed = new ConfigurationFeed(fleet, log, this::onStoreOutcome);
     this.convictionFeed = new ConvictionFeed(fleet.crashes(), settings.instance(), log);
     this.proxyServer = new ProxyServer(loop, fleet, log, metrics);
   }
@@ -222,7 +230,7 @@
             0,
             TopicWatch.Backlog.READ_NEWEST,
             timer,
-            new ConfigurationFeed(fleet, log, this::onStoreOutcome))
+            configurationFeed)
         .start();
     new TopicWatch(
             store,
@@ -243,7 +251,7 @@
             convictionFeed)
         .start();
     FleetMembers members =
-        new FleetMembers(store, settings.instance(), settings.loans(), this::onMembers);
+        new FleetMembers(store, settings.instance(), settings.loans(), roster, this::onMembers);
     timer.every(() -> members.sendHeartbeat(incarnation), 0, HEARTBEAT_INTERVAL_MILLIS);
   }
 
@@ -253,6 +261,8 @@
     fleet.spend().tick(nowNanos);
     fleet.streams().tick(fleet.directory().replicas(), nowNanos);
     fleet.crashes().tick(nowNanos);
+    configurationFeed.tick(nowNanos);
+    logEntitlement(nowNanos);
     proxyServer.closeTimedOut();
     fleet.closeStaleConnections();
     for (Replica expired : fleet.directory().removeMissing(nowNanos)) {
@@ -264,6 +274,13 @@
     }
   }
 
+  private void logEntitlement(long nowNanos) {
+    if (roster.isEntitled(nowNanos) != entitled) {
+      entitled = !entitled;
+      log.log("share_of_bounds", "entitled", entitled, "instances", roster.members().size());
+    }
+  }
+
   private void tellDemand() {
     timer.after(this::tellDemand, demandSender.intervalMillis());
     long nowNanos = System.nanoTime();
@@ -347,6 +364,7 @@
     demandSender.updatePeers(others);
     peerDemand.changeOthers(others.size());
     limitShares.changeMembers(others.keySet());
+    limitShares.refreshRoster();
     if (size != fleetSize) {
       log.log("fleet_size", "before", fleetSize, "now", size);
       fleetSize = size;
--- a/src/main/java/io/snipeloom/edge/FleetMembers.java
+++ b/src/main/java/io/snipeloom/edge/FleetMembers.java
@@ -1,5 +1,6 @@
 package io.snipeloom.edge;
 
+import io.snipeloom.routing.ShareRoster;
 import io.snipeloom.store.KeyedLog;
 import io.snipeloom.store.KeyedRecord;
 import io.snipeloom.store.StoreOutcome;
@@ -14,10 +15,11 @@
 /**
  * Tracks the live instances of the fleet by the heartbeats that they write to the store.
  *
- * <p>An instance is live while its heartbeat keeps changing. The number of instances only sets the
- * share of each one in the fleet's retries and in the tokens claimed ahead, and the addresses are
- * only used to ask for loans. An outdated number or address can therefore cause refused requests,
- * but breaks no guarantee. Confined to the event loop thread.
+ * <p>An instance is live while its heartbeat keeps changing. The number of live instances only sets
+ * the share of each one in the fleet's retries and in the tokens claimed ahead, and the addresses
+ * are only used to ask for loans. An outdated number or address can therefore cause refused
+ * requests, but breaks no guarantee. Bounds that hold in sum whatever an instance knows are divided
+ * by the {@link ShareRoster}. Confined to the event loop thread.
  */
 final class FleetMembers {
   /** The fleet size assumed until the store has been polled. */
@@ -34,6 +36,7 @@
   private final KeyedLog log;
   private final String instance;
   private final InetSocketAddress ownAddress;
+  private final ShareRoster roster;
   private final Listener listener;
   private final Map<String, Heartbeat> heartbeats = new HashMap<>();
   private long sequence;
@@ -60,12 +63,19 @@
    * @param log the store
    * @param instance the name of this instance
    * @param ownAddress the loan address of this instance, which its heartbeats publish
+   * @param roster is told of the heartbeats, by which bounds are divided
    * @param listener receives the live instances after each poll
    */
-  FleetMembers(KeyedLog log, String instance, InetSocketAddress ownAddress, Listener listener) {
+  FleetMembers(
+      KeyedLog log,
+      String instance,
+      InetSocketAddress ownAddress,
+      ShareRoster roster,
+      Listener listener) {
     this.log = log;
     this.instance = instance;
     this.ownAddress = ownAddress;
+    this.roster = roster;
     this.listener = listener;
   }
 
@@ -75,24 +85,47 @@
     String address = ownAddress.getAddress().getHostAddress() + ":" + ownAddress.getPort();
     String heartbeat = String.join(" ", incarnation, Long.toString(sequence), address);
     byte[] value = heartbeat.getBytes(StandardCharsets.UTF_8);
-    log.append(TOPIC, 0, new KeyedRecord(instance, value), outcome -> poll());
+    long sentNanos = System.nanoTime();
+    log.append(
+        TOPIC,
+        0,
+        new KeyedRecord(instance, value),
+        outcome -> {
+          if (outcome == StoreOutcome.DONE) {
+            roster.onHeartbeat(sentNanos, System.nanoTime());
+          }
+          poll("", new HashMap<>(), System.nanoTime());
+        });
   }
 
-  private void poll() {
+  private void poll(String afterKey, Map<String, String> listing, long sentNanos) {
     log.newest(
         TOPIC,
         0,
-        "",
+        afterKey,
         (outcome, page) -> {
-          if (outcome == StoreOutcome.DONE) {
-            polls++;
-            page.records().forEach(this::update);
-            Map<String, Heartbeat> live = live();
-            listener.onMembers(Math.max(1, live.size()), others(live));
+          if (outcome != StoreOutcome.DONE) {
+            return;
+          }
+          for (KeyedRecord record : page.records()) {
+            listing.put(record.key(), new String(record.value(), StandardCharsets.UTF_8));
+          }
+          if (page.hasMore()) {
+            poll(page.lastKey(), listing, sentNanos);
+          } else {
+            onListing(listing, sentNanos);
           }
         });
   }
 
+  private void onListing(Map<String, String> listing, long sentNanos) {
+    polls++;
+    listing.forEach(this::update);
+    roster.onListing(listing, sentNanos, System.nanoTime());
+    Map<String, Heartbeat> live = live();
+    listener.onMembers(Math.max(1, live.size()), others(live));
+  }
+
   /**
    * Returns the heartbeats of live instances. The store keeps the last heartbeat of an instance
    * that is gone, so {@link #heartbeats} keeps it too: dropping it would make it look new at the
@@ -126,11 +159,10 @@
         : Optional.empty();
   }
 
-  private void update(KeyedRecord record) {
-    String text = new String(record.value(), StandardCharsets.UTF_8);
-    Heartbeat previous = heartbeats.get(record.key());
+  private void update(String name, String text) {
+    Heartbeat previous = heartbeats.get(name);
     if (previous == null || !previous.text().equals(text)) {
-      heartbeats.put(record.key(), new Heartbeat(text, polls));
+      heartbeats.put(name, new Heartbeat(text, polls));
     }
   }
 }
--- a/src/main/java/io/snipeloom/edge/ReplicaFeed.java
+++ b/src/main/java/io/snipeloom/edge/ReplicaFeed.java
@@ -2,6 +2,7 @@
 
 import io.snipeloom.forwarding.Fleet;
 import io.snipeloom.platform.ReplicaDecoder;
+import io.snipeloom.routing.ColdReport;
 import io.snipeloom.routing.Replica;
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.state.SnipeloomException;
@@ -10,7 +11,9 @@
 import io.snipeloom.store.TopicWatch;
 import io.snipeloom.telemetry.EventLog;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -18,9 +21,14 @@
  * logged and ignored. Confined to the event loop thread.
  */
 final class ReplicaFeed implements TopicWatch.Listener {
+  /** The most replicas of which it is remembered that a value was logged. */
+  private static final int MAX_REMEMBERED = 1_000;
+
   private final Fleet fleet;
   private final EventLog log;
   private final Consumer<StoreOutcome> onOutcome;
+  private final Set<String> unreadableCold = new HashSet<>();
+  private boolean listed;
 
   ReplicaFeed(Fleet fleet, EventLog log, Consumer<StoreOutcome> onOutcome) {
     this.fleet = fleet;
@@ -35,9 +43,10 @@
       Replica replica = decode(record);
       if (replica != null) {
         replicas.add(replica);
-        put(replica);
+        put(replica, listed);
       }
     }
+    listed = true;
     fleet.directory().replaceAll(replicas, System.nanoTime());
   }
 
@@ -50,7 +59,7 @@
       }
       Replica replica = decode(record);
       if (replica != null) {
-        put(replica);
+        put(replica, true);
       }
     }
   }
@@ -66,15 +75,27 @@
       return null;
     }
     try {
-      return ReplicaDecoder.decode(record.key(), record.value());
+      Replica replica = ReplicaDecoder.decode(record.key(), record.value());
+      logUnreadableCold(replica);
+      return replica;
     } catch (SnipeloomException e) {
       log.log("replica_entry_refused", "replica", record.key(), "reason", e.getMessage());
       return null;
     }
   }
 
-  private void put(Replica replica) {
-    if (fleet.put(replica)) {
+  /** Logs once that a replica does not say how long it stays cold in a way that can be read. */
+  private void logUnreadableCold(Replica replica) {
+    boolean unreadable = replica.cold().kind() == ColdReport.Kind.UNREADABLE;
+    if (unreadable
+        && unreadableCold.size() < MAX_REMEMBERED
+        && unreadableCold.add(replica.id().value())) {
+      log.log("replica_cold_unreadable", "replica", replica.id(), "taken_for", "a whole start");
+    }
+  }
+
+  private void put(Replica replica, boolean appeared) {
+    if (fleet.put(replica, appeared)) {
       log.log(
           "replica",
           "replica",
@@ -88,7 +109,11 @@
           "state",
           replica.state(),
           "born",
-          replica.startedAtMillis());
+          replica.startedAtMillis(),
+          "cold",
+          replica.cold().kind(),
+          "cold_ms",
+          replica.cold().millis());
     }
   }
 
--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.snipeloom.crashes.InFlight;
 import io.snipeloom.crashes.RequestTraits;
+import io.snipeloom.routing.ColdReport;
 import io.snipeloom.routing.ForwardMetadata;
 import io.snipeloom.routing.ReplicaView;
 import io.snipeloom.routing.ResponseMetadata;
@@ -85,6 +86,9 @@
     /** Returns whether the request is sent to find out whether it crashes replicas. */
     boolean isTrial();
 
+    /** Returns whether the request may still be processed where a replica is. */
+    boolean mayGoTo(ReplicaView view);
+
     /** Returns the metadata that is added to the request for a replica. */
     ForwardMetadata forwardMetadata(ReplicaView view);
 
@@ -206,7 +210,7 @@
       opened.close();
       return;
     }
-    if (!fleet.isAvailable(view)) {
+    if (!maySend()) {
       opened.close();
       ended = true;
       owner.onFailed(this, AttemptFailure.NOT_CONNECTED, "replica no longer accepts requests");
@@ -221,12 +225,20 @@
     opened.send(request.method(), request.uri(), headers, request.body().retainedDuplicate(), this);
   }
 
+  /** Counts the request as sent if the replica may receive it; much may have changed meanwhile. */
+  private boolean maySend() {
+    long nowNanos = System.nanoTime();
+    view.limit().onReached(nowNanos);
+    return fleet.isAvailable(view) && owner.mayGoTo(view) && fleet.picker().trySend(view, nowNanos);
+  }
+
   private void onConnectFailed(String reason) {
     if (ended || !owner.isCallerWaiting()) {
       return;
     }
     ended = true;
     view.health().onUnreachable(System.nanoTime());
+    view.limit().warmUp().onOutOfReach(System.nanoTime());
     owner.onFailed(this, AttemptFailure.NOT_CONNECTED, reason);
   }
 
@@ -289,6 +301,7 @@
         .load()
         .ifPresent(load -> view.load().onReport(load.running(), load.waiting(), lastReceivedNanos));
     recordLimit(metadata.limit());
+    recordCold(metadata.cold());
     responseFailure = classify(metadata);
     String type = responseHeaders.get(HttpHeaderNames.CONTENT_TYPE, "");
     streaming = responseFailure == null && type.startsWith("text/event-stream");
@@ -307,6 +320,15 @@
     }
   }
 
+  /** Records how long the replica stays cold, and logs it if it was not known to be cold. */
+  private void recordCold(ColdReport report) {
+    long before = view.limit().coldMillis(lastReceivedNanos);
+    view.limit().onColdReport(report, sentNanos, lastReceivedNanos);
+    if (report.isCold() && before == 0) {
+      log.replicaCold(view.replica().id(), report);
+    }
+  }
+
   /** Records what the replica says of itself, which holds whatever request it answers. */
   private void recordWillingness(ResponseMetadata metadata) {
     if (status == ANOTHER_REPLICA_STATUS) {
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -271,6 +271,7 @@
     ReplicaChoice choice = ReplicaChoice.of(fleet, routed, stream, history, System.nanoTime());
     if (choice.picked().isEmpty()) {
       lackMillis = choice.retryMillis();
+      choice.counter().ifPresent(metrics::count);
       fail(ErrorCode.NO_UPSTREAM, choice.reason());
       return;
     }
@@ -303,6 +304,15 @@
     return onTrial;
   }
 
+  @Override
+  public boolean mayGoTo(ReplicaView view) {
+    boolean atHome = ReplicaChoice.isAtHome(view, fleet, routed);
+    if (!atHome) {
+      metrics.count("homes_changed");
+    }
+    return atHome;
+  }
+
   @Override
   public ForwardMetadata forwardMetadata(ReplicaView view) {
     return routed.forwardMetadata(view.replica().id(), stream.lastEventId(), System.nanoTime());
@@ -312,6 +322,10 @@
   public void onSent(Attempt sent) {
     long now = System.nanoTime();
     history.onSent();
+    if (sent.view().limit().isWarmingUp(now)) {
+      metrics.count("sent_to_cold");
+      log.sentToCold(sent.view().replica().id(), sent.view().limit().coldMillis(now));
+    }
     if (history.sends() == 1) {
       fleet.retryAllowanceOf(routed.service()).onRequest(now);
     }
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import io.snipeloom.resumption.OriginLookup;
 import io.snipeloom.resumption.StreamOrigin;
+import io.snipeloom.routing.ColdReport;
 import io.snipeloom.routing.PeerDemand;
 import io.snipeloom.routing.PromptPart;
 import io.snipeloom.routing.ReplicaId;
@@ -84,6 +85,25 @@
         lookup.source());
   }
 
+  /** Logs that a replica says that it is cold. */
+  void replicaCold(ReplicaId replica, ColdReport report) {
+    log.log(
+        "replica_cold",
+        "id",
+        id,
+        "replica",
+        replica,
+        "kind",
+        report.kind(),
+        "cold_ms",
+        report.millis());
+  }
+
+  /** Logs that a request is sent to a replica that is cold or was a moment ago. */
+  void sentToCold(ReplicaId replica, long coldMillis) {
+    log.log("sent_to_cold", "id", id, "replica", replica, "cold_ms", coldMillis);
+  }
+
   /** Logs that a request is sent to a replica, with the estimated state of the replica. */
   void sent(
       ReplicaView view,
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -3,10 +3,13 @@
 import io.netty.channel.EventLoop;
 import io.snipeloom.crashes.CrashControl;
 import io.snipeloom.resumption.StreamContinuity;
+import io.snipeloom.routing.ColdStart;
+import io.snipeloom.routing.ColdStartBounds;
 import io.snipeloom.routing.CustomerConfiguration;
 import io.snipeloom.routing.DemandReport;
 import io.snipeloom.routing.EngineTraits;
 import io.snipeloom.routing.FleetConfiguration;
+import io.snipeloom.routing.PlacementRules;
 import io.snipeloom.routing.Prompt;
 import io.snipeloom.routing.PromptPart;
 import io.snipeloom.routing.Replica;
@@ -47,6 +50,8 @@
   private final StreamContinuity streams;
   private final CrashControl crashes;
   private final Supplier<RetryAllowance> newRetryAllowance;
+  private final PlacementRules placement;
+  private final Optional<ColdStartBounds> coldStartBounds;
   private final Map<ReplicaId, ReplicaView> views = new HashMap<>();
   private final DepartedReplicas departed = new DepartedReplicas();
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
@@ -65,6 +70,8 @@
    * @param streams knows what began the streams that callers resume
    * @param crashes decides which requests are refused because requests like them crash replicas
    * @param newRetryAllowance creates the retry allowance of a service
+   * @param placement where requests may be processed
+   * @param coldStartBounds the bounds on requests to cold replicas, if any are in force
    */
   public Fleet(
       EventLoop loop,
@@ -73,7 +80,9 @@
       SpendControl spend,
       StreamContinuity streams,
       CrashControl crashes,
-      Supplier<RetryAllowance> newRetryAllowance) {
+      Supplier<RetryAllowance> newRetryAllowance,
+      PlacementRules placement,
+      Optional<ColdStartBounds> coldStartBounds) {
     this.loop = loop;
     this.codec = codec;
     this.picker = picker;
@@ -81,6 +90,8 @@
     this.streams = streams;
     this.crashes = crashes;
     this.newRetryAllowance = newRetryAllowance;
+    this.placement = placement;
+    this.coldStartBounds = coldStartBounds;
   }
 
   /**
@@ -95,6 +106,7 @@
     }
     configuration = newer;
     streams.onRoutes(newer.servicesOfResumableStreams(), System.nanoTime());
+    views.values().forEach(view -> view.limit().changeColdStart(coldStartOf(view.replica())));
     for (CustomerConfiguration customer : newer.customers()) {
       customer.prepaidTokens().ifPresent(tokens -> spend.changeLimit(customer.id(), tokens));
     }
@@ -120,17 +132,24 @@
    * whose entry was away for a while goes on with what is known of it.
    *
    * @param replica the registry entry of the replica
+   * @param appeared whether the entry has appeared while this instance followed the registry;
+   *     otherwise a new replica may have been there for long
    * @return true if the replica is new, was restarted or changed its state
    */
-  public boolean put(Replica replica) {
-    streams.onReplica(replica, System.nanoTime());
+  public boolean put(Replica replica, boolean appeared) {
+    long nowNanos = System.nanoTime();
+    streams.onReplica(replica, nowNanos);
     Replica previous = directory.put(replica);
-    boolean restarted = previous == null || !previous.isSameIncarnation(replica);
+    final boolean restarted = previous == null || !previous.isSameIncarnation(replica);
     ReplicaView view = views.get(replica.id());
     if (view == null || !view.replica().isSameIncarnation(replica)) {
       view = departed.take(replica).orElseGet(() -> ReplicaView.of(replica, traitsOf(replica)));
+      view.limit().warmUp().onFirstEntry(replica, appeared, nowNanos);
       closePool(replica.address());
+    } else {
+      view.limit().warmUp().onEntry(replica, nowNanos);
     }
+    view.limit().changeColdStart(coldStartOf(replica));
     views.put(replica.id(), view.with(replica));
     return restarted || previous.state() != replica.state();
   }
@@ -237,7 +256,8 @@
     List<ReplicaView> available = new ArrayList<>();
     for (Replica replica : directory.availableReplicas(service)) {
       ReplicaView view = views.get(replica.id());
-      if (view != null && !view.willingness().isLeaving()) {
+      boolean inService = view != null && placement.isInService(replica);
+      if (inService && !view.willingness().isLeaving()) {
         available.add(view);
       }
     }
@@ -247,6 +267,7 @@
   /** Returns whether a replica that was chosen still takes requests. */
   boolean isAvailable(ReplicaView view) {
     return directory.isAvailable(view.replica())
+        && placement.isInService(view.replica())
         && view.willingness().takesRequests(System.nanoTime());
   }
 
@@ -277,6 +298,34 @@
         .orElse(1);
   }
 
+  /** Returns where requests may be processed. */
+  public PlacementRules placement() {
+    return placement;
+  }
+
+  /**
+   * Takes the replicas of an availability zone into service again, which may have become cold
+   * unseen.
+   *
+   * @param zone the availability zone, which is no longer being evacuated
+   * @return the number of replicas
+   */
+  public int onEvacuationEnded(String zone) {
+    List<ReplicaView> returning =
+        views.values().stream().filter(view -> view.replica().zone().equals(zone)).toList();
+    returning.forEach(view -> view.limit().warmUp().onPossibleStart(System.nanoTime()));
+    return returning.size();
+  }
+
+  private ColdStart coldStartOf(Replica replica) {
+    ColdStart configured =
+        Optional.ofNullable(configuration)
+            .flatMap(current -> current.service(replica.service()))
+            .map(ServiceConfiguration::coldStart)
+            .orElse(ColdStart.NONE);
+    return coldStartBounds.map(configured::with).orElse(configured);
+  }
+
   private EngineTraits traitsOf(Replica replica) {
     return Optional.ofNullable(configuration)
         .flatMap(current -> current.service(replica.service()))
--- a/src/main/java/io/snipeloom/forwarding/ReplicaChoice.java
+++ b/src/main/java/io/snipeloom/forwarding/ReplicaChoice.java
@@ -1,5 +1,7 @@
 package io.snipeloom.forwarding;
 
+import io.snipeloom.routing.FleetConfiguration;
+import io.snipeloom.routing.Homes;
 import io.snipeloom.routing.ReplicaView;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +17,17 @@
  */
 record ReplicaChoice(
     Optional<ReplicaView> picked, long uncachedTokens, String reason, long retryMillis) {
+  /** The reason if all replicas are in regions that the request does not allow. */
+  static final String NO_HOME = "no replica in the regions of the request accepts requests";
+
+  /** The reason if all replicas are in zones that operators evacuate. */
+  static final String EVACUATED = "no replica accepts requests outside the evacuated zones";
+
+  /** The reason if all replicas are cold and get as many requests as they tolerate. */
+  static final String COLD = "the replicas are cold and take no more requests a second";
+
+  /** The shortest time to come back when replicas are cold. */
+  private static final long MIN_COLD_RETRY_MILLIS = 200;
 
   /**
    * Chooses a replica and counts the request as sent to it.
@@ -31,8 +44,12 @@
       RelayedStream stream,
       AttemptHistory history,
       long nowNanos) {
-    List<ReplicaView> candidates =
-        Fleet.untried(stream.suitable(fleet.availableReplicas(request.service())), history.tried());
+    List<ReplicaView> available = fleet.availableReplicas(request.service());
+    List<ReplicaView> atHome = atHome(available, fleet, request);
+    if (atHome.isEmpty()) {
+      return nowhere(fleet, !available.isEmpty());
+    }
+    List<ReplicaView> candidates = Fleet.untried(stream.suitable(atHome), history.tried());
     Optional<ReplicaView> picked =
         request
             .metadata()
@@ -53,6 +70,33 @@
     return new ReplicaChoice(picked, uncachedTokens, "", 0);
   }
 
+  /** Returns whether a replica is where the request may be processed, as far as is known now. */
+  static boolean isAtHome(ReplicaView view, Fleet fleet, RoutedRequest request) {
+    FleetConfiguration current = fleet.configuration().orElse(request.configuration());
+    return fleet.placement().isAtHome(view.replica(), request.homes(current));
+  }
+
+  private static List<ReplicaView> atHome(
+      List<ReplicaView> available, Fleet fleet, RoutedRequest request) {
+    FleetConfiguration current = fleet.configuration().orElse(request.configuration());
+    Homes homes = request.homes(current);
+    return homes.isEverywhere()
+        ? available
+        : available.stream()
+            .filter(view -> fleet.placement().isAtHome(view.replica(), homes))
+            .toList();
+  }
+
+  /** Returns why no zone has a replica for the request. */
+  private static ReplicaChoice nowhere(Fleet fleet, boolean elsewhere) {
+    if (elsewhere) {
+      return none(NO_HOME, LocalResponse.OUTAGE_RETRY_MILLIS);
+    }
+    return fleet.placement().evacuations().isEmpty()
+        ? none("no replica accepts requests", 0)
+        : none(EVACUATED, LocalResponse.OUTAGE_RETRY_MILLIS);
+  }
+
   /** Returns why no candidate may receive the request, and when the first takes requests again. */
   private static ReplicaChoice lack(List<ReplicaView> candidates, long nowNanos) {
     long pauseMillis =
@@ -68,7 +112,28 @@
           "the replicas want no requests for some time",
           LocalResponse.spread(pauseMillis, Math.random()));
     }
-    return none("the replicas take no more requests a second", LocalResponse.LIMIT_RETRY_MILLIS);
+    return candidates.stream().allMatch(view -> view.limit().isWarmingUp(nowNanos))
+        ? none(COLD, coldRetryMillis(candidates, nowNanos))
+        : none("the replicas take no more requests a second", LocalResponse.LIMIT_RETRY_MILLIS);
+  }
+
+  /** Returns when to come back: once a replica is warm, or once the next second's share is free. */
+  private static long coldRetryMillis(List<ReplicaView> candidates, long nowNanos) {
+    long coldMillis =
+        candidates.stream().mapToLong(view -> view.limit().coldMillis(nowNanos)).min().orElse(0);
+    long waitMillis = Math.max(MIN_COLD_RETRY_MILLIS, coldMillis);
+    return LocalResponse.spread(
+        Math.min(LocalResponse.LIMIT_RETRY_MILLIS, waitMillis), Math.random());
+  }
+
+  /** Returns the counter of refusals for this reason, empty if there is none. */
+  Optional<String> counter() {
+    return switch (reason) {
+      case NO_HOME -> Optional.of("refused_for_homes");
+      case COLD -> Optional.of("refused_for_cold");
+      case EVACUATED -> Optional.of("refused_for_evacuation");
+      default -> Optional.empty();
+    };
   }
 
   private static ReplicaChoice none(String reason, long retryMillis) {
--- a/src/main/java/io/snipeloom/forwarding/RoutedRequest.java
+++ b/src/main/java/io/snipeloom/forwarding/RoutedRequest.java
@@ -5,6 +5,7 @@
 import io.snipeloom.routing.CustomerConfiguration;
 import io.snipeloom.routing.FleetConfiguration;
 import io.snipeloom.routing.ForwardMetadata;
+import io.snipeloom.routing.Homes;
 import io.snipeloom.routing.Prompt;
 import io.snipeloom.routing.PromptPart;
 import io.snipeloom.routing.ReplicaId;
@@ -99,6 +100,20 @@
     return needsCustomer(configuration, route) && customer.isEmpty();
   }
 
+  /**
+   * Returns the regions in which the request may be processed, by the configuration under which it
+   * arrived and by the one that is in force now.
+   *
+   * @param current the configuration in force
+   */
+  Homes homes(FleetConfiguration current) {
+    Homes arrived =
+        route.homes().and(customer.map(CustomerConfiguration::homes).orElse(Homes.EVERYWHERE));
+    return current.version() == configuration.version()
+        ? arrived
+        : arrived.and(current.homesOf(route.name(), customer.map(CustomerConfiguration::id)));
+  }
+
   /** Returns the name of the customer, empty if there is none. */
   String customerName() {
     return customer.map(found -> found.id().value()).orElse("");
--- a/src/main/java/io/snipeloom/platform/ConfigurationDecoder.java
+++ b/src/main/java/io/snipeloom/platform/ConfigurationDecoder.java
@@ -46,7 +46,8 @@
           routes(root),
           services(root),
           customers(root),
-          limits(root.path("limits")));
+          limits(root.path("limits")),
+          PlacementDecoder.problems(root));
     } catch (IOException | IllegalArgumentException e) {
       throw SnipeloomException.of(ErrorCode.INVALID_CONFIGURATION, e.getMessage()).withCause(e);
     }
@@ -74,7 +75,8 @@
         Math.max(1, node.path("maxAttempts").asInt(1)),
         node.path("anonymous").asBoolean(),
         node.path("sessionAffinity").asBoolean(),
-        node.path("streamResume").asBoolean());
+        node.path("streamResume").asBoolean(),
+        PlacementDecoder.homes(node));
   }
 
   private static RouteType type(String text) {
@@ -105,7 +107,8 @@
           new ServiceConfiguration(
               required(node, "name").asText(),
               node.path("maxConnections").asInt(DEFAULT_MAX_CONNECTIONS),
-              engine(node.path("engine"))));
+              engine(node.path("engine")),
+              PlacementDecoder.coldStart(node)));
     }
     return services;
   }
@@ -135,7 +138,8 @@
                   : OptionalInt.empty(),
               node.has("prepaid")
                   ? OptionalLong.of(node.get("prepaid").asLong())
-                  : OptionalLong.empty()));
+                  : OptionalLong.empty(),
+              PlacementDecoder.homes(node)));
     }
     return customers;
   }
--- a/src/main/java/io/snipeloom/platform/PlatformHeaders.java
+++ b/src/main/java/io/snipeloom/platform/PlatformHeaders.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.snipeloom.forwarding.HeaderCodec;
+import io.snipeloom.routing.ColdReport;
 import io.snipeloom.routing.ForwardMetadata;
 import io.snipeloom.routing.Prompt;
 import io.snipeloom.routing.PromptPart;
@@ -43,6 +44,7 @@
   private static final String REPLICA_LOAD = "Snipeloom-Replica-Load";
   private static final String SERVER_LIMIT = "Server-Limit";
   private static final String SERVER_LEAVING = "Server-Leaving";
+  private static final String COLD_MS = "Snipeloom-Cold-Ms";
   private static final String KEEP_ALIVE = "Keep-Alive";
 
   /** The value that states that a replica is leaving. */
@@ -129,7 +131,8 @@
         load(headers.get(REPLICA_LOAD)),
         StatedLimit.parse(headers.getAll(SERVER_LIMIT)),
         headers.getAll(SERVER_LEAVING).stream().anyMatch(value -> value.trim().equals(LEAVING)),
-        pause(status, headers));
+        pause(status, headers),
+        ColdReport.parse(headers.getAll(COLD_MS)));
   }
 
   private static StatedPause pause(int status, HttpHeaders headers) {
--- a/src/main/java/io/snipeloom/platform/ReplicaDecoder.java
+++ b/src/main/java/io/snipeloom/platform/ReplicaDecoder.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.snipeloom.routing.ColdReport;
 import io.snipeloom.routing.Replica;
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.ReplicaState;
@@ -41,7 +42,9 @@
           new SoftwareVersion(text(node, "version")),
           text(node, "zone"),
           slots(node),
-          state(text(node, "state")));
+          state(text(node, "state")),
+          cold(node.get("coldRemainingMs")),
+          node.path("sequence").asLong(0));
     } catch (IOException | IllegalArgumentException e) {
       throw SnipeloomException.of(
               ErrorCode.MALFORMED_RECORD, "invalid entry of replica " + id + ": " + e.getMessage())
@@ -57,6 +60,13 @@
     return slots.asInt();
   }
 
+  private static ColdReport cold(JsonNode value) {
+    if (value == null || value.isNull()) {
+      return ColdReport.NONE;
+    }
+    return value.isNumber() ? ColdReport.of(value.asDouble()) : ColdReport.UNREADABLE;
+  }
+
   private static ReplicaState state(String text) {
     return switch (text) {
       case "ready" -> ReplicaState.READY;
--- a/src/main/java/io/snipeloom/routing/CustomerConfiguration.java
+++ b/src/main/java/io/snipeloom/routing/CustomerConfiguration.java
@@ -13,12 +13,23 @@
  * @param priority the priority of the customer's requests, 0 being the highest; overrides the
  *     priority of the route
  * @param prepaidTokens the total number of tokens that the customer may consume; empty if unlimited
+ * @param homes the regions in which the customer's requests may be processed
  */
 public record CustomerConfiguration(
-    CustomerId id, List<String> apiKeys, OptionalInt priority, OptionalLong prepaidTokens) {
+    CustomerId id,
+    List<String> apiKeys,
+    OptionalInt priority,
+    OptionalLong prepaidTokens,
+    Homes homes) {
 
   /** Copies the keys. */
   public CustomerConfiguration {
     apiKeys = List.copyOf(apiKeys);
   }
+
+  /** Creates a customer whose requests may be processed everywhere. */
+  public CustomerConfiguration(
+      CustomerId id, List<String> apiKeys, OptionalInt priority, OptionalLong prepaidTokens) {
+    this(id, apiKeys, priority, prepaidTokens, Homes.EVERYWHERE);
+  }
 }
--- a/src/main/java/io/snipeloom/routing/FleetConfiguration.java
+++ b/src/main/java/io/snipeloom/routing/FleetConfiguration.java
@@ -1,5 +1,6 @@
 package io.snipeloom.routing;
 
+import io.snipeloom.state.CustomerId;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -22,14 +23,17 @@
   private final Map<String, CustomerConfiguration> customersByKey = new HashMap<>();
   private final List<CustomerConfiguration> customers;
   private final RequestLimits limits;
+  private final List<String> problems;
 
   private FleetConfiguration(
       long version,
       List<Route> routes,
       List<ServiceConfiguration> services,
       List<CustomerConfiguration> customers,
-      RequestLimits limits) {
+      RequestLimits limits,
+      List<String> problems) {
     this.version = version;
+    this.problems = List.copyOf(problems);
     this.limits = limits;
     this.customers = List.copyOf(customers);
     for (Route route : routes) {
@@ -60,7 +64,33 @@
       List<ServiceConfiguration> services,
       List<CustomerConfiguration> customers,
       RequestLimits limits) {
-    return new FleetConfiguration(version, routes, services, customers, limits);
+    return of(version, routes, services, customers, limits, List.of());
+  }
+
+  /**
+   * Creates a configuration of which some values were read as the strictest that they may mean.
+   *
+   * @param version the version, which increases with every change
+   * @param routes the routes
+   * @param services the services
+   * @param customers the customers; empty if requests need no API key
+   * @param limits the limits on requests
+   * @param problems the values that could not be read
+   * @return the configuration
+   */
+  public static FleetConfiguration of(
+      long version,
+      List<Route> routes,
+      List<ServiceConfiguration> services,
+      List<CustomerConfiguration> customers,
+      RequestLimits limits,
+      List<String> problems) {
+    return new FleetConfiguration(version, routes, services, customers, limits, problems);
+  }
+
+  /** Returns the values that could not be read and count as the strictest that they may mean. */
+  public List<String> problems() {
+    return problems;
   }
 
   /** Returns the version. */
@@ -128,6 +158,26 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /**
+   * Returns the regions in which requests of a route and a customer may be processed.
+   *
+   * @param route the name of the route
+   * @param customer the customer, empty if there is none
+   * @return the regions that both allow; those of a route or a customer that is gone do not bind
+   */
+  public Homes homesOf(String route, Optional<CustomerId> customer) {
+    Homes ofRoute =
+        routesByHost.values().stream()
+            .flatMap(List::stream)
+            .filter(candidate -> candidate.name().equals(route))
+            .map(Route::homes)
+            .reduce(Homes.EVERYWHERE, Homes::and);
+    return customers.stream()
+        .filter(candidate -> customer.filter(candidate.id()::equals).isPresent())
+        .map(CustomerConfiguration::homes)
+        .reduce(ofRoute, Homes::and);
+  }
+
   private static String withoutPort(String host) {
     int colon = host.lastIndexOf(':');
     return colon < 0 || host.endsWith("]") ? host : host.substring(0, colon);
--- a/src/main/java/io/snipeloom/routing/Replica.java
+++ b/src/main/java/io/snipeloom/routing/Replica.java
@@ -14,6 +14,8 @@
  * @param zone the availability zone of the replica
  * @param slots the number of requests that the replica executes concurrently
  * @param state whether the replica accepts requests
+ * @param cold how long the replica stays cold, as it says
+ * @param sequence a number that rises with the entries of an incarnation
  */
 public record Replica(
     ReplicaId id,
@@ -23,7 +25,9 @@
     SoftwareVersion version,
     String zone,
     int slots,
-    ReplicaState state) {
+    ReplicaState state,
+    ColdReport cold,
+    long sequence) {
 
   /** Checks the number of slots. */
   public Replica {
@@ -32,6 +36,19 @@
     }
   }
 
+  /** Creates an entry that says nothing of cold starts. */
+  public Replica(
+      ReplicaId id,
+      long startedAtMillis,
+      String service,
+      InetSocketAddress address,
+      SoftwareVersion version,
+      String zone,
+      int slots,
+      ReplicaState state) {
+    this(id, startedAtMillis, service, address, version, zone, slots, state, ColdReport.NONE, 0);
+  }
+
   /**
    * Returns whether both entries describe the same incarnation of the same replica.
    *
--- a/src/main/java/io/snipeloom/routing/ReplicaLimit.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaLimit.java
@@ -1,14 +1,15 @@
 package io.snipeloom.routing;
 
 /**
- * The limit that a replica states for the requests of all instances together, and what this
- * instance may still send of its share.
+ * The limits on the requests of all instances together to a replica, and what this instance may
+ * still send of its shares: the limit that the replica states, and the bound while it is cold.
  *
- * <p>A share that is not used is saved up for one second at most, or for one request. Not
- * thread-safe.
+ * <p>A share of a stated limit that is not used is saved up for one second at most, or for one
+ * request; of the bound of a cold replica nothing is saved up. Not thread-safe.
  */
 public final class ReplicaLimit {
   private static final double NANOS_PER_SECOND = 1e9;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final ReplicaId replica;
   private StatedLimit stated = StatedLimit.NONE;
@@ -16,6 +17,9 @@
   private double available;
   private long availableNanos;
   private long usedTurn = -1;
+  private ColdStart coldStart = ColdStart.NONE;
+  private final WarmUp warmUp = new WarmUp();
+  private final SendWindow window = new SendWindow();
 
   /**
    * Creates the limit of a replica that has stated none.
@@ -58,6 +62,77 @@
     return stated;
   }
 
+  /** Returns for how long the replica counts as cold. */
+  public WarmUp warmUp() {
+    return warmUp;
+  }
+
+  /** Replaces what is configured of cold replicas of the service. */
+  public void changeColdStart(ColdStart configured) {
+    coldStart = configured;
+  }
+
+  /**
+   * Records what an answer says of how long the replica stays cold.
+   *
+   * @param report what it says
+   * @param sentNanos when its request was sent
+   * @param nowNanos the current time
+   */
+  public void onColdReport(ColdReport report, long sentNanos, long nowNanos) {
+    warmUp.onAnswer(report, sentNanos, coldStart, nowNanos);
+  }
+
+  /**
+   * Records that a connection to the replica was there for a request.
+   *
+   * @param nowNanos the current time
+   */
+  public void onReached(long nowNanos) {
+    warmUp.onReached(coldStart, nowNanos);
+  }
+
+  /**
+   * Returns how long the replica still counts as cold, in milliseconds; 0 if it is not cold.
+   *
+   * @param nowNanos the current time
+   */
+  public long coldMillis(long nowNanos) {
+    long remainingNanos = warmUp.remainingNanos(coldStart, nowNanos);
+    boolean cold = coldStart.isBounded() && remainingNanos > 0;
+    return cold ? (remainingNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI : 0;
+  }
+
+  /**
+   * Returns whether there is a bound on the requests to the replica, because it is cold or was a
+   * moment ago.
+   *
+   * @param nowNanos the current time
+   */
+  public boolean isWarmingUp(long nowNanos) {
+    return warmUp.requestsPerSecond(coldStart, nowNanos) != WarmUp.UNBOUNDED;
+  }
+
+  /** Returns how many requests this instance may send to the replica within a second. */
+  private int mostInSecond(LimitShares shares, long nowNanos) {
+    int total = warmUp.requestsPerSecond(coldStart, nowNanos);
+    return total == WarmUp.UNBOUNDED
+        ? WarmUp.UNBOUNDED
+        : shares.wholeShareOf(replica, total, nowNanos);
+  }
+
+  /**
+   * Counts a request that is sent now, if the replica may receive it. It may have become cold since
+   * it was chosen, and the request may have waited for a connection.
+   *
+   * @param shares the shares of this instance
+   * @param nowNanos the current time
+   * @return false if the request may not be sent
+   */
+  boolean trySend(LimitShares shares, long nowNanos) {
+    return !coldStart.isBounded() || window.trySend(mostInSecond(shares, nowNanos), nowNanos);
+  }
+
   private boolean isLimited() {
     return stated.kind() == StatedLimit.Kind.STATED;
   }
@@ -69,6 +144,11 @@
    * @param nowNanos the current time
    */
   boolean mayReceive(LimitShares shares, long nowNanos) {
+    return mayReceiveByStatedLimit(shares, nowNanos)
+        && (!coldStart.isBounded() || window.size(nowNanos) < mostInSecond(shares, nowNanos));
+  }
+
+  private boolean mayReceiveByStatedLimit(LimitShares shares, long nowNanos) {
     return !isLimited() || availableAt(shares, nowNanos) >= 1 || isUnusedTurn(shares);
   }
 
@@ -79,6 +159,9 @@
    * @param nowNanos the current time
    */
   void onPicked(LimitShares shares, long nowNanos) {
+    if (coldStart.isBounded()) {
+      window.reserve(nowNanos);
+    }
     if (!isLimited()) {
       return;
     }
--- a/src/main/java/io/snipeloom/routing/ReplicaPicker.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaPicker.java
@@ -94,6 +94,17 @@
     view.limit().onPicked(limitShares, nowNanos);
   }
 
+  /**
+   * Counts a request that is sent now, if its replica may still receive it.
+   *
+   * @param view the replica
+   * @param nowNanos the current time
+   * @return false if the request may not be sent
+   */
+  public boolean trySend(ReplicaView view, long nowNanos) {
+    return view.limit().trySend(limitShares, nowNanos);
+  }
+
   /**
    * Counts the parts of a prompt, to detect hot parts.
    *
--- a/src/main/java/io/snipeloom/routing/ResponseMetadata.java
+++ b/src/main/java/io/snipeloom/routing/ResponseMetadata.java
@@ -12,6 +12,7 @@
  * @param limit the requests a second that the replica takes, if stated
  * @param leaving whether the replica states that it is leaving
  * @param pause how long the replica wants no further request, if it rejected this one
+ * @param cold how long the replica stays cold, if stated
  */
 public record ResponseMetadata(
     String attemptId,
@@ -20,7 +21,8 @@
     Optional<Load> load,
     StatedLimit limit,
     boolean leaving,
-    StatedPause pause) {
+    StatedPause pause,
+    ColdReport cold) {
 
   /**
    * The load of a replica.
--- a/src/main/java/io/snipeloom/routing/Route.java
+++ b/src/main/java/io/snipeloom/routing/Route.java
@@ -21,6 +21,7 @@
  * @param anonymous whether requests need no API key
  * @param modelRequests whether requests carry a prompt for a model engine
  * @param resumable whether a stream may be resumed on another replica after its last event
+ * @param homes the regions in which its requests may be processed
  */
 public record Route(
     String name,
@@ -35,7 +36,8 @@
     int maxAttempts,
     boolean anonymous,
     boolean modelRequests,
-    boolean resumable) {
+    boolean resumable,
+    Homes homes) {
 
   /** Copies the services and checks the prefix. */
   public Route {
@@ -49,6 +51,38 @@
     }
   }
 
+  /** Creates a route whose requests may be processed everywhere. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      RouteType type,
+      long timeoutMillis,
+      long targetMillis,
+      long targetGapMillis,
+      int priority,
+      List<ServiceShare> services,
+      int maxAttempts,
+      boolean anonymous,
+      boolean modelRequests,
+      boolean resumable) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        type,
+        timeoutMillis,
+        targetMillis,
+        targetGapMillis,
+        priority,
+        services,
+        maxAttempts,
+        anonymous,
+        modelRequests,
+        resumable,
+        Homes.EVERYWHERE);
+  }
+
   /**
    * Returns whether a request that may have been executed may be sent again.
    *
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -2,6 +2,7 @@
 
 import io.snipeloom.platform.FakeReplica;
 import io.snipeloom.platform.FakeStore;
+import io.snipeloom.routing.ColdStartBounds;
 import io.snipeloom.routing.Places;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.transport.FreePorts;
@@ -39,6 +40,17 @@
 
   /** Starts an instance that reaches the store at the given endpoint. */
   EdgeFixture(String instance, FakeStore store, InetSocketAddress endpoint) throws IOException {
+    this(instance, store, endpoint, Places.UNKNOWN, Optional.empty());
+  }
+
+  /** Starts an instance that knows places and bounds on requests to cold replicas. */
+  EdgeFixture(
+      String instance,
+      FakeStore store,
+      InetSocketAddress endpoint,
+      Places places,
+      Optional<ColdStartBounds> coldStart)
+      throws IOException {
     this.store = store;
     settings =
         new EdgeSettings(
@@ -54,8 +66,8 @@
             40,
             10,
             5,
-            Places.UNKNOWN,
-            Optional.empty(),
+            places,
+            coldStart,
             OptionalInt.empty());
     daemon =
         EdgeDaemon.of(
--- a/src/test/java/io/snipeloom/edge/FleetMembersTest.java
+++ b/src/test/java/io/snipeloom/edge/FleetMembersTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import io.snipeloom.routing.ShareRoster;
 import io.snipeloom.store.KeyedLog;
 import io.snipeloom.store.KeyedRecord;
 import io.snipeloom.store.RecordPage;
@@ -60,7 +61,7 @@
   }
 
   private FleetMembers member(String name, int port, FleetMembers.Listener listener) {
-    return new FleetMembers(log, name, loopback(port), listener);
+    return new FleetMembers(log, name, loopback(port), new ShareRoster(), listener);
   }
 
   private static final class RecordingListener implements FleetMembers.Listener {
