An instance holds what slow callers have not read, within bounds that are counted

Cause: Exchange stopped reading from the replica as soon as 256 KB waited for the caller. Replicas cut off a response that stays unread for some seconds, so a slow caller lost an answer that was ready; nothing bounded the sum of whole bodies, request bodies and what waits to be written to a replica. A stopped instance closed connections on which a served answer was not written yet, and a replica from which nothing was read counted as silent (retried elsewhere, blamed for a crash).

The new package buffering counts each byte and decides (docs/design/slow-readers.md); forwarding tells it of arrival, passing on and writing. Bodies are kept in parts, long ones written in parts. The bounds follow memoryMegabytes; without it reading stops at 256 KB a caller as before, and nothing else is bounded.

Ruled out: reserving stated lengths of responses (a replica that states much and sends nothing would hold room); cutting off a slow caller to make room for another slow one.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.snipeloom.buffering.BufferBounds;
+import io.snipeloom.buffering.Buffers;
 import io.snipeloom.crashes.CrashControl;
 import io.snipeloom.forwarding.AsyncHttpClient;
 import io.snipeloom.forwarding.Fleet;
@@ -36,6 +38,7 @@
 import io.snipeloom.transport.MetricsText;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -153,7 +156,8 @@
             spend,
             newStreamContinuity(),
             newCrashControl(),
-            this::newRetryAllowance);
+            this::newRetryAllowance,
+            newBuffers());
     this.convictionFeed = new ConvictionFeed(fleet.crashes(), settings.instance(), log);
     this.proxyServer = new ProxyServer(loop, fleet, log, metrics);
   }
@@ -177,6 +181,7 @@
     new OperationsServer(loop, this::readiness).start(settings.readiness());
     new OperationsServer(loop, this::metricsText).start(settings.metrics());
     new PeerServer(loop, fleet.spend(), this::onPeerDemand, log).start(settings.loans());
+    registerGauges();
     proxyServer.start(settings.callers());
     loop.execute(this::startWatches);
     timer.every(this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS);
@@ -334,6 +339,24 @@
         new CrashEventLogger(log, metrics, () -> loop.execute(proxyServer::refuseConvicted)));
   }
 
+  private void registerGauges() {
+    Buffers buffers = fleet.buffers();
+    metrics.gauge("held_response_bytes", buffers.responses()::heldBytes);
+    metrics.gauge("held_request_bytes", buffers.requests()::heldBytes);
+    metrics.gauge("stopped_responses", buffers.responses()::stoppedResponses);
+    metrics.gauge("unwritten_body_bytes", buffers.bodies()::totalUnwrittenBytes);
+    metrics.gauge("replica_body_bytes_most", buffers.bodies()::mostUnansweredBytes);
+  }
+
+  private Buffers newBuffers() {
+    long heapBytes = Runtime.getRuntime().maxMemory();
+    OptionalInt memory = settings.memoryMegabytes();
+    return Buffers.of(
+        memory.isPresent()
+            ? BufferBounds.of(memory.getAsInt(), heapBytes)
+            : BufferBounds.UNLIMITED);
+  }
+
   private RetryAllowance newRetryAllowance() {
     return new RetryAllowance(
         settings.retryRatio(),
--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -1,13 +1,13 @@
 package io.snipeloom.forwarding;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.snipeloom.buffering.BodyTransfer;
 import io.snipeloom.crashes.InFlight;
 import io.snipeloom.crashes.RequestTraits;
 import io.snipeloom.routing.ForwardMetadata;
@@ -71,7 +71,9 @@
   private ResponseFraming framing = ResponseFraming.NONE;
   private HttpHeaders responseHeaders = new DefaultHttpHeaders();
   private AttemptFailure responseFailure;
-  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private final ByteParts body = new ByteParts();
+  private BodyTransfer transfer;
+  private boolean readingStopped;
 
   /** The exchange that an attempt belongs to. */
   interface Owner {
@@ -100,6 +102,13 @@
     /** Called with bytes of an event stream; the owner must not retain the buffer. */
     void onStreamContent(Attempt attempt, ByteBuf content);
 
+    /**
+     * Called when bytes of a response that is not an event stream have arrived.
+     *
+     * @return whether they may be kept; if not, the attempt was ended
+     */
+    boolean onBodyContent(Attempt attempt, int bytes);
+
     /** Returns the length of the event that is not complete yet, in bytes. */
     int pendingEventBytes();
 
@@ -164,19 +173,30 @@
     return fleet.codec().responseHeaders(responseHeaders);
   }
 
-  /** Returns the complete response body; the receiver releases it. */
-  ByteBuf body() {
+  /** Returns the complete response body; the receiver takes the bytes out and releases them. */
+  ByteParts body() {
     return body;
   }
 
   void connect() {
+    transfer = fleet.buffers().bodies().begin(view.replica().id(), request.body().readableBytes());
     fleet.connectionPool(view.replica()).acquire(this::onConnection, this::onConnectFailed);
   }
 
-  /** Resumes or pauses reading the response, to apply backpressure from the caller. */
-  void setAutoRead(boolean enabled) {
+  /** Stops reading the response, until it is resumed or the attempt ends. */
+  void stopReading() {
+    readingStopped = true;
     if (connection != null) {
-      connection.setAutoRead(enabled);
+      connection.setAutoRead(false);
+    }
+  }
+
+  /** Resumes reading the response. The replica was not silent while nothing was read. */
+  void resumeReading() {
+    if (readingStopped) {
+      readingStopped = false;
+      lastReceivedNanos = System.nanoTime();
+      connection.setAutoRead(true);
     }
   }
 
@@ -204,11 +224,12 @@
   private void onConnection(ClientConnection opened) {
     if (ended || !owner.isCallerWaiting()) {
       opened.close();
+      end();
       return;
     }
     if (!fleet.isAvailable(view)) {
       opened.close();
-      ended = true;
+      end();
       owner.onFailed(this, AttemptFailure.NOT_CONNECTED, "replica no longer accepts requests");
       return;
     }
@@ -218,14 +239,16 @@
             .codec()
             .requestHeaders(
                 request.headers(), owner.forwardMetadata(view), request.body().readableBytes());
+    request.buffer().retain();
     opened.send(request.method(), request.uri(), headers, request.body().retainedDuplicate(), this);
   }
 
   private void onConnectFailed(String reason) {
     if (ended || !owner.isCallerWaiting()) {
+      end();
       return;
     }
-    ended = true;
+    end();
     view.health().onUnreachable(System.nanoTime());
     owner.onFailed(this, AttemptFailure.NOT_CONNECTED, reason);
   }
@@ -241,6 +264,12 @@
     scheduleSilenceCheck(owner.silenceTimeoutMillis());
   }
 
+  @Override
+  public void onRequestReleased() {
+    transfer.onWritten();
+    request.buffer().release();
+  }
+
   private void scheduleSilenceCheck(long limitMillis) {
     if (limitMillis > 0) {
       silenceTimer =
@@ -252,7 +281,7 @@
     if (ended) {
       return;
     }
-    long silentNanos = System.nanoTime() - lastReceivedNanos;
+    long silentNanos = silentNanos();
     long remainingNanos = limitMillis * NANOS_PER_MILLI - silentNanos;
     if (remainingNanos > 0) {
       silenceTimer =
@@ -292,9 +321,6 @@
     responseFailure = classify(metadata);
     String type = responseHeaders.get(HttpHeaderNames.CONTENT_TYPE, "");
     streaming = responseFailure == null && type.startsWith("text/event-stream");
-    if (!streaming) {
-      body = Unpooled.buffer();
-    }
     return true;
   }
 
@@ -348,8 +374,8 @@
       }
     } else if (body.readableBytes() + content.readableBytes() > MAX_BODY_BYTES) {
       breakOff("response body is too long");
-    } else {
-      body.writeBytes(content);
+    } else if (owner.onBodyContent(this, content.readableBytes())) {
+      body.append(content);
     }
   }
 
@@ -382,12 +408,16 @@
 
   /** Finds out whether the replica has ended, if it has been silent when the time is over. */
   void lookAtSilentReplica() {
-    boolean silent = status == 0 || System.nanoTime() - lastReceivedNanos >= SILENT_NANOS;
+    boolean silent = status == 0 || silentNanos() >= SILENT_NANOS;
     if (sent && !ended && silent) {
       reportBroken();
     }
   }
 
+  private long silentNanos() {
+    return readingStopped ? 0 : System.nanoTime() - lastReceivedNanos;
+  }
+
   /** Records that nobody waits for the answer any more, and that the replica may yet end. */
   void abandon() {
     if (sent && !ended) {
@@ -459,6 +489,12 @@
     if (silenceTimer != null) {
       silenceTimer.cancel(false);
     }
+    if (transfer != null) {
+      transfer.onEnded();
+    }
+    if (transfer != null && !sent) {
+      transfer.onWritten();
+    }
     if (sent) {
       onFirstEvent();
       view.load().onEnded();
--- a/src/main/java/io/snipeloom/forwarding/CallerChannel.java
+++ b/src/main/java/io/snipeloom/forwarding/CallerChannel.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.snipeloom.buffering.ResponseBuffer;
 
 /** Sends the response of one request to its caller. */
 interface CallerChannel {
@@ -9,11 +10,14 @@
   /** Returns whether the connection to the caller is open. */
   boolean isOpen();
 
-  /** Returns whether the write buffer has room for more content. */
-  boolean isWritable();
+  /** Returns the buffer in which each byte of a replica's response is counted when received. */
+  ResponseBuffer buffer();
 
-  /** Sends a complete response. */
-  void sendResponse(int status, HttpHeaders headers, ByteBuf body);
+  /** Sends a complete response of a replica. */
+  void sendResponse(int status, HttpHeaders headers, ByteParts body);
+
+  /** Sends a complete response of this instance, whose bytes have not been counted. */
+  void sendLocalResponse(int status, HttpHeaders headers, ByteBuf body);
 
   /** Sends the status and headers of a streamed response. */
   void sendHead(int status, HttpHeaders headers);
@@ -24,6 +28,9 @@
   /** Ends a streamed response as complete. */
   void sendEnd();
 
+  /** Cuts off the current response because it cannot be held, and logs it. */
+  void cutOff(String reason);
+
   /** Closes the connection in the middle of a response, so that the caller sees it as truncated. */
   void abort();
 }
--- a/src/main/java/io/snipeloom/forwarding/CallerResponse.java
+++ b/src/main/java/io/snipeloom/forwarding/CallerResponse.java
@@ -77,7 +77,7 @@
     String body =
         "{\"code\":\"%s\",\"message\":\"%s\"}"
             .formatted(response.code().text(), response.reason().replaceAll("[\"\\\\]", "'"));
-    caller.sendResponse(
+    caller.sendLocalResponse(
         response.status(), headers, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
   }
 
--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -2,14 +2,18 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -26,6 +30,8 @@
 // A failed write or close also closes the channel, which the channel handlers detect.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ClientConnection extends ChannelInboundHandlerAdapter {
+  private static final int PART_BYTES = 65_536;
+
   private final Runnable onIdle;
   private Channel channel;
   private ResponseListener listener;
@@ -58,11 +64,30 @@
     written = false;
     skippingResponse = false;
     reusable = false;
-    DefaultFullHttpRequest request =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1, method, uri, body, headers, new DefaultHttpHeaders());
     receiver.onSent();
-    channel.writeAndFlush(request).addListener(done -> onWritten(done.isSuccess()));
+    ChannelFuture request =
+        body.readableBytes() > PART_BYTES
+            ? writeInParts(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, uri, headers), body)
+            : channel.write(
+                new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, method, uri, body, headers, new DefaultHttpHeaders()));
+    request.addListener(
+        done -> {
+          receiver.onRequestReleased();
+          onWritten(done.isSuccess());
+        });
+    channel.flush();
+  }
+
+  /** Writes a long body in parts, since the transport copies each buffer anew for each write. */
+  private ChannelFuture writeInParts(HttpRequest head, ByteBuf body) {
+    channel.write(head);
+    while (body.isReadable()) {
+      int bytes = Math.min(body.readableBytes(), PART_BYTES);
+      channel.write(new DefaultHttpContent(body.readRetainedSlice(bytes)));
+    }
+    body.release();
+    return channel.write(LastHttpContent.EMPTY_LAST_CONTENT);
   }
 
   /**
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -4,10 +4,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.snipeloom.buffering.BufferDecision;
+import io.snipeloom.buffering.ResponseBuffer;
 import io.snipeloom.crashes.Admission;
 import io.snipeloom.crashes.Conviction;
 import io.snipeloom.crashes.RequestTraits;
 import io.snipeloom.resumption.StreamOrigin;
+import io.snipeloom.routing.CustomerConfiguration;
 import io.snipeloom.routing.FleetConfiguration;
 import io.snipeloom.routing.ForwardMetadata;
 import io.snipeloom.routing.ReplicaView;
@@ -115,13 +118,26 @@
     }
   }
 
-  /** Pauses or resumes reading the response, depending on whether the caller can receive more. */
-  void onCallerWritable(boolean writable) {
+  /** Resumes reading the response, for which there is room again. */
+  void resumeReading() {
     if (attempt != null) {
-      attempt.setAutoRead(writable);
+      attempt.resumeReading();
     }
   }
 
+  /** Cuts off the response because the bytes that it holds are needed for others. */
+  void cutOff(String reason) {
+    if (!done) {
+      stopAttempt(reason);
+      fail(ErrorCode.OVERLOADED, reason);
+    }
+  }
+
+  /** Returns the attempt ID of the request, empty if unknown. */
+  String attemptId() {
+    return metadata == null ? "" : metadata.attemptId();
+  }
+
   private void admit() {
     Optional<FleetConfiguration> current = fleet.configuration();
     if (current.isEmpty()) {
@@ -143,6 +159,7 @@
     metadata = fleet.codec().requestMetadata(request.headers());
     log.setAttemptId(metadata.attemptId());
     routed = RoutedRequest.of(configuration, found.get(), metadata, request, Math.random());
+    caller.buffer().begin(routed.customer().map(CustomerConfiguration::id));
     if (routed.isUnauthenticated()) {
       respond(LocalResponse.of(ErrorCode.UNAUTHENTICATED, "unknown API key"));
       return;
@@ -268,7 +285,9 @@
       refuse(conviction.get());
       return;
     }
-    ReplicaChoice choice = ReplicaChoice.of(fleet, routed, stream, history, System.nanoTime());
+    ReplicaChoice choice =
+        ReplicaChoice.of(
+            fleet, routed, request.body().readableBytes(), stream, history, System.nanoTime());
     if (choice.picked().isEmpty()) {
       lackMillis = choice.retryMillis();
       fail(ErrorCode.NO_UPSTREAM, choice.reason());
@@ -344,6 +363,9 @@
 
   @Override
   public void onStreamContent(Attempt source, ByteBuf content) {
+    if (!onBodyContent(source, content.readableBytes())) {
+      return;
+    }
     ByteBuf complete = stream.append(content);
     if (!complete.isReadable()) {
       return;
@@ -353,9 +375,20 @@
     recordOrigin(source);
     response.sendHeadOnce(source);
     caller.sendContent(complete);
-    if (!caller.isWritable()) {
-      source.setAutoRead(false);
+  }
+
+  @Override
+  public boolean onBodyContent(Attempt source, int bytes) {
+    ResponseBuffer buffer = caller.buffer();
+    BufferDecision decision = buffer.onReceived(bytes);
+    if (decision == BufferDecision.STOP_READING) {
+      source.stopReading();
+      log.readingStopped(buffer, fleet.buffers());
+      metrics.count("response_reading_stopped");
+    } else if (decision == BufferDecision.CUT_OFF && !done) {
+      caller.cutOff("the bytes of the response cannot be held");
     }
+    return !done;
   }
 
   private void recordOrigin(Attempt source) {
@@ -426,10 +459,12 @@
         reason,
         progress,
         history.sends(),
+        fleet.buffers().bodies().unansweredBytes(failed.view().replica().id()),
         remainingMillis,
         retry);
     metrics.count("attempt_failed_" + failure.name().toLowerCase(Locale.ROOT));
     if (retry) {
+      caller.buffer().discard();
       stream.beginAttempt();
       dispatch();
     } else if (failure == AttemptFailure.ERROR_ANSWER) {
@@ -501,7 +536,8 @@
       deadlineTimer.cancel(false);
     }
     final long consumedTokens = settle();
-    request.body().release();
+    caller.buffer().discard();
+    request.release();
     long totalMillis = elapsedMillis();
     metrics.total(totalMillis);
     metrics.count("request_" + outcome.replace('.', '_'));
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -1,5 +1,8 @@
 package io.snipeloom.forwarding;
 
+import io.snipeloom.buffering.Buffers;
+import io.snipeloom.buffering.ResponseBuffer;
+import io.snipeloom.buffering.StopReason;
 import io.snipeloom.resumption.OriginLookup;
 import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.routing.PeerDemand;
@@ -22,6 +25,7 @@
   private final EventLog log;
   private String id = "";
   private String request = "";
+  private boolean stopLogged;
 
   ExchangeLog(EventLog log) {
     this.log = log;
@@ -178,6 +182,32 @@
         before.perSecond());
   }
 
+  /** Logs once that a response is not read for now, since too much is held. */
+  void readingStopped(ResponseBuffer buffer, Buffers buffers) {
+    if (stopLogged) {
+      return;
+    }
+    stopLogged = true;
+    log.log(
+        "response_stopped",
+        "id",
+        id,
+        "reason",
+        buffer.stopReason().map(StopReason::name).orElse(""),
+        "customer",
+        buffer.customer().map(CustomerId::value).orElse(""),
+        "unread_bytes",
+        buffer.queuedBytes(),
+        "caller_bytes",
+        buffer.heldBytes(),
+        "customer_bytes",
+        buffer.customer().map(buffers.responses()::heldBytes).orElse(0L),
+        "held_bytes",
+        buffers.responses().heldBytes(),
+        "bound_bytes",
+        buffers.bounds().responseBytes());
+  }
+
   /** Logs that an attempt was cancelled although its replica might still respond. */
   void cancelled(ReplicaId replica, String reason) {
     log.log("cancelled", "id", id, "replica", replica, "reason", reason);
@@ -190,6 +220,7 @@
       String reason,
       ResponseProgress progress,
       int sends,
+      long replicaBodyBytes,
       long remainingMillis,
       boolean retry) {
     log.log(
@@ -210,6 +241,8 @@
         progress.partialBytes(),
         "sends",
         sends,
+        "replica_body_bytes",
+        replicaBodyBytes,
         "left_ms",
         remainingMillis,
         "again",
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -1,6 +1,8 @@
 package io.snipeloom.forwarding;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.snipeloom.buffering.Buffers;
 import io.snipeloom.crashes.CrashControl;
 import io.snipeloom.resumption.StreamContinuity;
 import io.snipeloom.routing.CustomerConfiguration;
@@ -15,10 +17,13 @@
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.ReplicaPicker;
 import io.snipeloom.routing.ReplicaView;
+import io.snipeloom.routing.RequestMetadata;
 import io.snipeloom.routing.RetryAllowance;
 import io.snipeloom.routing.SentPrompt;
 import io.snipeloom.routing.ServiceConfiguration;
 import io.snipeloom.spend.SpendControl;
+import io.snipeloom.state.CustomerId;
+import io.snipeloom.state.SnipeloomException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -47,6 +52,7 @@
   private final StreamContinuity streams;
   private final CrashControl crashes;
   private final Supplier<RetryAllowance> newRetryAllowance;
+  private final Buffers buffers;
   private final Map<ReplicaId, ReplicaView> views = new HashMap<>();
   private final DepartedReplicas departed = new DepartedReplicas();
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
@@ -65,6 +71,7 @@
    * @param streams knows what began the streams that callers resume
    * @param crashes decides which requests are refused because requests like them crash replicas
    * @param newRetryAllowance creates the retry allowance of a service
+   * @param buffers counts the bytes held for callers and replicas
    */
   public Fleet(
       EventLoop loop,
@@ -73,7 +80,8 @@
       SpendControl spend,
       StreamContinuity streams,
       CrashControl crashes,
-      Supplier<RetryAllowance> newRetryAllowance) {
+      Supplier<RetryAllowance> newRetryAllowance,
+      Buffers buffers) {
     this.loop = loop;
     this.codec = codec;
     this.picker = picker;
@@ -81,6 +89,7 @@
     this.streams = streams;
     this.crashes = crashes;
     this.newRetryAllowance = newRetryAllowance;
+    this.buffers = buffers;
   }
 
   /**
@@ -224,6 +233,33 @@
     pools.values().forEach(ConnectionPool::closeStale);
   }
 
+  /** Returns the bytes that are held for callers and replicas. */
+  public Buffers buffers() {
+    return buffers;
+  }
+
+  /** Returns the customer whose API key is in the headers, empty if there is none that is known. */
+  Optional<CustomerId> customerOf(HttpHeaders headers) {
+    return metadataOf(headers)
+        .flatMap(RequestMetadata::apiKey)
+        .flatMap(key -> configuration().flatMap(current -> current.customerOf(key)))
+        .map(CustomerConfiguration::id);
+  }
+
+  /** Returns the attempt ID in the headers, empty if they have none. */
+  String attemptIdOf(HttpHeaders headers) {
+    return metadataOf(headers).map(RequestMetadata::attemptId).orElse("");
+  }
+
+  private Optional<RequestMetadata> metadataOf(HttpHeaders headers) {
+    try {
+      return Optional.of(codec.requestMetadata(headers));
+    } catch (SnipeloomException e) {
+      // The exchange decodes the headers again and tells the caller what is wrong with them.
+      return Optional.empty();
+    }
+  }
+
   HeaderCodec codec() {
     return codec;
   }
--- a/src/main/java/io/snipeloom/forwarding/LocalResponse.java
+++ b/src/main/java/io/snipeloom/forwarding/LocalResponse.java
@@ -22,6 +22,9 @@
   /** Retry delay when replicas state limits, which count requests a second. */
   static final long LIMIT_RETRY_MILLIS = 1_000;
 
+  /** Retry delay when a request body cannot be held; others are sent within about this time. */
+  static final long BODY_RETRY_MILLIS = 1_000;
+
   /** Retry delay after a crash; another replica takes over within about half a second. */
   static final long CRASH_RETRY_MILLIS = 500;
 
--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -3,14 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -25,10 +22,18 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import io.snipeloom.buffering.BufferDecision;
+import io.snipeloom.buffering.RequestBuffer;
+import io.snipeloom.buffering.RequestBuffers;
+import io.snipeloom.buffering.ResponseBuffer;
+import io.snipeloom.buffering.ResponseReader;
+import io.snipeloom.state.CustomerId;
+import io.snipeloom.state.ErrorCode;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.telemetry.FleetMetrics;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -39,13 +44,20 @@
  */
 // A failed write or close also closes the channel, which the channel handlers detect.
 @SuppressWarnings("FutureReturnValueIgnored")
-final class ProxyConnection extends ChannelInboundHandlerAdapter implements CallerChannel {
+final class ProxyConnection extends ChannelInboundHandlerAdapter
+    implements CallerChannel, ResponseReader {
   private static final int MAX_PENDING_MESSAGES = 64;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /** The time limit for receiving a body after its header. */
   private static final long BODY_TIMEOUT_MILLIS = 10_000;
 
+  /**
+   * The time without a byte written after which a caller counts as gone. A caller that reads a
+   * kilobyte a second makes room for the next part within half of it.
+   */
+  private static final long UNREAD_TIMEOUT_MILLIS = 60_000;
+
   /**
    * If the event loop was blocked for longer than this, a caller may have disconnected unnoticed.
    */
@@ -65,7 +77,9 @@
   private final Deque<HttpObject> pendingMessages = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
-  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private ResponseBuffer buffer;
+  private CallerWriter writer;
+  private IncomingBody body;
   private long headReceivedNanos;
   private long headerStartNanos;
   private boolean inHeader;
@@ -74,6 +88,12 @@
   private boolean keepAlive;
   private boolean rejected;
 
+  /** Whether a request was refused whose body the caller still sends. */
+  private boolean discardingBody;
+
+  private boolean closeOnceWritten;
+  private String lastAttemptId = "";
+
   ProxyConnection(
       ProxyServer server, EventLoop loop, Fleet fleet, EventLog log, FleetMetrics metrics) {
     this.server = server;
@@ -87,11 +107,13 @@
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
+    buffer = fleet.buffers().responses().open(this);
+    writer = new CallerWriter(channel, buffer, this::onAllWritten);
   }
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (exchange != null || !pendingMessages.isEmpty()) {
+    if (exchange != null || !pendingMessages.isEmpty() || !writer.takesNextResponse()) {
       pendingMessages.add((HttpObject) message);
       if (pendingMessages.size() >= MAX_PENDING_MESSAGES) {
         channel.config().setAutoRead(false);
@@ -112,6 +134,7 @@
   private void process(HttpObject message) {
     try {
       if (rejected) {
+        closeAfterDiscarding(message);
         return;
       }
       if (message.decoderResult().isFailure()) {
@@ -143,12 +166,13 @@
     head = request;
     inHeader = false;
     headReceivedNanos = System.nanoTime();
-    body = Unpooled.buffer(0);
     keepAlive = HttpUtil.isKeepAlive(request);
     if (request.method().equals(HttpMethod.CONNECT) || !request.uri().startsWith("/")) {
       reject(HttpResponseStatus.BAD_REQUEST, "request target is not a path");
     } else if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+    } else if (!beginBody(request)) {
+      refuseUnheld();
     } else if (HttpUtil.is100ContinueExpected(request)) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(
@@ -156,15 +180,80 @@
     }
   }
 
+  /** Begins to receive a body; returns false if a body of the stated length cannot be held. */
+  private boolean beginBody(HttpRequest request) {
+    RequestBuffers buffers = fleet.buffers().requests();
+    long statedBytes = HttpUtil.getContentLength(request, 0L);
+    boolean mayBeLarge =
+        !buffers.isSmall(statedBytes) || HttpUtil.isTransferEncodingChunked(request);
+    Optional<CustomerId> customer =
+        mayBeLarge ? fleet.customerOf(request.headers()) : Optional.empty();
+    RequestBuffer held = buffers.open(customer);
+    int maxBytes = statedBytes > 0 ? (int) statedBytes : server.limits().maxBodyBytes();
+    body = new IncomingBody(held, maxBytes);
+    return held.tryGrowTo(statedBytes);
+  }
+
+  /** Refuses a request that has not been sent to a replica, because its body cannot be held. */
+  private void refuseUnheld() {
+    rejected = true;
+    discardingBody = true;
+    keepAlive = false;
+    releaseBody();
+    String attemptId = fleet.attemptIdOf(head.headers());
+    log.log(
+        "request_not_held",
+        "id",
+        attemptId,
+        "stated_bytes",
+        HttpUtil.getContentLength(head, 0L),
+        "held_bytes",
+        fleet.buffers().requests().heldBytes(),
+        "bound_bytes",
+        fleet.buffers().bounds().requestBytes());
+    metrics.count("request_not_held");
+    LocalResponse refusal =
+        LocalResponse.notExecuted(
+            ErrorCode.OVERLOADED,
+            "the body of the request cannot be held now",
+            LocalResponse.spread(LocalResponse.BODY_RETRY_MILLIS, Math.random()),
+            Long.MAX_VALUE);
+    new CallerResponse(this, metrics, headReceivedNanos)
+        .sendLocal(refusal, fleet.codec().localResponseHeaders(attemptId));
+  }
+
+  /** Closes the connection once the body of a refused request has passed. */
+  private void closeAfterDiscarding(HttpObject message) {
+    if (discardingBody && message instanceof LastHttpContent) {
+      discardingBody = false;
+      closeOnceWritten = true;
+      if (writer.isIdle()) {
+        channel.close();
+      }
+    }
+  }
+
+  private void releaseBody() {
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+  }
+
   private void onBody(HttpContent content) {
     if (rejected) {
+      closeAfterDiscarding(content);
       return;
     }
     if (body.readableBytes() + content.content().readableBytes() > server.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       return;
     }
-    body.writeBytes(content.content());
+    if (!body.append(content.content())) {
+      refuseUnheld();
+      closeAfterDiscarding(content);
+      return;
+    }
     if (content instanceof LastHttpContent) {
       startExchange();
     }
@@ -172,9 +261,15 @@
 
   private void startExchange() {
     CallerRequest request =
-        new CallerRequest(head.method(), head.uri(), head.headers(), body, headReceivedNanos);
+        new CallerRequest(
+            head.method(),
+            head.uri(),
+            head.headers(),
+            body.bytes(),
+            body.buffer(),
+            headReceivedNanos);
     head = null;
-    body = Unpooled.EMPTY_BUFFER;
+    body = null;
     exchange =
         new Exchange(
             loop,
@@ -199,6 +294,7 @@
   }
 
   private void onExchangeEnded() {
+    lastAttemptId = exchange.attemptId();
     exchange = null;
     inHeader = false;
     idleSinceNanos = System.nanoTime();
@@ -206,7 +302,7 @@
   }
 
   private void processPending() {
-    while (exchange == null && !pendingMessages.isEmpty()) {
+    while (exchange == null && !pendingMessages.isEmpty() && writer.takesNextResponse()) {
       process(pendingMessages.poll());
     }
     if (pendingMessages.isEmpty()) {
@@ -217,15 +313,66 @@
   private void reject(HttpResponseStatus status, String reason) {
     rejected = true;
     keepAlive = false;
+    releaseBody();
     log.log("rejected", "status", status.code(), "reason", reason);
     metrics.count("rejected_" + status.code());
-    sendResponse(status.code(), new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+    sendResponse(status.code(), new DefaultHttpHeaders(), new ByteParts());
   }
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
+    writer.writeWaiting();
+    continueWithPending();
+  }
+
+  private void continueWithPending() {
+    if (!pendingMessages.isEmpty()) {
+      loop.execute(this::processPending);
+    }
+  }
+
+  /** Begins the next request, if its caller has read the response before it. */
+  private void onAllWritten() {
+    idleSinceNanos = System.nanoTime();
+    if (closeOnceWritten) {
+      channel.close();
+    }
+    continueWithPending();
+  }
+
+  @Override
+  public void onRoom() {
     if (exchange != null) {
-      exchange.onCallerWritable(channel.isWritable());
+      exchange.resumeReading();
+    }
+  }
+
+  @Override
+  public void onCutOff() {
+    cutOff("others need the room that the response takes");
+  }
+
+  @Override
+  public void cutOff(String reason) {
+    log.log(
+        "response_cut_off",
+        "id",
+        exchange == null ? lastAttemptId : exchange.attemptId(),
+        "customer",
+        buffer.customer().map(CustomerId::value).orElse(""),
+        "reason",
+        reason,
+        "unread_bytes",
+        buffer.queuedBytes(),
+        "complete",
+        exchange == null,
+        "held_bytes",
+        fleet.buffers().responses().heldBytes());
+    metrics.count("response_cut_off");
+    if (exchange == null) {
+      channel.close();
+    } else {
+      exchange.cutOff(reason);
     }
   }
 
@@ -239,9 +386,21 @@
     server.onClosed(this);
     pendingMessages.forEach(ReferenceCountUtil::release);
     pendingMessages.clear();
+    releaseBody();
+    logUnread();
+    writer.close();
     if (exchange != null) {
       exchange.onCallerGone();
     }
+    buffer.close();
+  }
+
+  /** Logs that a caller left, or was left, before it had read its complete response. */
+  private void logUnread() {
+    if (exchange == null && buffer.queuedBytes() > 0) {
+      log.log("response_unread", "id", lastAttemptId, "unread_bytes", buffer.queuedBytes());
+      metrics.count("response_unread");
+    }
   }
 
   void refuseIfConvicted() {
@@ -251,7 +410,7 @@
   }
 
   boolean isBusy() {
-    return exchange != null || head != null || !pendingMessages.isEmpty();
+    return exchange != null || head != null || !pendingMessages.isEmpty() || !writer.isIdle();
   }
 
   void closeIfIdle() {
@@ -265,10 +424,11 @@
       return;
     }
     if (head != null) {
-      long bodyNanos = BODY_TIMEOUT_MILLIS * NANOS_PER_MILLI;
-      if (nowNanos - headReceivedNanos > bodyNanos) {
-        reject(HttpResponseStatus.REQUEST_TIMEOUT, "body was not received in time");
-      }
+      closeIfBodyTimedOut(nowNanos);
+      return;
+    }
+    if (!writer.takesNextResponse()) {
+      closeIfUnread(nowNanos);
       return;
     }
     long headerNanos = server.limits().headerTimeoutMillis() * NANOS_PER_MILLI;
@@ -276,58 +436,78 @@
       reject(HttpResponseStatus.REQUEST_TIMEOUT, "header was not received in time");
       return;
     }
+    if (!writer.isIdle()) {
+      closeIfUnread(nowNanos);
+      return;
+    }
     long idleNanos = server.limits().idleTimeoutMillis() * NANOS_PER_MILLI;
     if (nowNanos - idleSinceNanos > idleNanos) {
       channel.close();
     }
   }
 
+  private void closeIfBodyTimedOut(long nowNanos) {
+    if (nowNanos - headReceivedNanos <= BODY_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
+      return;
+    }
+    if (rejected) {
+      channel.close();
+    } else {
+      reject(HttpResponseStatus.REQUEST_TIMEOUT, "body was not received in time");
+    }
+  }
+
+  /** Closes the connection if its caller has read nothing of a response for too long. */
+  private void closeIfUnread(long nowNanos) {
+    if (nowNanos - writer.lastProgressNanos() > UNREAD_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
+      cutOff("the caller reads nothing");
+    }
+  }
+
   @Override
   public boolean isOpen() {
     return channel.isActive();
   }
 
   @Override
-  public boolean isWritable() {
-    return channel.isWritable();
+  public ResponseBuffer buffer() {
+    return buffer;
   }
 
   @Override
-  public void sendResponse(int status, HttpHeaders headers, ByteBuf content) {
-    DefaultFullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status),
-            content,
-            headers,
-            new DefaultHttpHeaders());
+  public void sendResponse(int status, HttpHeaders headers, ByteParts content) {
     headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
     boolean close = announceClose(headers);
-    var written = channel.writeAndFlush(response);
-    if (close) {
-      written.addListener(ChannelFutureListener.CLOSE);
+    writer.writeResponse(status, headers, content, close && !discardingBody);
+  }
+
+  @Override
+  public void sendLocalResponse(int status, HttpHeaders headers, ByteBuf content) {
+    if (buffer.onReceived(content.readableBytes()) == BufferDecision.CUT_OFF) {
+      channel.close();
+      return;
     }
+    ByteParts parts = new ByteParts();
+    parts.append(content);
+    content.release();
+    sendResponse(status, headers, parts);
   }
 
   @Override
   public void sendHead(int status, HttpHeaders headers) {
     headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     announceClose(headers);
-    channel.write(
-        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
+    writer.writeHead(status, headers);
   }
 
   @Override
   public void sendContent(ByteBuf part) {
-    channel.writeAndFlush(new DefaultHttpContent(part));
+    writer.writeContent(part);
   }
 
   @Override
   public void sendEnd() {
-    var written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-    if (!keepAlive) {
-      written.addListener(ChannelFutureListener.CLOSE);
-    }
+    writer.writeEnd(!keepAlive);
   }
 
   @Override
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -31,8 +31,9 @@
  */
 public final class ProxyServer {
   private static final int MAX_PENDING_CONNECTIONS = 1_024;
-  private static final int WRITE_BUFFER_HIGH_BYTES = 262_144;
-  private static final int WRITE_BUFFER_LOW_BYTES = 65_536;
+  private static final int WRITE_BUFFER_HIGH_BYTES = 65_536;
+  private static final int SEND_BUFFER_BYTES = 65_536;
+  private static final int WRITE_BUFFER_LOW_BYTES = 32_768;
 
   private final EventLoop loop;
   private final Fleet fleet;
@@ -79,6 +80,7 @@
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
                 new io.netty.channel.WriteBufferWaterMark(
                     WRITE_BUFFER_LOW_BYTES, WRITE_BUFFER_HIGH_BYTES))
+            .childOption(ChannelOption.SO_SNDBUF, sendBufferBytes())
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
@@ -91,6 +93,14 @@
             .channel();
   }
 
+  /**
+   * Returns the size of the send buffers in the kernel, which otherwise grow to megabytes for a
+   * caller that reads slowly; null for the default of the kernel.
+   */
+  private Integer sendBufferBytes() {
+    return fleet.buffers().bounds().isLimited() ? SEND_BUFFER_BYTES : null;
+  }
+
   private static ServerSocketChannel openSocket() {
     try {
       return ServerSocketChannel.open();
--- a/src/main/java/io/snipeloom/forwarding/ReplicaChoice.java
+++ b/src/main/java/io/snipeloom/forwarding/ReplicaChoice.java
@@ -21,6 +21,7 @@
    *
    * @param fleet the replicas
    * @param request the request
+   * @param bodyBytes the length of its body, in bytes
    * @param stream the stream so far, which may go on at some replicas only
    * @param history the attempts so far
    * @param nowNanos the current time
@@ -28,17 +29,24 @@
   static ReplicaChoice of(
       Fleet fleet,
       RoutedRequest request,
+      int bodyBytes,
       RelayedStream stream,
       AttemptHistory history,
       long nowNanos) {
     List<ReplicaView> candidates =
         Fleet.untried(stream.suitable(fleet.availableReplicas(request.service())), history.tried());
+    List<ReplicaView> withRoom = fleet.buffers().bodies().withRoom(candidates, bodyBytes);
+    if (withRoom.isEmpty() && !candidates.isEmpty()) {
+      return none(
+          "the replicas read requests too slowly",
+          LocalResponse.spread(LocalResponse.BODY_RETRY_MILLIS, Math.random()));
+    }
     Optional<ReplicaView> picked =
         request
             .metadata()
             .prompt()
-            .map(prompt -> fleet.picker().pick(candidates, prompt, nowNanos))
-            .orElseGet(() -> fleet.picker().pick(candidates, nowNanos));
+            .map(prompt -> fleet.picker().pick(withRoom, prompt, nowNanos))
+            .orElseGet(() -> fleet.picker().pick(withRoom, nowNanos));
     if (picked.isEmpty()) {
       return lack(candidates, nowNanos);
     }
--- a/src/main/java/io/snipeloom/forwarding/ResponseListener.java
+++ b/src/main/java/io/snipeloom/forwarding/ResponseListener.java
@@ -5,13 +5,16 @@
 
 /**
  * Receives the response to one request on a client connection. After {@link #onEnd} or {@link
- * #onFailure} there are no further calls.
+ * #onFailure} only {@link #onRequestReleased} may follow.
  */
 interface ResponseListener {
 
   /** Called just before the request is written; from now on the peer may execute it. */
   default void onSent() {}
 
+  /** Called once when the request was written or can never be, also after the response. */
+  default void onRequestReleased() {}
+
   /**
    * Called with the status line and headers of a response.
    *
--- a/src/main/java/io/snipeloom/telemetry/FleetMetrics.java
+++ b/src/main/java/io/snipeloom/telemetry/FleetMetrics.java
@@ -1,6 +1,7 @@
 package io.snipeloom.telemetry;
 
 import com.codahale.metrics.ExponentiallyDecayingReservoir;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 
@@ -47,6 +48,16 @@
     reservationMillis.update(millis);
   }
 
+  /**
+   * Registers a value that is read when the metrics are.
+   *
+   * @param name the name of the gauge
+   * @param value returns the current value
+   */
+  public void gauge(String name, Gauge<Number> value) {
+    registry.gauge(name, () -> value);
+  }
+
   /** Returns the registry that contains all meters and histograms. */
   public MetricRegistry registry() {
     return registry;
--- a/src/test/java/io/snipeloom/LayersTest.java
+++ b/src/test/java/io/snipeloom/LayersTest.java
@@ -33,6 +33,8 @@
         .definedBy("io.snipeloom.routing..")
         .layer("admission")
         .definedBy("io.snipeloom.admission..")
+        .layer("buffering")
+        .definedBy("io.snipeloom.buffering..")
         .layer("spend")
         .definedBy("io.snipeloom.spend..")
         .layer("resumption")
@@ -69,6 +71,8 @@
         .mayOnlyAccessLayers("cost", "state")
         .whereLayer("admission")
         .mayOnlyAccessLayers("cost", "routing", "state")
+        .whereLayer("buffering")
+        .mayOnlyAccessLayers("routing", "state")
         .whereLayer("spend")
         .mayOnlyAccessLayers("state")
         .whereLayer("resumption")
@@ -81,7 +85,14 @@
         .mayNotAccessAnyLayer()
         .whereLayer("forwarding")
         .mayOnlyAccessLayers(
-            "admission", "cost", "routing", "spend", "resumption", "telemetry", "state")
+            "admission",
+            "buffering",
+            "cost",
+            "routing",
+            "spend",
+            "resumption",
+            "telemetry",
+            "state")
         .whereLayer("platform")
         .mayOnlyAccessLayers("forwarding", "routing", "store", "state")
         .whereLayer("platform")
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -39,6 +39,12 @@
 
   /** Starts an instance that reaches the store at the given endpoint. */
   EdgeFixture(String instance, FakeStore store, InetSocketAddress endpoint) throws IOException {
+    this(instance, store, endpoint, OptionalInt.empty());
+  }
+
+  private EdgeFixture(
+      String instance, FakeStore store, InetSocketAddress endpoint, OptionalInt memoryMegabytes)
+      throws IOException {
     this.store = store;
     settings =
         new EdgeSettings(
@@ -56,7 +62,7 @@
             5,
             Places.UNKNOWN,
             Optional.empty(),
-            OptionalInt.empty());
+            memoryMegabytes);
     daemon =
         EdgeDaemon.of(
             settings,
@@ -66,6 +72,12 @@
     daemon.start();
   }
 
+  /** Starts an instance whose memory is limited. */
+  static EdgeFixture withMemory(int megabytes) throws IOException {
+    FakeStore store = FakeStore.start();
+    return new EdgeFixture("edge-1", store, store.address(), OptionalInt.of(megabytes));
+  }
+
   /**
    * Publishes a configuration with an idempotent, a non-idempotent and a streaming route, and one
    * customer.
@@ -170,6 +182,11 @@
     return exchange(settings.callers(), request(path, attempt, extraHeaders, true));
   }
 
+  /** Returns the address for callers. */
+  InetSocketAddress callers() {
+    return settings.callers();
+  }
+
   /** Opens a connection to the address for callers. */
   Socket open() throws IOException {
     Socket socket = new Socket(settings.callers().getAddress(), settings.callers().getPort());
