--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -40,7 +40,7 @@
 
   /** Starts an instance that reaches the store at the given endpoint. */
   EdgeFixture(String instance, FakeStore store, InetSocketAddress endpoint) throws IOException {
-    this(instance, store, endpoint, Places.UNKNOWN, Optional.empty());
+    this(instance, store, endpoint, Places.UNKNOWN, Optional.empty(), OptionalInt.empty());
   }
 
   /** Starts an instance that knows places and bounds on requests to cold replicas. */
@@ -51,6 +51,17 @@
       Places places,
       Optional<ColdStartBounds> coldStart)
       throws IOException {
+    this(instance, store, endpoint, places, coldStart, OptionalInt.empty());
+  }
+
+  private EdgeFixture(
+      String instance,
+      FakeStore store,
+      InetSocketAddress endpoint,
+      Places places,
+      Optional<ColdStartBounds> coldStart,
+      OptionalInt memoryMegabytes)
+      throws IOException {
     this.store = store;
     settings =
         new EdgeSettings(
@@ -68,7 +79,7 @@
             5,
             places,
             coldStart,
-            OptionalInt.empty());
+            memoryMegabytes);
     daemon =
         EdgeDaemon.of(
             settings,
@@ -78,6 +89,18 @@
     daemon.start();
   }
 
+  /** Starts an instance whose memory is limited. */
+  static EdgeFixture withMemory(int megabytes) throws IOException {
+    FakeStore store = FakeStore.start();
+    return new EdgeFixture(
+        "edge-1",
+        store,
+        store.address(),
+        Places.UNKNOWN,
+        Optional.empty(),
+        OptionalInt.of(megabytes));
+  }
+
   /**
    * Publishes a configuration with an idempotent, a non-idempotent and a streaming route, and one
    * customer.
@@ -182,6 +205,11 @@
     return exchange(settings.callers(), request(path, attempt, extraHeaders, true));
   }
 
+  /** Returns the address for callers. */
+  InetSocketAddress callers() {
+    return settings.callers();
+  }
+
   /** Opens a connection to the address for callers. */
   Socket open() throws IOException {
     Socket socket = new Socket(settings.callers().getAddress(), settings.callers().getPort());
