Where a request goes depends on its cost and on the pace of replicas: estimator, pace, remaining work, choice

The choice weighed prompt tokens only: the output, the memory and the speed of a replica counted nothing. cost/ now estimates the output of a request by route, customer, size and the caller's hint (CostEstimator), learns what is usual at a service (ServicePace) and how a replica differs from it (ReplicaPace: a lasting part, and a passing one that fades). FleetCosts predicts how a replica would serve a request (ServicePredictor), and WorkTerms adds what was learned to the score of ReplicaPicker; each term is neutral where nothing was learned. Reports between instances carry output to come, memory held and observed pace after the prompts, where an instance of the version before ignores them.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -277,7 +277,7 @@
 
   private void onPeerDemand(DemandReport report) {
     peerDemand.onReport(report, System.nanoTime());
-    fleet.onPromptsOfPeer(report.prompts());
+    fleet.onReportOfPeer(report);
   }
 
   private void beginDrain() {
--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -58,6 +58,7 @@
   private final CrashDetector crashDetector;
   private final Owner owner;
   private ClientConnection connection;
+  private AttemptWork work;
   private ScheduledFuture<?> silenceTimer;
   private boolean sent;
   private boolean prefillDone;
@@ -91,6 +92,9 @@
     /** Called just before the request is written to the connection. */
     void onSent(Attempt attempt);
 
+    /** Returns the request by which its cost is estimated. */
+    RoutedRequest routed();
+
     /** Returns how long the replica may send nothing, in milliseconds; 0 for no limit. */
     long silenceTimeoutMillis();
 
@@ -236,6 +240,7 @@
     sentNanos = System.nanoTime();
     lastReceivedNanos = sentNanos;
     fleet.crashes().onSent(owner.traits(), sentNanos);
+    work = AttemptWork.of(fleet, owner.routed(), view, uncachedTokens, sentNanos);
     view.load().onSent(uncachedTokens);
     owner.onSent(this);
     scheduleSilenceCheck(owner.silenceTimeoutMillis());
@@ -285,9 +290,7 @@
       log.foreignResponse(view.replica().id(), metadata.attemptId(), status);
       return false;
     }
-    metadata
-        .load()
-        .ifPresent(load -> view.load().onReport(load.running(), load.waiting(), lastReceivedNanos));
+    metadata.load().ifPresent(this::recordLoad);
     recordLimit(metadata.limit());
     responseFailure = classify(metadata);
     String type = responseHeaders.get(HttpHeaderNames.CONTENT_TYPE, "");
@@ -298,6 +301,12 @@
     return true;
   }
 
+  private void recordLoad(ResponseMetadata.Load load) {
+    view.load().onReport(load.running(), load.waiting(), lastReceivedNanos);
+    load.pacePercent()
+        .ifPresent(percent -> view.costs().pace().onStated(percent, lastReceivedNanos));
+  }
+
   /** Logs a limit of the replica if it differs from the one that it stated last. */
   private void recordLimit(StatedLimit limit) {
     StatedLimit before = view.limit().stated();
@@ -403,8 +412,18 @@
     return new InFlight(owner.traits(), sentNanos, survived);
   }
 
+  /**
+   * Records complete events of the stream.
+   *
+   * @param events the number of events of this attempt so far
+   */
+  void onEvents(int events) {
+    work.onEvents(events, lastReceivedNanos);
+    onFirstEvent();
+  }
+
   /** Records the first complete event, by which time the replica has processed the prompt. */
-  void onFirstEvent() {
+  private void onFirstEvent() {
     if (!prefillDone) {
       prefillDone = true;
       firstEventNanos = System.nanoTime();
@@ -431,6 +450,7 @@
     view.health().onResponse(true);
     recordSurvived();
     recordCompleted();
+    work.onCompleted(status < FIRST_ERROR_STATUS, lastReceivedNanos);
     if (streaming) {
       owner.onStreamEnd(this);
     } else {
@@ -461,6 +481,7 @@
     }
     if (sent) {
       onFirstEvent();
+      work.onEnded();
       view.load().onEnded();
     }
   }
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -298,6 +298,11 @@
     return routed.traits();
   }
 
+  @Override
+  public RoutedRequest routed() {
+    return routed;
+  }
+
   @Override
   public boolean isTrial() {
     return onTrial;
@@ -349,7 +354,7 @@
       return;
     }
     history.onExecuted();
-    source.onFirstEvent();
+    source.onEvents(stream.eventsOfAttempt());
     recordOrigin(source);
     response.sendHeadOnce(source);
     caller.sendContent(complete);
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -1,12 +1,15 @@
 package io.snipeloom.forwarding;
 
 import io.netty.channel.EventLoop;
+import io.snipeloom.cost.RequestCost;
 import io.snipeloom.crashes.CrashControl;
 import io.snipeloom.resumption.StreamContinuity;
 import io.snipeloom.routing.CustomerConfiguration;
 import io.snipeloom.routing.DemandReport;
 import io.snipeloom.routing.EngineTraits;
 import io.snipeloom.routing.FleetConfiguration;
+import io.snipeloom.routing.FleetCosts;
+import io.snipeloom.routing.ObservedWork;
 import io.snipeloom.routing.Prompt;
 import io.snipeloom.routing.PromptPart;
 import io.snipeloom.routing.Replica;
@@ -197,11 +200,13 @@
    */
   public DemandReport takeDemandReport(String instance) {
     List<ReplicaDemand> demands = new ArrayList<>();
+    long nowNanos = System.nanoTime();
     for (ReplicaView view : views.values()) {
       int inFlight = view.load().inFlight();
       long pendingTokens = Math.max(0, view.load().pendingPrefillTokens());
-      if (inFlight > 0) {
-        demands.add(new ReplicaDemand(view.replica().id(), inFlight, pendingTokens));
+      ObservedWork work = costs().takeObserved(view, nowNanos);
+      if (inFlight > 0 || work.isObserved()) {
+        demands.add(new ReplicaDemand(view.replica().id(), inFlight, pendingTokens, work));
       }
     }
     DemandReport report = new DemandReport(instance, demands, sentPrompts);
@@ -209,9 +214,16 @@
     return report;
   }
 
-  /** Records the prompts that another instance has sent to replicas. */
-  public void onPromptsOfPeer(List<SentPrompt> prompts) {
-    for (SentPrompt prompt : prompts) {
+  /** Records the prompts that another instance has sent to replicas, and how these work. */
+  public void onReportOfPeer(DemandReport report) {
+    long nowNanos = System.nanoTime();
+    for (ReplicaDemand demand : report.demands()) {
+      ReplicaView view = views.get(demand.replica());
+      if (view != null) {
+        costs().onTold(view, demand.work(), nowNanos);
+      }
+    }
+    for (SentPrompt prompt : report.prompts()) {
       ReplicaView view = views.get(prompt.replica());
       if (view != null) {
         view.prefixCache().recordPrompt(prompt.parts());
@@ -224,6 +236,19 @@
     pools.values().forEach(ConnectionPool::closeStale);
   }
 
+  /** Returns what was learned of the cost of requests and of the pace of replicas. */
+  public FleetCosts costs() {
+    return picker.costs();
+  }
+
+  /** Returns what a request is likely to cost whichever replica runs it. */
+  RequestCost costOf(RoutedRequest request) {
+    return request
+        .kind()
+        .map(kind -> costs().estimator().estimate(kind))
+        .orElse(new RequestCost(0, 0, 0));
+  }
+
   HeaderCodec codec() {
     return codec;
   }
--- a/src/main/java/io/snipeloom/forwarding/RelayedStream.java
+++ b/src/main/java/io/snipeloom/forwarding/RelayedStream.java
@@ -77,6 +77,11 @@
     return events.lastEventId();
   }
 
+  /** Returns the number of complete events of the current attempt. */
+  int eventsOfAttempt() {
+    return events.eventsOfAttempt();
+  }
+
   int eventCount() {
     return events.eventCount();
   }
--- a/src/main/java/io/snipeloom/forwarding/ReplicaChoice.java
+++ b/src/main/java/io/snipeloom/forwarding/ReplicaChoice.java
@@ -37,7 +37,16 @@
         request
             .metadata()
             .prompt()
-            .map(prompt -> fleet.picker().pick(candidates, prompt, nowNanos))
+            .map(
+                prompt ->
+                    fleet
+                        .picker()
+                        .pick(
+                            candidates,
+                            prompt,
+                            fleet.costOf(request),
+                            request.route().targetGapMillis(),
+                            nowNanos))
             .orElseGet(() -> fleet.picker().pick(candidates, nowNanos));
     if (picked.isEmpty()) {
       return lack(candidates, nowNanos);
--- a/src/main/java/io/snipeloom/forwarding/RoutedRequest.java
+++ b/src/main/java/io/snipeloom/forwarding/RoutedRequest.java
@@ -1,5 +1,6 @@
 package io.snipeloom.forwarding;
 
+import io.snipeloom.cost.RequestKind;
 import io.snipeloom.crashes.RequestTrait;
 import io.snipeloom.crashes.RequestTraits;
 import io.snipeloom.routing.CustomerConfiguration;
@@ -117,6 +118,20 @@
     return route.isResumableStream() && metadata.lastEventId().isPresent();
   }
 
+  /** Returns what is known of a model request before it runs; empty for other requests. */
+  Optional<RequestKind> kind() {
+    return metadata
+        .prompt()
+        .map(
+            prompt ->
+                new RequestKind(
+                    route.name(),
+                    customerName(),
+                    prompt.inputTokens(),
+                    prompt.maxOutputTokens(),
+                    metadata.outputHint()));
+  }
+
   /** Returns the parts of the prompt that other requests may share. */
   List<PromptPart> sharedParts() {
     return metadata.prompt().map(Prompt::sharedParts).orElse(List.of());
--- a/src/main/java/io/snipeloom/peer/DemandMessage.java
+++ b/src/main/java/io/snipeloom/peer/DemandMessage.java
@@ -1,6 +1,7 @@
 package io.snipeloom.peer;
 
 import io.snipeloom.routing.DemandReport;
+import io.snipeloom.routing.ObservedWork;
 import io.snipeloom.routing.PromptPart;
 import io.snipeloom.routing.ReplicaDemand;
 import io.snipeloom.routing.ReplicaId;
@@ -75,6 +76,24 @@
         packer.packString(part.id()).packLong(part.tokens());
       }
     }
+    packWork(packer, report.demands());
+  }
+
+  /**
+   * Appends the work of the demands, in their order. Instances that know nothing of it ignore what
+   * follows the prompts; a report without any work ends there.
+   */
+  private static void packWork(MessageBufferPacker packer, List<ReplicaDemand> demands)
+      throws IOException {
+    if (demands.stream().allMatch(demand -> demand.work().equals(ObservedWork.NONE))) {
+      return;
+    }
+    packer.packArrayHeader(demands.size());
+    for (ReplicaDemand demand : demands) {
+      ObservedWork work = demand.work();
+      packer.packLong(work.outputLeft()).packLong(work.heldTokens());
+      packer.packInt(work.pacePercent()).packInt(work.statedPercent());
+    }
   }
 
   /**
@@ -114,7 +133,30 @@
     for (int i = 0; i < promptCount; i++) {
       prompts.add(new SentPrompt(new ReplicaId(unpacker.unpackString()), parts(unpacker)));
     }
-    return new DemandReport(instance, demands, prompts);
+    return new DemandReport(instance, withWork(unpacker, demands), prompts);
+  }
+
+  private static List<ReplicaDemand> withWork(MessageUnpacker unpacker, List<ReplicaDemand> demands)
+      throws IOException {
+    if (!unpacker.hasNext()) {
+      return demands;
+    }
+    int count = entries(unpacker);
+    if (count != demands.size()) {
+      throw new IOException("work of " + count + " replicas, demands of " + demands.size());
+    }
+    List<ReplicaDemand> complete = new ArrayList<>();
+    for (ReplicaDemand demand : demands) {
+      ObservedWork work =
+          new ObservedWork(
+              unpacker.unpackLong(),
+              unpacker.unpackLong(),
+              unpacker.unpackInt(),
+              unpacker.unpackInt());
+      complete.add(
+          new ReplicaDemand(demand.replica(), demand.inFlight(), demand.pendingTokens(), work));
+    }
+    return complete;
   }
 
   private static List<PromptPart> parts(MessageUnpacker unpacker) throws IOException {
--- a/src/main/java/io/snipeloom/platform/PlatformHeaders.java
+++ b/src/main/java/io/snipeloom/platform/PlatformHeaders.java
@@ -19,6 +19,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -40,6 +41,7 @@
   private static final String REQUEST_PRIORITY = "Snipeloom-Request-Priority";
   private static final String SIGNATURE = "Snipeloom-Replica-Signature";
   private static final String NOT_EXECUTED = "Snipeloom-Not-Executed";
+  private static final String LENGTH_HINT = "Snipeloom-Length-Hint";
   private static final String REPLICA_LOAD = "Snipeloom-Replica-Load";
   private static final String SERVER_LIMIT = "Server-Limit";
   private static final String SERVER_LEAVING = "Server-Leaving";
@@ -52,6 +54,11 @@
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int MAX_PROMPT_PARTS = 256;
 
+  /** The index of the pace of the host in a load. */
+  private static final int PACE_FIELD = 3;
+
+  private static final long MAX_PACE_PERCENT = 10_000;
+
   /** Headers that apply to a single connection and are not forwarded. */
   private static final Set<String> HOP_BY_HOP =
       Set.of(
@@ -94,7 +101,8 @@
         Optional.ofNullable(headers.get(CREDENTIAL)),
         prompt(headers.get(TOKEN_COUNTS), headers.get(PROMPT_PREFIX)),
         text(headers, LAST_EVENT_ID),
-        text(headers, RESUMES));
+        text(headers, RESUMES),
+        hint(headers.get(LENGTH_HINT)));
   }
 
   @Override
@@ -245,7 +253,22 @@
       return Optional.empty();
     }
     return Optional.of(
-        new ResponseMetadata.Load((int) running.getAsLong(), (int) waiting.getAsLong()));
+        new ResponseMetadata.Load(
+            (int) running.getAsLong(), (int) waiting.getAsLong(), pacePercent(fields)));
+  }
+
+  /** Returns the fourth figure of a load, empty if it is missing or says nothing. */
+  private static OptionalInt pacePercent(String[] fields) {
+    OptionalLong percent =
+        fields.length > PACE_FIELD ? number(fields[PACE_FIELD]) : OptionalLong.empty();
+    return percent.isPresent() && percent.getAsLong() > 0
+        ? OptionalInt.of((int) Math.min(MAX_PACE_PERCENT, percent.getAsLong()))
+        : OptionalInt.empty();
+  }
+
+  /** Returns the estimate of the output, empty if it is missing or malformed. */
+  private static OptionalLong hint(String value) {
+    return value == null ? OptionalLong.empty() : number(value);
   }
 
   /** Returns the number, or empty if the text is not a non-negative integer. */
--- a/src/main/java/io/snipeloom/routing/PeerDemand.java
+++ b/src/main/java/io/snipeloom/routing/PeerDemand.java
@@ -92,6 +92,38 @@
     return totals.getOrDefault(replica, NO_DEMAND).pendingTokens() * scale();
   }
 
+  /**
+   * Returns the estimated output that requests of all other instances will yet generate at a
+   * replica, in tokens.
+   *
+   * @param replica the replica
+   */
+  public double outputLeft(ReplicaId replica) {
+    return totals.getOrDefault(replica, NO_DEMAND).work().outputLeft() * scale();
+  }
+
+  /**
+   * Returns the estimated memory that requests of all other instances hold at a replica, in tokens.
+   *
+   * @param replica the replica
+   */
+  public double heldTokens(ReplicaId replica) {
+    return totals.getOrDefault(replica, NO_DEMAND).work().heldTokens() * scale();
+  }
+
+  /**
+   * Returns the age of the oldest report that counts; 0 if there is none.
+   *
+   * @param nowNanos the current time
+   */
+  public long ageNanos(long nowNanos) {
+    long oldest = nowNanos;
+    for (ReceivedReport report : reports.values()) {
+      oldest = Math.min(oldest, report.atNanos());
+    }
+    return nowNanos - oldest;
+  }
+
   private double scale() {
     return reports.isEmpty() ? 0 : Math.max(1, (double) others / reports.size());
   }
@@ -107,10 +139,12 @@
     ReplicaDemand before = totals.getOrDefault(demand.replica(), NO_DEMAND);
     int inFlight = before.inFlight() + sign * demand.inFlight();
     long pendingTokens = before.pendingTokens() + sign * demand.pendingTokens();
-    if (inFlight == 0 && pendingTokens == 0) {
+    ObservedWork work = before.work().plus(demand.work(), sign);
+    if (inFlight == 0 && pendingTokens == 0 && work.equals(ObservedWork.NONE)) {
       totals.remove(demand.replica());
     } else {
-      totals.put(demand.replica(), new ReplicaDemand(demand.replica(), inFlight, pendingTokens));
+      totals.put(
+          demand.replica(), new ReplicaDemand(demand.replica(), inFlight, pendingTokens, work));
     }
   }
 }
--- a/src/main/java/io/snipeloom/routing/ReplicaDemand.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaDemand.java
@@ -7,8 +7,10 @@
  * @param inFlight the number of requests, at least 0
  * @param pendingTokens the prompt tokens that the replica must process before the first events, at
  *     least 0
+ * @param work what the requests still cost and how fast the replica works, as far as it is known
  */
-public record ReplicaDemand(ReplicaId replica, int inFlight, long pendingTokens) {
+public record ReplicaDemand(
+    ReplicaId replica, int inFlight, long pendingTokens, ObservedWork work) {
 
   /** Checks the bounds. */
   public ReplicaDemand {
@@ -16,4 +18,9 @@
       throw new IllegalArgumentException("demand must not be negative");
     }
   }
+
+  /** Creates the demand of an instance that tells nothing of the work. */
+  public ReplicaDemand(ReplicaId replica, int inFlight, long pendingTokens) {
+    this(replica, inFlight, pendingTokens, ObservedWork.NONE);
+  }
 }
--- a/src/main/java/io/snipeloom/routing/ReplicaPicker.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaPicker.java
@@ -1,5 +1,6 @@
 package io.snipeloom.routing;
 
+import io.snipeloom.cost.RequestCost;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -62,6 +63,7 @@
   private final LimitShares limitShares;
   private final PeerDemand peers;
   private final Random random;
+  private final FleetCosts costs;
   private final PartPopularity popularity = new PartPopularity();
 
   /**
@@ -77,6 +79,12 @@
     this.limitShares = limitShares;
     this.peers = peers;
     this.random = random;
+    this.costs = new FleetCosts(peers);
+  }
+
+  /** Returns what was learned of the cost of requests and of the pace of replicas. */
+  public FleetCosts costs() {
+    return costs;
   }
 
   /** Returns the requests of the other instances, as far as they reported them. */
@@ -114,11 +122,34 @@
    */
   public Optional<ReplicaView> pick(
       Collection<ReplicaView> candidates, Prompt prompt, long nowNanos) {
+    RequestCost unknown = new RequestCost(prompt.inputTokens(), 0, 0);
+    return pick(candidates, prompt, unknown, 0, nowNanos);
+  }
+
+  /**
+   * Chooses a replica for a model request whose cost is estimated.
+   *
+   * @param candidates the replicas that accept requests
+   * @param prompt the prompt
+   * @param cost what the request is likely to cost
+   * @param targetGapMillis the pause between two events that callers expect at most, in
+   *     milliseconds; 0 if they expect none
+   * @param nowNanos the current time
+   * @return the replica, empty if there is no candidate that may receive another request
+   */
+  public Optional<ReplicaView> pick(
+      Collection<ReplicaView> candidates,
+      Prompt prompt,
+      RequestCost cost,
+      long targetGapMillis,
+      long nowNanos) {
     ReplicaView best = null;
     double bestScore = Double.MAX_VALUE;
     PartPlacement placement = placementOf(prompt, candidates, nowNanos);
-    for (ReplicaView candidate : eligible(candidates, nowNanos)) {
-      double score = score(candidate, prompt, placement, nowNanos);
+    Collection<ReplicaView> eligible = eligible(candidates, nowNanos);
+    WorkTerms terms = new WorkTerms(costs, eligible, cost, targetGapMillis, nowNanos);
+    for (ReplicaView candidate : eligible) {
+      double score = score(candidate, prompt, placement, terms, nowNanos);
       if (score < bestScore) {
         best = candidate;
         bestScore = score;
@@ -137,8 +168,10 @@
   public Optional<ReplicaView> pick(Collection<ReplicaView> candidates, long nowNanos) {
     ReplicaView best = null;
     double bestScore = Double.MAX_VALUE;
-    for (ReplicaView candidate : eligible(candidates, nowNanos)) {
-      double score = requestScore(candidate, nowNanos);
+    Collection<ReplicaView> eligible = eligible(candidates, nowNanos);
+    PaceComparison paces = new PaceComparison(eligible, nowNanos);
+    for (ReplicaView candidate : eligible) {
+      double score = requestScore(candidate, nowNanos) * paces.factor(candidate);
       if (score < bestScore) {
         best = candidate;
         bestScore = score;
@@ -188,16 +221,23 @@
   }
 
   private double score(
-      ReplicaView candidate, Prompt prompt, PartPlacement placement, long nowNanos) {
+      ReplicaView candidate,
+      Prompt prompt,
+      PartPlacement placement,
+      WorkTerms terms,
+      long nowNanos) {
     ReplicaLoad load = candidate.load();
-    double othersRunning =
-        Math.max(load.othersRunning(nowNanos), peers.inFlight(candidate.replica().id()));
-    double running = load.inFlight() + othersRunning;
-    return load.pendingPrefillTokens()
-        + (double) load.waiting(nowNanos) * WAITING_REQUEST_TOKENS
-        + running * RUNNING_REQUEST_TOKENS
-        + uncachedTokens(candidate, prompt, placement)
-        + peerAdjustment(candidate, prompt, placement)
+    long uncached = uncachedTokens(candidate, prompt, placement);
+    double work =
+        load.pendingPrefillTokens()
+            + (peers.isKnown() ? peers.pendingTokens(candidate.replica().id()) : 0)
+            + (double) load.waiting(nowNanos) * WAITING_REQUEST_TOKENS
+            + costs.running(candidate, nowNanos)
+                * Math.max(RUNNING_REQUEST_TOKENS, terms.runningRequestTokens(candidate))
+            + uncached;
+    return work * terms.pace(candidate)
+        + terms.displacedTokens(candidate, uncached)
+        + peerAdjustment(candidate, prompt, placement, terms.recomputedWeight())
         + candidate.health().errorShare() * ERROR_PENALTY_TOKENS
         + (candidate.replica().zone().equals(zone) ? 0 : CROSS_ZONE_TOKENS);
   }
@@ -218,12 +258,14 @@
   }
 
   /** Returns what the reports of other instances add to the score of a replica. */
-  private double peerAdjustment(ReplicaView candidate, Prompt prompt, PartPlacement placement) {
+  private double peerAdjustment(
+      ReplicaView candidate, Prompt prompt, PartPlacement placement, double recomputedWeight) {
     if (!peers.isKnown()) {
       return 0;
     }
-    return peers.pendingTokens(candidate.replica().id())
-        + RECOMPUTED_TOKEN_WEIGHT * recomputedTokens(candidate, prompt, placement)
+    return recomputedWeight
+            * RECOMPUTED_TOKEN_WEIGHT
+            * recomputedTokens(candidate, prompt, placement)
         - placementPreference(candidate, prompt, placement)
         + random.nextDouble() * SPREAD_TOKENS;
   }
--- a/src/main/java/io/snipeloom/routing/ReplicaView.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaView.java
@@ -9,6 +9,7 @@
  * @param prefixCache the prompt parts that are probably cached
  * @param limit the limit that it states
  * @param willingness what it said about taking further requests
+ * @param costs what requests cost it, and how fast it works
  */
 public record ReplicaView(
     Replica replica,
@@ -16,7 +17,8 @@
     ReplicaHealth health,
     PrefixCacheModel prefixCache,
     ReplicaLimit limit,
-    ReplicaWillingness willingness) {
+    ReplicaWillingness willingness,
+    ReplicaCosts costs) {
 
   /** The cache capacity assumed for a replica that serves no models. */
   private static final long NO_ENGINE_TOKENS = 1;
@@ -35,7 +37,8 @@
         new ReplicaHealth(),
         new PrefixCacheModel(tokens),
         new ReplicaLimit(replica.id()),
-        new ReplicaWillingness());
+        new ReplicaWillingness(),
+        ReplicaCosts.of(traits));
   }
 
   /**
@@ -53,6 +56,6 @@
    * @param newer the updated entry, of the same incarnation
    */
   public ReplicaView with(Replica newer) {
-    return new ReplicaView(newer, load, health, prefixCache, limit, willingness);
+    return new ReplicaView(newer, load, health, prefixCache, limit, willingness, costs);
   }
 }
--- a/src/main/java/io/snipeloom/routing/RequestMetadata.java
+++ b/src/main/java/io/snipeloom/routing/RequestMetadata.java
@@ -12,6 +12,7 @@
  * @param prompt the prompt of a model request; empty for other requests
  * @param lastEventId the last event that the caller received of a stream that it resumes
  * @param resumedAttempt the attempt that received the first event of that stream, if stated
+ * @param outputHint what the caller estimates for the output, in tokens, if stated
  */
 public record RequestMetadata(
     String attemptId,
@@ -19,4 +20,5 @@
     Optional<String> apiKey,
     Optional<Prompt> prompt,
     Optional<String> lastEventId,
-    Optional<String> resumedAttempt) {}
+    Optional<String> resumedAttempt,
+    OptionalLong outputHint) {}
--- a/src/main/java/io/snipeloom/routing/ResponseMetadata.java
+++ b/src/main/java/io/snipeloom/routing/ResponseMetadata.java
@@ -1,6 +1,7 @@
 package io.snipeloom.routing;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * The metadata in the headers of a response from a replica.
@@ -27,6 +28,8 @@
    *
    * @param running the number of requests being executed
    * @param waiting the number of requests queued at the replica
+   * @param pacePercent how long work takes on its host now, in percent of what is usual there, if
+   *     stated
    */
-  public record Load(int running, int waiting) {}
+  public record Load(int running, int waiting, OptionalInt pacePercent) {}
 }
--- a/src/test/java/io/snipeloom/platform/PlatformCodecTest.java
+++ b/src/test/java/io/snipeloom/platform/PlatformCodecTest.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -182,7 +183,7 @@
     HttpHeaders headers = new DefaultHttpHeaders().set("Snipeloom-Replica-Load", "3,0,8");
     assertThat(
         codec.responseMetadata(200, headers).load(),
-        is(Optional.of(new ResponseMetadata.Load(3, 0))));
+        is(Optional.of(new ResponseMetadata.Load(3, 0, OptionalInt.empty()))));
   }
 
   @Test
