--- a/src/main/java/io/snipeloom/forwarding/ReplicaChoice.java
+++ b/src/main/java/io/snipeloom/forwarding/ReplicaChoice.java
@@ -62,7 +62,16 @@
         request
             .metadata()
             .prompt()
-            .map(prompt -> fleet.picker().pick(withRoom, prompt, nowNanos))
+            .map(
+                prompt ->
+                    fleet
+                        .picker()
+                        .pick(
+                            withRoom,
+                            prompt,
+                            fleet.costOf(request),
+                            request.route().targetGapMillis(),
+                            nowNanos))
             .orElseGet(() -> fleet.picker().pick(withRoom, nowNanos));
     if (picked.isEmpty()) {
       return lack(candidates, nowNanos);
