--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -161,6 +161,7 @@
             this::newRetryAllowance,
             new PlacementRules(settings.places()),
             settings.coldStart());
+    metrics.registry().gauge("cold_replicas", () -> fleet::coldReplicas);
     this.configurationFeed = new ConfigurationFeed(fleet, log, this::onStoreOutcome);
     this.convictionFeed = new ConvictionFeed(fleet.crashes(), settings.instance(), log);
     this.proxyServer = new ProxyServer(loop, fleet, log, metrics);
--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -229,7 +229,7 @@
   private boolean maySend() {
     long nowNanos = System.nanoTime();
     view.limit().onReached(nowNanos);
-    return fleet.isAvailable(view) && owner.mayGoTo(view) && fleet.picker().trySend(view, nowNanos);
+    return owner.mayGoTo(view) && fleet.isAvailable(view) && fleet.picker().trySend(view, nowNanos);
   }
 
   private void onConnectFailed(String reason) {
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -306,9 +306,13 @@
 
   @Override
   public boolean mayGoTo(ReplicaView view) {
+    if (!fleet.placement().isInService(view.replica())) {
+      metrics.count("moved_for_evacuation");
+      return false;
+    }
     boolean atHome = ReplicaChoice.isAtHome(view, fleet, routed);
     if (!atHome) {
-      metrics.count("homes_changed");
+      metrics.count("moved_for_homes");
     }
     return atHome;
   }
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -317,6 +317,13 @@
     return returning.size();
   }
 
+  /** Returns the number of replicas that count as cold. */
+  public int coldReplicas() {
+    long nowNanos = System.nanoTime();
+    return (int)
+        views.values().stream().filter(view -> view.limit().coldMillis(nowNanos) > 0).count();
+  }
+
   private ColdStart coldStartOf(Replica replica) {
     ColdStart configured =
         Optional.ofNullable(configuration)
