Tokens of instances that lost power are inherited by the clocks of the fleet

Acknowledgements of demand reports carry the time of day. A report allows one or two requests and the rate, and only after 2.5 s (1.2 s before) the allowance of an outage. Claims ahead begin with the first report. A holder lends a borrower what its request lacks.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -22,6 +22,7 @@
 import io.snipeloom.routing.RetryAllowance;
 import io.snipeloom.spend.ClaimPolicy;
 import io.snipeloom.spend.CustomerHolders;
+import io.snipeloom.spend.FleetClock;
 import io.snipeloom.spend.MachineClock;
 import io.snipeloom.spend.SpendControl;
 import io.snipeloom.store.KeyedConvictions;
@@ -131,12 +132,15 @@
     this.timer = new LoopTimer(loop, log);
     this.store = new PlatformStore(new AsyncHttpClient(loop, settings.store()));
     this.loanClient = new LoanClient(loop, new Random());
-    this.demandSender = new DemandSender(loop, settings.instance());
+    FleetClock fleetClock = new FleetClock(settings.instance(), EdgeDaemon::wallOffsetMillis);
+    this.demandSender = new DemandSender(loop, settings.instance(), fleetClock::onResponse);
     long startNanos = System.nanoTime();
     SpendControl spend =
         new SpendControl(
             incarnation,
-            MachineClock.of(boot, System.currentTimeMillis(), startNanos),
+            new MachineClock(boot, wallOffsetMillis()),
+            settings.callers().getAddress().getHostAddress(),
+            fleetClock,
             startNanos,
             new KeyedLedger(store, LEDGER_TOPIC),
             new KeyedUsage(store, USAGE_TOPIC, settings.instance(), settings.storePartitions()),
@@ -169,11 +173,26 @@
     return new EdgeDaemon(settings, incarnation, boot, log);
   }
 
+  private static long wallOffsetMillis() {
+    return System.currentTimeMillis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
   /** Opens the listeners and starts to serve callers. */
   public void start() {
     log.start();
     startNanos = System.nanoTime();
-    log.log("start", "instance", settings.instance(), "incarnation", incarnation, "boot", boot);
+    log.log(
+        "start",
+        "instance",
+        settings.instance(),
+        "incarnation",
+        incarnation,
+        "boot",
+        boot,
+        "monotonic_ms",
+        TimeUnit.NANOSECONDS.toMillis(startNanos),
+        "wall_ms",
+        System.currentTimeMillis());
     new OperationsServer(loop, this::readiness).start(settings.readiness());
     new OperationsServer(loop, this::metricsText).start(settings.metrics());
     new PeerServer(loop, fleet.spend(), this::onPeerDemand, log).start(settings.loans());
--- a/src/main/java/io/snipeloom/edge/SpendEventLogger.java
+++ b/src/main/java/io/snipeloom/edge/SpendEventLogger.java
@@ -52,15 +52,15 @@
   }
 
   @Override
-  public void onPredecessor(String writer, long ageNanos, boolean sameClock) {
+  public void onPredecessor(String writer, long ageNanos, ElapsedBy by) {
     log.log(
         "predecessor",
         "incarnation",
         writer,
         "report_age_ms",
         TimeUnit.NANOSECONDS.toMillis(ageNanos),
-        "same_clock",
-        sameClock);
+        "known_by",
+        by);
   }
 
   @Override
--- a/src/main/java/io/snipeloom/peer/DemandConnection.java
+++ b/src/main/java/io/snipeloom/peer/DemandConnection.java
@@ -9,6 +9,8 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.snipeloom.routing.DemandReport;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /**
  * The connection on which this instance tells one other instance of its requests. A report that
@@ -25,16 +27,29 @@
   /** The delay before a closed connection is opened again. */
   private static final long RECONNECT_DELAY_NANOS = 1_000_000_000L;
 
+  /** The most reports whose sending time is kept until they are acknowledged. */
+  private static final int MAX_UNACKNOWLEDGED = 64;
+
   private final EventLoop loop;
   private final InetSocketAddress address;
+  private final ClockListener clockListener;
+  private final Map<Long, Long> sentNanos = new LinkedHashMap<>();
   private Channel channel;
   private long openedNanos = Long.MIN_VALUE / 2;
   private long acknowledgedNanos;
   private long sequence;
 
-  DemandConnection(EventLoop loop, InetSocketAddress address) {
+  /** Receives the time of day of the other instance. */
+  interface ClockListener {
+
+    /** Called with a time of day that was read between two monotonic times. */
+    void onResponse(long wallMillis, long sentNanos, long receivedNanos);
+  }
+
+  DemandConnection(EventLoop loop, InetSocketAddress address, ClockListener clockListener) {
     this.loop = loop;
     this.address = address;
+    this.clockListener = clockListener;
   }
 
   InetSocketAddress address() {
@@ -52,7 +67,11 @@
       return;
     }
     if (channel.isActive() && channel.isWritable()) {
-      ChannelFuture unused = PeerFrames.send(channel, new DemandMessage.Report(++sequence, report));
+      sequence++;
+      if (sentNanos.size() < MAX_UNACKNOWLEDGED) {
+        sentNanos.put(sequence, System.nanoTime());
+      }
+      ChannelFuture unused = PeerFrames.send(channel, new DemandMessage.Report(sequence, report));
     }
   }
 
@@ -72,6 +91,7 @@
     openedNanos = nowNanos;
     acknowledgedNanos = nowNanos;
     sequence = 0;
+    sentNanos.clear();
     ChannelFuture connecting =
         new Bootstrap()
             .group(loop)
@@ -99,8 +119,13 @@
   }
 
   private void onMessage(Channel source, PeerMessage message) {
-    if (source == channel && message instanceof DemandMessage.Acknowledgement) {
+    if (source == channel && message instanceof DemandMessage.Acknowledgement acknowledgement) {
       acknowledgedNanos = System.nanoTime();
+      Long sent = sentNanos.get(acknowledgement.sequence());
+      sentNanos.keySet().removeIf(number -> number <= acknowledgement.sequence());
+      if (sent != null) {
+        clockListener.onResponse(acknowledgement.wallMillis(), sent, acknowledgedNanos);
+      }
     }
   }
 
--- a/src/main/java/io/snipeloom/peer/DemandMessage.java
+++ b/src/main/java/io/snipeloom/peer/DemandMessage.java
@@ -17,7 +17,7 @@
 /** A message by which an instance tells another one of its unfinished requests. */
 sealed interface DemandMessage extends PeerMessage {
   /** The version of the encoding, which no other message between instances uses. */
-  int VERSION = 2;
+  int VERSION = 3;
 
   /** The most entries of a list in a report; a longer list is malformed. */
   int MAX_ENTRIES = 1_024;
@@ -41,8 +41,9 @@
    * Acknowledges all reports up to one.
    *
    * @param sequence the number of that report
+   * @param wallMillis the time of day of the instance that acknowledges it
    */
-  record Acknowledgement(long sequence) implements DemandMessage {}
+  record Acknowledgement(long sequence, long wallMillis) implements DemandMessage {}
 
   @Override
   default byte[] toBytes() {
@@ -51,8 +52,8 @@
       if (this instanceof Report told) {
         packer.packBoolean(true);
         pack(packer, told.report());
-      } else {
-        packer.packBoolean(false);
+      } else if (this instanceof Acknowledgement acknowledgement) {
+        packer.packBoolean(false).packLong(acknowledgement.wallMillis());
       }
       return packer.toByteArray();
     } catch (IOException e) {
@@ -93,7 +94,7 @@
       long sequence = unpacker.unpackLong();
       return unpacker.unpackBoolean()
           ? new Report(sequence, report(unpacker))
-          : new Acknowledgement(sequence);
+          : new Acknowledgement(sequence, unpacker.unpackLong());
     } catch (IOException | RuntimeException e) {
       throw SnipeloomException.of(ErrorCode.MALFORMED_FRAME, "cannot decode demand message")
           .withCause(e);
--- a/src/main/java/io/snipeloom/peer/DemandSender.java
+++ b/src/main/java/io/snipeloom/peer/DemandSender.java
@@ -25,17 +25,34 @@
 
   private final EventLoop loop;
   private final String instance;
+  private final ClockListener clockListener;
   private final Map<String, DemandConnection> connections = new HashMap<>();
 
+  /** Receives the times of day of other instances. */
+  public interface ClockListener {
+
+    /**
+     * Called when another instance has acknowledged a report.
+     *
+     * @param other the name of the other instance
+     * @param wallMillis its time of day
+     * @param sentNanos the monotonic time at which the report was sent
+     * @param receivedNanos the monotonic time at which the acknowledgement was received
+     */
+    void onResponse(String other, long wallMillis, long sentNanos, long receivedNanos);
+  }
+
   /**
    * Creates a sender that knows no other instances yet.
    *
    * @param loop the event loop of the connections
    * @param instance the name of this instance
+   * @param clockListener receives the times of day of the other instances
    */
-  public DemandSender(EventLoop loop, String instance) {
+  public DemandSender(EventLoop loop, String instance, ClockListener clockListener) {
     this.loop = loop;
     this.instance = instance;
+    this.clockListener = clockListener;
   }
 
   /**
@@ -51,7 +68,7 @@
     for (String name : chosen) {
       DemandConnection previous = connections.get(name);
       if (previous == null || !previous.address().equals(addresses.get(name))) {
-        connections.put(name, new DemandConnection(loop, addresses.get(name)));
+        connections.put(name, connectionTo(name, addresses.get(name)));
         if (previous != null) {
           previous.close();
         }
@@ -59,6 +76,14 @@
     }
   }
 
+  private DemandConnection connectionTo(String name, InetSocketAddress address) {
+    return new DemandConnection(
+        loop,
+        address,
+        (wallMillis, sentNanos, receivedNanos) ->
+            clockListener.onResponse(name, wallMillis, sentNanos, receivedNanos));
+  }
+
   private List<String> receivers(Map<String, InetSocketAddress> addresses) {
     return addresses.keySet().stream()
         .sorted(Comparator.comparingLong(name -> RendezvousHash.weightOf(name, instance)))
--- a/src/main/java/io/snipeloom/peer/PeerServer.java
+++ b/src/main/java/io/snipeloom/peer/PeerServer.java
@@ -84,8 +84,10 @@
   }
 
   private static void acknowledge(Channel channel, long sequence) {
-    if (sequence % REPORTS_PER_ACKNOWLEDGEMENT == 0) {
-      ChannelFuture unused = PeerFrames.send(channel, new DemandMessage.Acknowledgement(sequence));
+    if (sequence == 1 || sequence % REPORTS_PER_ACKNOWLEDGEMENT == 0) {
+      ChannelFuture unused =
+          PeerFrames.send(
+              channel, new DemandMessage.Acknowledgement(sequence, System.currentTimeMillis()));
     }
   }
 
--- a/src/main/java/io/snipeloom/spend/ClaimRole.java
+++ b/src/main/java/io/snipeloom/spend/ClaimRole.java
@@ -15,13 +15,18 @@
     }
 
     @Override
-    long burst(long usualTokens, long available) {
+    long burst(long usualTokens, long available, double claimShare) {
       return Math.min(usualTokens, available / MAX_BURST_DIVISOR);
     }
 
     @Override
-    long loan(long wantedTokens, long available) {
-      return Math.min(wantedTokens, available / SCARCE_LOAN_DIVISOR);
+    double steady(double ownTokensPerSecond, double fleetTokensPerSecond, double claimShare) {
+      return ownTokensPerSecond;
+    }
+
+    @Override
+    long loan(LoanRequest request, long available) {
+      return Math.min(request.wantedTokens(), available / SCARCE_LOAN_DIVISOR);
     }
   },
   /** Claims ahead for the requests of all instances, with the other holders. */
@@ -36,15 +41,21 @@
       return Math.max(ownTokensPerSecond, fleetTokensPerSecond / CustomerHolders.HOLDERS);
     }
 
-    /** In an outage all instances come at once, so the burst does not depend on own requests. */
+    /** In an outage the requests of all instances come at once, as loans. */
     @Override
-    long burst(long usualTokens, long available) {
-      return available / HOLDER_BURST_DIVISOR;
+    long burst(long usualTokens, long available, double claimShare) {
+      return EVEN.burst(HOLDER_BURSTS * usualTokens, available, claimShare);
     }
 
     @Override
-    long loan(long wantedTokens, long available) {
-      return Math.min(wantedTokens, available);
+    double steady(double ownTokensPerSecond, double fleetTokensPerSecond, double claimShare) {
+      return demand(ownTokensPerSecond, fleetTokensPerSecond);
+    }
+
+    /** All borrowers come at once in an outage, so none gets more than its request needs. */
+    @Override
+    long loan(LoanRequest request, long available) {
+      return Math.min(request.missingTokens(), available);
     }
   },
   /** Claims ahead only if most requests of the customer arrive here. */
@@ -59,14 +70,20 @@
       return ownTokensPerSecond;
     }
 
+    /** What is left of earlier claims stays unused, so that it is not lost with the instance. */
+    @Override
+    long burst(long usualTokens, long available, double claimShare) {
+      return claimShare > MAJORITY ? EVEN.burst(usualTokens, available, claimShare) : 0;
+    }
+
     @Override
-    long burst(long usualTokens, long available) {
-      return EVEN.burst(usualTokens, available);
+    double steady(double ownTokensPerSecond, double fleetTokensPerSecond, double claimShare) {
+      return claimShare > MAJORITY ? ownTokensPerSecond : 0;
     }
 
     @Override
-    long loan(long wantedTokens, long available) {
-      return EVEN.loan(wantedTokens, available);
+    long loan(LoanRequest request, long available) {
+      return EVEN.loan(request, available);
     }
   };
 
@@ -79,8 +96,8 @@
   /** The burst of an instance is at most its available tokens divided by this number. */
   private static final int MAX_BURST_DIVISOR = 3;
 
-  /** The burst of a holder is its available tokens divided by this number. */
-  private static final int HOLDER_BURST_DIVISOR = 2;
+  /** The burst of a holder, as a multiple of that of an instance that claims for itself. */
+  private static final int HOLDER_BURSTS = 2;
 
   /**
    * While the lender cannot claim more tokens, it lends at most its available tokens divided by
@@ -109,14 +126,25 @@
    *
    * @param usualTokens what a few requests of the usual size need
    * @param available the available tokens
+   * @param claimShare its share in the recent claims
+   */
+  abstract long burst(long usualTokens, long available, double claimShare);
+
+  /**
+   * Returns the further tokens that a usage report allows to be used for each second. Tokens that
+   * are claimed or borrowed after the report are allowed besides.
+   *
+   * @param ownTokensPerSecond its own recent use
+   * @param fleetTokensPerSecond the recent claims of all instances
+   * @param claimShare its share in the recent claims
    */
-  abstract long burst(long usualTokens, long available);
+  abstract double steady(double ownTokensPerSecond, double fleetTokensPerSecond, double claimShare);
 
   /**
    * Returns the tokens that are lent while they cannot be replaced by a claim.
    *
-   * @param wantedTokens the tokens that the borrower wants
+   * @param request what the borrower needs and wants
    * @param available the available tokens
    */
-  abstract long loan(long wantedTokens, long available);
+  abstract long loan(LoanRequest request, long available);
 }
--- a/src/main/java/io/snipeloom/spend/CustomerAccount.java
+++ b/src/main/java/io/snipeloom/spend/CustomerAccount.java
@@ -19,18 +19,12 @@
  * thread-safe.
  */
 final class CustomerAccount {
-  /**
-   * The burst allowance in a usage report, as a multiple of the mean request size. Prompt sizes
-   * vary widely, and most prompts are smaller than this multiple of the mean.
-   */
-  private static final int BURST_MEAN_REQUESTS = 2;
+  /** The burst allowance in a usage report, as a multiple of the mean request size. */
+  private static final int BURST_MEAN_REQUESTS = 1;
 
   /** The time in which all available tokens may be used during an outage of the store. */
   private static final double OUTAGE_SPEND_SECONDS = 5;
 
-  /** A new request contributes one part in this number to the moving mean request size. */
-  private static final int MEAN_WINDOW_REQUESTS = 8;
-
   /** The time after the first grant, such as after a restart, before the usage rate is reliable. */
   private static final long RATE_LEARNING_NANOS = 5_000_000_000L;
 
@@ -39,6 +33,7 @@
 
   private final CustomerId customer;
   private final SpendRate rate = new SpendRate();
+  private final RequestSize requestSize = new RequestSize();
   private final SpendRate ownClaims = new SpendRate();
   private final SpendRate otherClaims = new SpendRate();
   private final RecentClaims recentClaims = new RecentClaims();
@@ -52,7 +47,6 @@
   private long pendingReturn;
   private long returned;
   private long lent;
-  private long meanRequestTokens;
   private UsageLimit confirmed;
   private UsageLimit pending;
   private long firstGrantNanos;
@@ -120,6 +114,9 @@
     if (tokens > 0) {
       (own ? ownClaims : otherClaims).add(tokens, nowNanos);
     }
+    if (tokens > 0 && !own && role == ClaimRole.HOLDER) {
+      requestSize.add(tokens);
+    }
   }
 
   /** Returns whether the usage rate has been observed for long enough to estimate the need. */
@@ -152,7 +149,7 @@
     }
     available -= tokens;
     reserved += tokens;
-    meanRequestTokens += (tokens - meanRequestTokens) / MEAN_WINDOW_REQUESTS;
+    requestSize.add(tokens);
     rate.add(tokens, nowNanos);
     checkBalance();
     return true;
@@ -279,8 +276,12 @@
    * @param inherited the tokens that will be inherited once the report is written
    */
   UsageReport.CustomerUsage usage(long nowNanos, long inherited) {
-    long burst = role.burst(BURST_MEAN_REQUESTS * meanRequestTokens, available) + waitingTokens();
-    long perSecond = Math.max(0, (long) rate.tokensPerSecond(nowNanos));
+    double claimShare = claimShare(nowNanos);
+    long usual = BURST_MEAN_REQUESTS * requestSize.meanTokens();
+    long burst = role.burst(usual, available, claimShare) + waitingTokens();
+    double steady =
+        role.steady(tokensPerSecond(nowNanos), fleetTokensPerSecond(nowNanos), claimShare);
+    long perSecond = Math.max(0, (long) steady);
     long perOutageSecond = (long) (available / OUTAGE_SPEND_SECONDS);
     return new UsageReport.CustomerUsage(
         customer, granted + inherited, used() + pendingReturn, burst, perSecond, perOutageSecond);
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -411,7 +411,10 @@
     if (returned > 0) {
       return -returned;
     }
-    long claimAhead = policy.isLow(account.available(), target) ? target - account.available() : 0;
+    long claimAhead =
+        usageReporter.isReporting() && policy.isLow(account.available(), target)
+            ? target - account.available()
+            : 0;
     long missing = account.missingTokens();
     if (missing > unclaimed) {
       return 0;
--- a/src/main/java/io/snipeloom/spend/LoanPolicy.java
+++ b/src/main/java/io/snipeloom/spend/LoanPolicy.java
@@ -21,8 +21,6 @@
    * @param refillable whether the lender can replace the tokens by a claim from the ledger
    */
   static long lent(ClaimRole role, LoanRequest request, long available, boolean refillable) {
-    return refillable
-        ? Math.min(request.wantedTokens(), available)
-        : role.loan(request.wantedTokens(), available);
+    return refillable ? Math.min(request.wantedTokens(), available) : role.loan(request, available);
   }
 }
--- a/src/main/java/io/snipeloom/spend/SpendControl.java
+++ b/src/main/java/io/snipeloom/spend/SpendControl.java
@@ -32,6 +32,9 @@
    *
    * @param writer the name of this incarnation; must never be used by another incarnation
    * @param clock the monotonic clock of the machine, to which all times in nanoseconds refer
+   * @param machine identifies the machine, whose processes have ended before another one of this
+   *     instance starts on it; empty if unknown
+   * @param fleetClock the clocks of the other instances, which bound the time of a loss of power
    * @param startNanos a time after the previous incarnation of this instance ended
    * @param store the ledger
    * @param usage the usage reports of this instance
@@ -43,6 +46,8 @@
   public SpendControl(
       String writer,
       MachineClock clock,
+      String machine,
+      FleetClock fleetClock,
       long startNanos,
       LedgerStore store,
       UsageStore usage,
@@ -58,7 +63,15 @@
     this.events = events;
     this.usageReporter =
         new UsageReporter(
-            writer, clock, startNanos, usage, events, accounts.values(), this::grantInherited);
+            writer,
+            clock,
+            machine,
+            fleetClock,
+            startNanos,
+            usage,
+            events,
+            accounts.values(),
+            this::grantInherited);
   }
 
   /**
--- a/src/main/java/io/snipeloom/spend/SpendEvents.java
+++ b/src/main/java/io/snipeloom/spend/SpendEvents.java
@@ -54,10 +54,19 @@
    * The last usage report of the previous incarnation was read.
    *
    * @param writer the name of the previous incarnation
-   * @param ageNanos the age of the report at the start of this incarnation; meaningful only if
-   *     {@code sameClock} is true
-   * @param sameClock whether the report refers to the same clock; if false, its age is unknown and
-   *     nothing is inherited
+   * @param ageNanos the most that the report can have been old at the start of this incarnation;
+   *     meaningful only if it is known
+   * @param by how the age is known; if it is unknown, nothing is inherited
    */
-  void onPredecessor(String writer, long ageNanos, boolean sameClock);
+  void onPredecessor(String writer, long ageNanos, ElapsedBy by);
+
+  /** How the age of a usage report of the previous incarnation is known. */
+  enum ElapsedBy {
+    /** Both incarnations read the same monotonic clock. */
+    MONOTONIC_CLOCK,
+    /** The clocks of the fleet bound it, since the machine has lost power. */
+    FLEET_CLOCK,
+    /** It is unknown. */
+    UNKNOWN
+  }
 }
--- a/src/main/java/io/snipeloom/spend/UsageReport.java
+++ b/src/main/java/io/snipeloom/spend/UsageReport.java
@@ -24,6 +24,9 @@
  * @param clock the monotonic clock of the machine
  * @param nanos the monotonic time of the report
  * @param era the era of the store in which it was made; in a later one it may not be the last
+ * @param machine the machine of the writer, whose processes ended before a later one starts; empty
+ *     if unknown
+ * @param readings what the clocks of the fleet had certainly reached at the time of the report
  * @param usages the usage of each customer
  */
 public record UsageReport(
@@ -32,8 +35,11 @@
     MachineClock clock,
     long nanos,
     long era,
+    String machine,
+    List<ClockReading> readings,
     List<CustomerUsage> usages) {
-  private static final int FIELDS = 7;
+  private static final int FIELDS = 9;
+  private static final int READING_FIELDS = 2;
   private static final int USAGE_FIELDS = 6;
   private static final double NANOS_PER_SECOND = 1e9;
 
@@ -42,10 +48,11 @@
    * instance is back sooner, so it loses little of what the previous incarnation held. A live
    * writer that could not report for this long is in an outage of the store.
    */
-  private static final long OUTAGE_THRESHOLD_NANOS = 1_200_000_000L;
+  private static final long OUTAGE_THRESHOLD_NANOS = 2_500_000_000L;
 
-  /** Makes an immutable copy of the usages. */
+  /** Makes immutable copies of the lists. */
   public UsageReport {
+    readings = List.copyOf(readings);
     usages = List.copyOf(usages);
   }
 
@@ -100,7 +107,13 @@
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packArrayHeader(FIELDS).packString(writer).packLong(sequence);
       packer.packString(clock.boot()).packLong(clock.wallOffsetMillis());
-      packer.packLong(nanos).packLong(era).packArrayHeader(usages.size());
+      packer.packLong(nanos).packLong(era).packString(machine);
+      packer.packArrayHeader(readings.size());
+      for (ClockReading reading : readings) {
+        packer.packArrayHeader(READING_FIELDS).packString(reading.instance());
+        packer.packLong(reading.wallMillis());
+      }
+      packer.packArrayHeader(usages.size());
       for (CustomerUsage usage : usages) {
         packer.packArrayHeader(USAGE_FIELDS).packString(usage.customer().value());
         packer.packLong(usage.grantedTokens()).packLong(usage.usedTokens());
@@ -130,18 +143,31 @@
       MachineClock clock = new MachineClock(unpacker.unpackString(), unpacker.unpackLong());
       long nanos = unpacker.unpackLong();
       long era = unpacker.unpackLong();
+      String machine = unpacker.unpackString();
+      List<ClockReading> readings = new ArrayList<>();
+      int readingCount = unpacker.unpackArrayHeader();
+      for (int i = 0; i < readingCount; i++) {
+        readings.add(parseReading(unpacker));
+      }
       int count = unpacker.unpackArrayHeader();
       List<CustomerUsage> usages = new ArrayList<>();
       for (int i = 0; i < count; i++) {
         usages.add(parseUsage(unpacker));
       }
-      return new UsageReport(writer, sequence, clock, nanos, era, usages);
+      return new UsageReport(writer, sequence, clock, nanos, era, machine, readings, usages);
     } catch (IOException | RuntimeException e) {
       throw SnipeloomException.of(ErrorCode.MALFORMED_RECORD, "usage report cannot be decoded")
           .withCause(e);
     }
   }
 
+  private static ClockReading parseReading(MessageUnpacker unpacker) throws IOException {
+    if (unpacker.unpackArrayHeader() != READING_FIELDS) {
+      throw new IOException("wrong number of fields in a reading of a clock");
+    }
+    return new ClockReading(unpacker.unpackString(), unpacker.unpackLong());
+  }
+
   private static CustomerUsage parseUsage(MessageUnpacker unpacker) throws IOException {
     if (unpacker.unpackArrayHeader() != USAGE_FIELDS) {
       throw new IOException("wrong number of fields in the usage of a customer");
--- a/src/main/java/io/snipeloom/spend/UsageReporter.java
+++ b/src/main/java/io/snipeloom/spend/UsageReporter.java
@@ -30,8 +30,16 @@
 
   private static final long RETRY_DELAY_NANOS = 150_000_000L;
 
+  /**
+   * How long the first report waits for the clocks of other instances, which start at the same time
+   * after a loss of power.
+   */
+  private static final long CLOCKS_TIMEOUT_NANOS = 4_000_000_000L;
+
   private final String writer;
   private final MachineClock clock;
+  private final String machine;
+  private final FleetClock fleetClock;
   private final long startNanos;
   private final UsageStore store;
   private final SpendEvents events;
@@ -46,6 +54,10 @@
   private long pausedUntilNanos = Long.MIN_VALUE / 2;
   private long lastReportNanos = Long.MIN_VALUE / 2;
   private UsageReport pendingReport;
+
+  /** The last report of the previous incarnation while it is not known how old it is. */
+  private UsageReport predecessor;
+
   private Map<CustomerId, Long> inherited = new LinkedHashMap<>();
 
   /** Receives the tokens that are inherited from the previous incarnation. */
@@ -58,6 +70,8 @@
   UsageReporter(
       String writer,
       MachineClock clock,
+      String machine,
+      FleetClock fleetClock,
       long startNanos,
       UsageStore store,
       SpendEvents events,
@@ -65,6 +79,8 @@
       InheritanceListener inheritanceListener) {
     this.writer = writer;
     this.clock = clock;
+    this.machine = machine;
+    this.fleetClock = fleetClock;
     this.startNanos = startNanos;
     this.store = store;
     this.events = events;
@@ -77,6 +93,14 @@
     urgent = true;
   }
 
+  /**
+   * Returns whether a report of this incarnation is known to be written. Before that nothing tells
+   * a later incarnation of tokens that this one claims, and more may be inherited.
+   */
+  boolean isReporting() {
+    return sequence > 0;
+  }
+
   boolean isSettled() {
     return !callInProgress && pendingReport == null && !urgent;
   }
@@ -93,6 +117,9 @@
       readNewest(nowNanos);
       return;
     }
+    if (predecessor != null && !determineInheritance(nowNanos)) {
+      return;
+    }
     long interval = urgent ? URGENT_REPORT_INTERVAL_NANOS : REPORT_INTERVAL_NANOS;
     if (pendingReport == null && nowNanos - lastReportNanos >= interval) {
       pendingReport = createReport(nowNanos);
@@ -138,29 +165,60 @@
       discardPendingReport();
     }
     if (sequence == 0 && !own) {
-      inherited = report.map(this::unusedOf).orElse(inherited);
+      predecessor = report.orElse(null);
+      inherited = new LinkedHashMap<>();
     }
     startCallIfDue(nowNanos);
   }
 
   /**
-   * Returns the tokens that the previous incarnation certainly left unused. It had ended when this
-   * one started, so its usage is bounded by its report and the time from then to the start.
+   * Determines what the previous incarnation certainly left unused. It had ended when this one
+   * started, so its usage is bounded by its report and the time from then to the start.
+   *
+   * @return false if the time is not known yet and may be known soon
    */
-  private Map<CustomerId, Long> unusedOf(UsageReport predecessor) {
+  private boolean determineInheritance(long nowNanos) {
     boolean sameClock = predecessor.clock().isSame(clock) && startNanos >= predecessor.nanos();
-    long elapsedNanos = clock.maxElapsedNanos(predecessor.clock(), predecessor.nanos(), startNanos);
-    events.onPredecessor(predecessor.writer(), elapsedNanos, sameClock);
-    Map<CustomerId, Long> unused = new LinkedHashMap<>();
-    if (sameClock && predecessor.era() == era) {
+    if (sameClock) {
+      inherit(clock.maxElapsedNanos(predecessor.clock(), predecessor.nanos(), startNanos), true);
+      return true;
+    }
+    boolean sameMachine = !machine.isEmpty() && machine.equals(predecessor.machine());
+    List<ClockReading> readings = sameMachine ? predecessor.readings() : List.of();
+    boolean waits = nowNanos - startNanos < CLOCKS_TIMEOUT_NANOS;
+    if (waits && readings.size() >= FleetClock.MIN_CLOCKS && !areMostKnown(readings)) {
+      return false;
+    }
+    fleetClock
+        .maxElapsedNanos(readings, startNanos)
+        .ifPresentOrElse(elapsedNanos -> inherit(elapsedNanos, false), this::inheritNothing);
+    return true;
+  }
+
+  private boolean areMostKnown(List<ClockReading> readings) {
+    int known = fleetClock.known(readings);
+    return known >= FleetClock.MIN_CLOCKS && known * 2 > readings.size();
+  }
+
+  private void inheritNothing() {
+    events.onPredecessor(predecessor.writer(), 0, SpendEvents.ElapsedBy.UNKNOWN);
+    predecessor = null;
+  }
+
+  private void inherit(long elapsedNanos, boolean sameClock) {
+    events.onPredecessor(
+        predecessor.writer(),
+        elapsedNanos,
+        sameClock ? SpendEvents.ElapsedBy.MONOTONIC_CLOCK : SpendEvents.ElapsedBy.FLEET_CLOCK);
+    if (predecessor.era() == era) {
       for (UsageReport.CustomerUsage usage : predecessor.usages()) {
         long tokens = usage.unused(elapsedNanos);
         if (tokens > 0) {
-          unused.put(usage.customer(), tokens);
+          inherited.put(usage.customer(), tokens);
         }
       }
     }
-    return unused;
+    predecessor = null;
   }
 
   private void append(long nowNanos) {
@@ -207,7 +265,16 @@
         });
     urgent = false;
     lastReportNanos = nowNanos;
-    UsageReport report = new UsageReport(writer, sequence + 1, clock, nowNanos, era, usages);
+    UsageReport report =
+        new UsageReport(
+            writer,
+            sequence + 1,
+            clock,
+            nowNanos,
+            era,
+            machine,
+            fleetClock.reachedAt(nowNanos),
+            usages);
     accounts.forEach(account -> account.onReportPending(report));
     return report;
   }
--- a/src/test/java/io/snipeloom/spend/ScheduledLedgerStore.java
+++ b/src/test/java/io/snipeloom/spend/ScheduledLedgerStore.java
@@ -49,6 +49,8 @@
         report.clock(),
         report.nanos(),
         report.era(),
+        report.machine(),
+        report.readings(),
         report.usages().stream()
             .map(
                 usage ->
