A loan that is requested while its connection opens is sent

Cause: LoanConnection wrote a second request to a channel that was not connected yet; the write failed unseen, and the request got 0 tokens only when the connection counted as dead. Requests that were made meanwhile are now sent, in order, once it is open. LoanClientTest.requestsMadeWhileTheConnectionOpensAreAllSent timed out after 5 s before the change, and passes (10 tests of the class passed).

--- a/src/main/java/io/snipeloom/peer/LoanConnection.java
+++ b/src/main/java/io/snipeloom/peer/LoanConnection.java
@@ -37,7 +37,8 @@
   private Channel channel;
   private long lastCorrelationId;
 
-  private record PendingRequest(long sentNanos, LongConsumer listener) {}
+  private record PendingRequest(
+      LoanMessage.Request message, long sentNanos, LongConsumer listener) {}
 
   LoanConnection(EventLoop loop, InetSocketAddress address) {
     this.loop = loop;
@@ -60,11 +61,12 @@
       close();
     }
     long id = ++lastCorrelationId;
-    pending.put(id, new PendingRequest(System.nanoTime(), listener));
+    LoanMessage.Request message = new LoanMessage.Request(id, request);
+    pending.put(id, new PendingRequest(message, System.nanoTime(), listener));
     if (channel == null) {
-      connect(new LoanMessage.Request(id, request));
-    } else {
-      send(new LoanMessage.Request(id, request));
+      connect();
+    } else if (channel.isActive()) {
+      send(message);
     }
   }
 
@@ -83,7 +85,7 @@
         && System.nanoTime() - pending.values().iterator().next().sentNanos() > UNRESPONSIVE_NANOS;
   }
 
-  private void connect(LoanMessage.Request first) {
+  private void connect() {
     ChannelFuture connecting =
         new Bootstrap()
             .group(loop)
@@ -103,19 +105,24 @@
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
-            send(first);
+            sendPending(connecting.channel());
           } else {
             onClosed(connecting.channel());
           }
         });
   }
 
-  private void send(LoanMessage.Request request) {
-    if (channel != null) {
-      ChannelFuture unused = PeerFrames.send(channel, request);
+  /** Sends the requests that were made while the connection was opened. */
+  private void sendPending(Channel opened) {
+    if (opened == channel) {
+      pending.values().forEach(request -> send(request.message()));
     }
   }
 
+  private void send(LoanMessage.Request request) {
+    ChannelFuture unused = PeerFrames.send(channel, request);
+  }
+
   private void onMessage(PeerMessage message) {
     if (message instanceof LoanMessage.Response response) {
       PendingRequest request = pending.remove(response.correlationId());
--- a/src/test/java/io/snipeloom/peer/LoanClientTest.java
+++ b/src/test/java/io/snipeloom/peer/LoanClientTest.java
@@ -175,6 +175,23 @@
     }
   }
 
+  /** Guards against a request that is written to a connection that is not open yet, and lost. */
+  @Test
+  void requestsMadeWhileTheConnectionOpensAreAllSent() throws Exception {
+    serve((request, out) -> send(out, response(request, 1_000)));
+    InetSocketAddress address = new InetSocketAddress(peer.getInetAddress(), peer.getLocalPort());
+    CompletableFuture<Long> first = new CompletableFuture<>();
+    CompletableFuture<Long> second = new CompletableFuture<>();
+    LoanConnection connection = new LoanConnection(loop, address);
+    loop.execute(
+        () -> {
+          connection.request(REQUEST, first::complete);
+          connection.request(REQUEST, second::complete);
+        });
+    assertThat(first.get(5, TimeUnit.SECONDS), is(1_000L));
+    assertThat(second.get(5, TimeUnit.SECONDS), is(1_000L));
+  }
+
   /** Guards against a holder with few tokens that leaves the request short. */
   @Test
   void nextHolderIsAskedForTheRest() throws Exception {
