The age of a load report is known also while the clock shows negative times

Cause: reportAgeMillis took a negative time for no report; System.nanoTime may be negative. It concerned log lines only.

--- a/src/main/java/io/snipeloom/routing/ReplicaLoad.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaLoad.java
@@ -12,11 +12,14 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /** Before any time of the clock, which may be negative. */
+  private static final long NO_REPORT_NANOS = Long.MIN_VALUE / 2;
+
   private int inFlight;
   private long pendingPrefillTokens;
   private int othersRunning;
   private int reportedWaiting;
-  private long reportedNanos = Long.MIN_VALUE / 2;
+  private long reportedNanos = NO_REPORT_NANOS;
 
   /**
    * Records that a request was sent.
@@ -92,7 +95,7 @@
    * @return the age in milliseconds, -1 if there was no report
    */
   public long reportAgeMillis(long nowNanos) {
-    return reportedNanos < 0 ? -1 : (nowNanos - reportedNanos) / NANOS_PER_MILLI;
+    return reportedNanos == NO_REPORT_NANOS ? -1 : (nowNanos - reportedNanos) / NANOS_PER_MILLI;
   }
 
   private boolean isReportFresh(long nowNanos) {
