--- a/src/test/java/io/snipeloom/load/CostTrial.java
+++ b/src/test/java/io/snipeloom/load/CostTrial.java
@@ -55,10 +55,25 @@
     return new Setup(instances, replicas, load, 100, kinds, traits, speeds, Learning.ALL);
   }
 
-  private static Setup shared(List<Double> speeds) {
+  static Setup shared(List<Double> speeds) {
     return setup(22, 28, 1, DOSSIERS, SHARED_HOSTS, speeds);
   }
 
+  static Setup oldReports(int instances) {
+    return new Setup(instances, 28, 1, 1_000, DOSSIERS, SHARED_HOSTS, THREE_SPEEDS, Learning.ALL);
+  }
+
+  /** Returns the requests of the fastest of three speeds by those of the slowest. */
+  static double fastBySlow(Result result) {
+    double slow = 0;
+    double fast = 0;
+    for (int i = 0; i + 2 < result.sentByReplica().size(); i += 3) {
+      slow += result.sentByReplica().get(i);
+      fast += result.sentByReplica().get(i + 2);
+    }
+    return fast / slow;
+  }
+
   static List<Result> play(Setup setup, int seeds) {
     List<Result> results = new ArrayList<>();
     for (int seed = 0; seed < seeds; seed++) {
@@ -79,11 +94,17 @@
     print("reports", seeds, setup(25, 32, 1, REPORTS, LARGE_STEPS, ONE_SPEED));
     print("dossiers, uneven", seeds, setup(22, 28, 1, DOSSIERS, EVEN, THREE_SPEEDS));
     print("dossiers", seeds, setup(22, 28, 1, DOSSIERS, EVEN, ONE_SPEED));
+    print("one begins late", seeds, shared(THREE_SPEEDS), Learning.FIRST_LATE);
+    for (int instances : List.of(4, 25, 100)) {
+      print("reports 1 s old, " + instances, seeds, oldReports(instances));
+    }
     print("10 and 500 tokens", seeds, setup(8, 12, 1, ALIKE, EVEN, ONE_SPEED));
   }
 
-  private static void print(String name, int seeds, Setup setup) {
-    for (Learning learning : List.of(Learning.NOTHING, Learning.ALL)) {
+  private static void print(String name, int seeds, Setup setup, Learning... further) {
+    List<Learning> learnings = new ArrayList<>(List.of(Learning.NOTHING, Learning.ALL));
+    learnings.addAll(List.of(further));
+    for (Learning learning : learnings) {
       List<Result> results = play(setup.withLearning(learning), seeds);
       StringBuilder kinds = new StringBuilder();
       for (int kind = 0; kind < setup.kinds().size(); kind++) {
@@ -95,7 +116,7 @@
       System.out.printf(
           Locale.ROOT,
           "%-26s %-8s in time %.3f (%s) p50 %.0f p99 %.0f late gaps %.3f"
-              + " imbalance %.3f read %.3f%n",
+              + " imbalance %.3f read %.3f fast/slow %.2f first %.3f%n",
           name,
           learning,
           mean(results, Result::inTime),
@@ -104,7 +125,9 @@
           mean(results, Result::p99Millis),
           mean(results, Result::lateGaps),
           mean(results, Result::imbalance),
-          mean(results, Result::readTokensShare));
+          mean(results, Result::readTokensShare),
+          mean(results, CostTrial::fastBySlow),
+          mean(results, Result::firstInstanceInTime));
     }
   }
 }
--- a/src/test/java/io/snipeloom/peer/DemandMessageTest.java
+++ b/src/test/java/io/snipeloom/peer/DemandMessageTest.java
@@ -2,9 +2,11 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.snipeloom.routing.DemandReport;
+import io.snipeloom.routing.ObservedWork;
 import io.snipeloom.routing.PromptPart;
 import io.snipeloom.routing.ReplicaDemand;
 import io.snipeloom.routing.ReplicaId;
@@ -32,6 +34,40 @@
     assertThat(PeerMessage.parse(ACKNOWLEDGEMENT.toBytes()), is(ACKNOWLEDGEMENT));
   }
 
+  /** Guards against instances of two versions that do not understand each other. */
+  @Test
+  void workFollowsWhatTheVersionBeforeReads() {
+    byte[] before = REPORT.toBytes();
+    DemandMessage message = withWork(new ObservedWork(500, 17_140, 160, 250));
+    byte[] complete = message.toBytes();
+    assertThat(PeerMessage.parse(complete), is(message));
+    assertThat(
+        "the beginning is a report of the version before",
+        Arrays.copyOf(complete, before.length),
+        is(before));
+    for (int length = before.length + 1; length < complete.length; length++) {
+      byte[] truncated = Arrays.copyOf(complete, length);
+      assertThrows(SnipeloomException.class, () -> PeerMessage.parse(truncated));
+    }
+  }
+
+  /** Guards against reports that grow beyond what a link of 7 Mbit/s bears at 300 instances. */
+  @Test
+  void workAddsAtMostSixteenBytesForEachReplica() {
+    int before = REPORT.toBytes().length;
+    int after = withWork(new ObservedWork(60_000, 400_000, 9_999, 9_999)).toBytes().length;
+    assertThat(after - before, lessThanOrEqualTo(17));
+  }
+
+  private static DemandMessage withWork(ObservedWork work) {
+    return new DemandMessage.Report(
+        7,
+        new DemandReport(
+            "edge-1",
+            List.of(new ReplicaDemand(REPLICA, 3, 17_020, work)),
+            List.of(new SentPrompt(REPLICA, List.of(new PromptPart("5c1e07a2", 13_300))))));
+  }
+
   @Test
   void truncatedFramesAreRejected() {
     for (DemandMessage message : List.of(REPORT, ACKNOWLEDGEMENT)) {
--- a/src/test/java/io/snipeloom/platform/PlatformCodecTest.java
+++ b/src/test/java/io/snipeloom/platform/PlatformCodecTest.java
@@ -26,6 +26,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -186,6 +187,35 @@
         is(Optional.of(new ResponseMetadata.Load(3, 0, OptionalInt.empty()))));
   }
 
+  @Test
+  void paceOfTheHostIsDecodedFromTheLoad() {
+    for (String valid : List.of("3,0,8,250", "3, 0, 8, 250, 1")) {
+      HttpHeaders headers = new DefaultHttpHeaders().set("Snipeloom-Replica-Load", valid);
+      assertThat(
+          valid,
+          codec.responseMetadata(200, headers).load(),
+          is(Optional.of(new ResponseMetadata.Load(3, 0, OptionalInt.of(250)))));
+    }
+    for (String without : List.of("3,0,8", "3,0,8,", "3,0,8,0", "3,0,8,-1", "3,0,8,x")) {
+      HttpHeaders headers = new DefaultHttpHeaders().set("Snipeloom-Replica-Load", without);
+      assertThat(
+          without,
+          codec.responseMetadata(200, headers).load(),
+          is(Optional.of(new ResponseMetadata.Load(3, 0, OptionalInt.empty()))));
+    }
+  }
+
+  @Test
+  void estimateOfTheOutputIsDecoded() {
+    HttpHeaders headers =
+        new DefaultHttpHeaders()
+            .set("Snipeloom-Attempt-Id", "a1")
+            .set("Snipeloom-Length-Hint", "120");
+    assertThat(codec.requestMetadata(headers).outputHint(), is(OptionalLong.of(120)));
+    headers.set("Snipeloom-Length-Hint", "many");
+    assertThat(codec.requestMetadata(headers).outputHint(), is(OptionalLong.empty()));
+  }
+
   @Test
   void recordsAreEncodedWithLengthPrefixes() {
     byte[] encoded =
