Model requests pass the admission before tokens are reserved; instances report what was asked for

One decision for each attempt of a caller, after the crash admission: a refusal is answered 429 (overloaded) with a time to come back and was not run. Streams that callers resume are sent.

The reports to other instances carry requests by kind and customer after what they carried; earlier versions ignore what follows.

--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -4,6 +4,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.snipeloom.admission.AdmissionDecision;
+import io.snipeloom.admission.AdmissionReview;
 import io.snipeloom.crashes.Admission;
 import io.snipeloom.crashes.Conviction;
 import io.snipeloom.crashes.RequestTraits;
@@ -53,6 +55,7 @@
   private RequestMetadata metadata;
   private RoutedRequest routed;
   private boolean onTrial;
+  private ExchangeAdmission admission;
   private Reservation reservation;
   private ScheduledFuture<?> deadlineTimer;
   private Attempt attempt;
@@ -161,11 +164,28 @@
       refuse(admission.conviction().get());
     } else if (routed.resumesStream()) {
       findOrigin();
-    } else {
+    } else if (!isRefusedUnderLoad()) {
       reserveTokens();
     }
   }
 
+  private boolean isRefusedUnderLoad() {
+    admission = new ExchangeAdmission(fleet, routed, System.nanoTime());
+    Optional<AdmissionReview> review = admission.review().filter(AdmissionReview::isSpecial);
+    if (review.isEmpty()) {
+      return false;
+    }
+    AdmissionDecision decision = review.get().decision();
+    log.admission(routed, review.get(), remainingMillis());
+    metrics.count("admission_" + review.get().outcome());
+    if (!decision.admitted()) {
+      respond(
+          LocalResponse.notExecuted(
+              ErrorCode.OVERLOADED, decision.reason(), decision.retryMillis(), remainingMillis()));
+    }
+    return !decision.admitted();
+  }
+
   private Optional<Conviction> findConviction(boolean tried) {
     return tried
         ? fleet.crashes().findPart(routed.traits())
@@ -355,6 +375,9 @@
     }
     history.onExecuted();
     source.onEvents(stream.eventsOfAttempt());
+    if (admission != null) {
+      admission.onEvents(history.sends(), System.nanoTime());
+    }
     recordOrigin(source);
     response.sendHeadOnce(source);
     caller.sendContent(complete);
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -1,5 +1,6 @@
 package io.snipeloom.forwarding;
 
+import io.snipeloom.admission.AdmissionReview;
 import io.snipeloom.resumption.OriginLookup;
 import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.routing.PeerDemand;
@@ -84,6 +85,38 @@
         lookup.source());
   }
 
+  /** Logs that a request is refused under load, or sent although it would be. */
+  void admission(RoutedRequest routed, AdmissionReview review, long remainingMillis) {
+    log.log(
+        "admission",
+        "id",
+        id,
+        "outcome",
+        review.outcome(),
+        "route",
+        routed.route().name(),
+        "customer",
+        routed.customerName(),
+        "priority",
+        routed.priority(),
+        "first_ms",
+        Math.round(review.firstMillis()),
+        "end_ms",
+        Math.round(review.endMillis()),
+        "target_ms",
+        routed.route().targetMillis(),
+        "left_ms",
+        remainingMillis,
+        "strain",
+        review.strain(),
+        "excess",
+        review.excess(),
+        "age_ms",
+        review.ageMillis(),
+        "retry_ms",
+        review.decision().retryMillis());
+  }
+
   /** Logs that a request is sent to a replica, with the estimated state of the replica. */
   void sent(
       ReplicaView view,
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -1,9 +1,11 @@
 package io.snipeloom.forwarding;
 
 import io.netty.channel.EventLoop;
+import io.snipeloom.admission.AdmissionControl;
 import io.snipeloom.cost.RequestCost;
 import io.snipeloom.crashes.CrashControl;
 import io.snipeloom.resumption.StreamContinuity;
+import io.snipeloom.routing.AskedRequests;
 import io.snipeloom.routing.CustomerConfiguration;
 import io.snipeloom.routing.DemandReport;
 import io.snipeloom.routing.EngineTraits;
@@ -22,6 +24,7 @@
 import io.snipeloom.routing.SentPrompt;
 import io.snipeloom.routing.ServiceConfiguration;
 import io.snipeloom.spend.SpendControl;
+import io.snipeloom.state.CustomerId;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -29,6 +32,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.function.Supplier;
 
 /**
@@ -42,6 +46,9 @@
   /** The most prompts in a report, which bounds its size; further ones are not told. */
   private static final int MAX_TOLD_PROMPTS = 256;
 
+  /** The most kinds and customers in a report. */
+  private static final int MAX_TOLD_CUSTOMERS = 256;
+
   private final EventLoop loop;
   private final HeaderCodec codec;
   private final ReplicaPicker picker;
@@ -55,6 +62,8 @@
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
   private final Map<String, RetryAllowance> retryAllowances = new HashMap<>();
   private final List<SentPrompt> sentPrompts = new ArrayList<>();
+  private final AdmissionControl admission = new AdmissionControl(new Random());
+  private final Map<AskedRequests, Integer> asked = new HashMap<>();
   private FleetConfiguration configuration;
   private boolean storeAvailable = true;
 
@@ -209,12 +218,15 @@
         demands.add(new ReplicaDemand(view.replica().id(), inFlight, pendingTokens, work));
       }
     }
-    DemandReport report = new DemandReport(instance, demands, sentPrompts);
+    DemandReport report = new DemandReport(instance, demands, sentPrompts, takeAsked());
     sentPrompts.clear();
     return report;
   }
 
-  /** Records the prompts that another instance has sent to replicas, and how these work. */
+  /**
+   * Records the prompts that another instance has sent to replicas, how these work, and what its
+   * callers asked for.
+   */
   public void onReportOfPeer(DemandReport report) {
     long nowNanos = System.nanoTime();
     for (ReplicaDemand demand : report.demands()) {
@@ -223,6 +235,9 @@
         costs().onTold(view, demand.work(), nowNanos);
       }
     }
+    for (AskedRequests one : report.asked()) {
+      admission.onAskedElsewhere(one.kind(), one.customer().value(), one.requests(), nowNanos);
+    }
     for (SentPrompt prompt : report.prompts()) {
       ReplicaView view = views.get(prompt.replica());
       if (view != null) {
@@ -231,6 +246,26 @@
     }
   }
 
+  /** Returns what decides under load which model requests are sent. */
+  AdmissionControl admission() {
+    return admission;
+  }
+
+  /** Counts a model request of a caller, of which the other instances are told. */
+  void onAsked(String kind, CustomerId customer) {
+    AskedRequests one = new AskedRequests(kind, customer, 1);
+    if (asked.size() < MAX_TOLD_CUSTOMERS || asked.containsKey(one)) {
+      asked.merge(one, 1, Integer::sum);
+    }
+  }
+
+  private List<AskedRequests> takeAsked() {
+    List<AskedRequests> taken = new ArrayList<>();
+    asked.forEach((one, count) -> taken.add(new AskedRequests(one.kind(), one.customer(), count)));
+    asked.clear();
+    return taken;
+  }
+
   /** Closes connections that have been idle for too long to be reused. */
   public void closeStaleConnections() {
     pools.values().forEach(ConnectionPool::closeStale);
--- a/src/main/java/io/snipeloom/peer/DemandMessage.java
+++ b/src/main/java/io/snipeloom/peer/DemandMessage.java
@@ -1,11 +1,13 @@
 package io.snipeloom.peer;
 
+import io.snipeloom.routing.AskedRequests;
 import io.snipeloom.routing.DemandReport;
 import io.snipeloom.routing.ObservedWork;
 import io.snipeloom.routing.PromptPart;
 import io.snipeloom.routing.ReplicaDemand;
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.SentPrompt;
+import io.snipeloom.state.CustomerId;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import java.io.IOException;
@@ -76,16 +78,19 @@
         packer.packString(part.id()).packLong(part.tokens());
       }
     }
-    packWork(packer, report.demands());
+    packWork(packer, report);
+    packAsked(packer, report.asked());
   }
 
   /**
    * Appends the work of the demands, in their order. Instances that know nothing of it ignore what
-   * follows the prompts; a report without any work ends there.
+   * follows the prompts; a report without any work and received requests ends there.
    */
-  private static void packWork(MessageBufferPacker packer, List<ReplicaDemand> demands)
-      throws IOException {
-    if (demands.stream().allMatch(demand -> demand.work().equals(ObservedWork.NONE))) {
+  private static void packWork(MessageBufferPacker packer, DemandReport report) throws IOException {
+    List<ReplicaDemand> demands = report.demands();
+    boolean unobserved =
+        demands.stream().allMatch(demand -> demand.work().equals(ObservedWork.NONE));
+    if (unobserved && report.asked().isEmpty()) {
       return;
     }
     packer.packArrayHeader(demands.size());
@@ -96,6 +101,18 @@
     }
   }
 
+  /** Appends the received requests; instances that know nothing of them ignore what follows. */
+  private static void packAsked(MessageBufferPacker packer, List<AskedRequests> asked)
+      throws IOException {
+    if (asked.isEmpty()) {
+      return;
+    }
+    packer.packArrayHeader(asked.size());
+    for (AskedRequests one : asked) {
+      packer.packString(one.kind()).packString(one.customer().value()).packInt(one.requests());
+    }
+  }
+
   /**
    * Decodes a frame.
    *
@@ -133,7 +150,20 @@
     for (int i = 0; i < promptCount; i++) {
       prompts.add(new SentPrompt(new ReplicaId(unpacker.unpackString()), parts(unpacker)));
     }
-    return new DemandReport(instance, withWork(unpacker, demands), prompts);
+    return new DemandReport(instance, withWork(unpacker, demands), prompts, asked(unpacker));
+  }
+
+  private static List<AskedRequests> asked(MessageUnpacker unpacker) throws IOException {
+    List<AskedRequests> asked = new ArrayList<>();
+    int count = unpacker.hasNext() ? entries(unpacker) : 0;
+    for (int i = 0; i < count; i++) {
+      asked.add(
+          new AskedRequests(
+              unpacker.unpackString(),
+              CustomerId.of(unpacker.unpackString()),
+              unpacker.unpackInt()));
+    }
+    return asked;
   }
 
   private static List<ReplicaDemand> withWork(MessageUnpacker unpacker, List<ReplicaDemand> demands)
--- a/src/test/java/io/snipeloom/peer/DemandMessageTest.java
+++ b/src/test/java/io/snipeloom/peer/DemandMessageTest.java
@@ -4,11 +4,13 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.snipeloom.routing.AskedRequests;
 import io.snipeloom.routing.DemandReport;
 import io.snipeloom.routing.PromptPart;
 import io.snipeloom.routing.ReplicaDemand;
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.SentPrompt;
+import io.snipeloom.state.CustomerId;
 import io.snipeloom.state.SnipeloomException;
 import java.util.Arrays;
 import java.util.Collections;
@@ -32,6 +34,17 @@
     assertThat(PeerMessage.parse(ACKNOWLEDGEMENT.toBytes()), is(ACKNOWLEDGEMENT));
   }
 
+  @Test
+  void receivedRequestsDecodeWithAndWithoutObservedWork() {
+    List<AskedRequests> asked = List.of(new AskedRequests("draft", CustomerId.of("customer"), 5));
+    for (List<ReplicaDemand> demands :
+        List.of(List.<ReplicaDemand>of(), List.of(new ReplicaDemand(REPLICA, 3, 17_020)))) {
+      DemandMessage message =
+          new DemandMessage.Report(1, new DemandReport("edge-1", demands, List.of(), asked));
+      assertThat(PeerMessage.parse(message.toBytes()), is(message));
+    }
+  }
+
   @Test
   void truncatedFramesAreRejected() {
     for (DemandMessage message : List.of(REPORT, ACKNOWLEDGEMENT)) {
