--- a/src/test/java/io/snipeloom/peer/DemandMessageTest.java
+++ b/src/test/java/io/snipeloom/peer/DemandMessageTest.java
@@ -5,12 +5,14 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.snipeloom.routing.AskedRequests;
 import io.snipeloom.routing.DemandReport;
 import io.snipeloom.routing.ObservedWork;
 import io.snipeloom.routing.PromptPart;
 import io.snipeloom.routing.ReplicaDemand;
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.SentPrompt;
+import io.snipeloom.state.CustomerId;
 import io.snipeloom.state.SnipeloomException;
 import java.util.Arrays;
 import java.util.Collections;
@@ -69,6 +71,17 @@
             List.of(new SentPrompt(REPLICA, List.of(new PromptPart("5c1e07a2", 13_300))))));
   }
 
+  @Test
+  void receivedRequestsDecodeWithAndWithoutObservedWork() {
+    List<AskedRequests> asked = List.of(new AskedRequests("draft", CustomerId.of("customer"), 5));
+    for (List<ReplicaDemand> demands :
+        List.of(List.<ReplicaDemand>of(), List.of(new ReplicaDemand(REPLICA, 3, 17_020)))) {
+      DemandMessage message =
+          new DemandMessage.Report(1, new DemandReport("edge-1", demands, List.of(), asked));
+      assertThat(PeerMessage.parse(message.toBytes()), is(message));
+    }
+  }
+
   @Test
   void truncatedFramesAreRejected() {
     for (DemandMessage message : List.of(REPORT, ACKNOWLEDGEMENT)) {
