--- a/src/test/java/io/snipeloom/buffering/RequestBuffersTest.java
+++ b/src/test/java/io/snipeloom/buffering/RequestBuffersTest.java
@@ -5,10 +5,17 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.snipeloom.routing.Replica;
 import io.snipeloom.routing.ReplicaId;
+import io.snipeloom.routing.ReplicaState;
+import io.snipeloom.routing.ReplicaView;
+import io.snipeloom.routing.SoftwareVersion;
 import io.snipeloom.state.CustomerId;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import net.jqwik.api.ForAll;
@@ -93,6 +100,38 @@
     assertThat(bodies.mostUnansweredBytes(), is(0L));
   }
 
+  /** Answers the load of a replica that takes no bodies, beside one that does. */
+  @Test
+  void replicaThatDoesNotTakeBodiesIsNotSentMore() {
+    ReplicaBodies bodies = new ReplicaBodies(BOUNDS);
+    List<ReplicaView> both = List.of(view("slow"), view("quick"));
+    ReplicaId slow = new ReplicaId("slow");
+    bodies.begin(slow, LARGEST_BYTES);
+    assertThat(ids(bodies.withRoom(both, 1_000)), is(List.of("slow", "quick")));
+    BodyTransfer last = bodies.begin(slow, LARGEST_BYTES / 2);
+    assertThat(ids(bodies.withRoom(both, 1_000)), is(List.of("quick")));
+    last.onWritten();
+    assertThat(ids(bodies.withRoom(both, 1_000)), is(List.of("slow", "quick")));
+  }
+
+  private static List<String> ids(List<ReplicaView> views) {
+    return views.stream().map(view -> view.replica().id().value()).toList();
+  }
+
+  private static ReplicaView view(String id) {
+    return ReplicaView.of(
+        new Replica(
+            new ReplicaId(id),
+            1,
+            "service",
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 9_000),
+            new SoftwareVersion("v1"),
+            "zone",
+            64,
+            ReplicaState.READY),
+        null);
+  }
+
   private Optional<RequestBuffer> hold(String customer, int bytes) {
     RequestBuffer body = buffers.open(Optional.of(CustomerId.of(customer)));
     return body.tryGrowTo(bytes) ? Optional.of(body) : Optional.empty();
--- a/src/test/java/io/snipeloom/edge/SlowCallerTest.java
+++ b/src/test/java/io/snipeloom/edge/SlowCallerTest.java
@@ -34,6 +34,10 @@
   /** More than sockets hold, so that most of it is left to the instance. */
   private static final int LONG_BYTES = 1_000_000;
 
+  /** Shorter than a slow caller reads, so that its response is complete before it is read. */
+  private static final int DEADLINE_MILLIS = 3_000;
+
+  private static final int PATIENT_MILLIS = 15_000;
   private static final int SHORT_BYTES = 10_000;
   private static final int RECEIVE_BUFFER_BYTES = 4_096;
   private static final String PROMPT_HEADERS =
@@ -170,7 +174,7 @@
     edge.unregister("i-1");
     edge.register("i-4", "llm", patient, "ready");
     edge.awaitLog("event=replica replica=i-4 ");
-    Socket caller = send("/draft/1", "a1", "key");
+    Socket caller = send("/draft/1", "a1", "key", PATIENT_MILLIS);
     Thread.sleep(2_500);
     String received = text(readRest(caller));
     assertThat(patient.requests().size(), is(1));
@@ -196,12 +200,17 @@
 
   private static String route(String prefix, String type, String service, boolean resume) {
     return ("{\"name\":\"r%s\",\"host\":\"h.example\",\"pathPrefix\":\"%s\",\"type\":\"%s\","
-            + "\"timeoutMs\":3000,\"targetLatencyMs\":100,\"service\":\"%s\",\"maxAttempts\":2,"
+            + "\"timeoutMs\":15000,\"targetLatencyMs\":100,\"service\":\"%s\",\"maxAttempts\":2,"
             + "\"streamResume\":%s}")
         .formatted(prefix, prefix, type, service, resume);
   }
 
   private Socket send(String path, String attempt, String key) throws IOException {
+    return send(path, attempt, key, DEADLINE_MILLIS);
+  }
+
+  private Socket send(String path, String attempt, String key, int deadlineMillis)
+      throws IOException {
     InetSocketAddress address = edge.callers();
     Socket socket = new Socket();
     socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
@@ -209,13 +218,11 @@
     socket.connect(address);
     sockets.add(socket);
     String headers = path.startsWith("/draft/") ? PROMPT_HEADERS : "";
-    String request = EdgeFixture.request(path, attempt, headers, true);
-    socket
-        .getOutputStream()
-        .write(
-            request
-                .replace("Credential: key", "Credential: " + key)
-                .getBytes(StandardCharsets.ISO_8859_1));
+    String request =
+        EdgeFixture.request(path, attempt, headers, true)
+            .replace("Credential: key", "Credential: " + key)
+            .replace("Deadline-Ms: 3000", "Deadline-Ms: " + deadlineMillis);
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
     return socket;
   }
 
--- a/src/test/java/io/snipeloom/edge/SlowReplicaTest.java
+++ b/src/test/java/io/snipeloom/edge/SlowReplicaTest.java
@@ -149,7 +149,11 @@
     awaitGauge("held_request_bytes");
   }
 
-  /** What a caller received. */
+  /**
+   * What a caller received.
+   *
+   * @param millis the time until the first byte
+   */
   private record Answer(String text, long millis) {}
 
   private static FakeReplica respondingReplica() throws IOException {
@@ -221,10 +225,11 @@
           try (Socket socket = edge.open()) {
             CompletableFuture<Void> written =
                 CompletableFuture.runAsync(() -> write(socket, request), callers);
-            String text = EdgeFixture.readAll(socket.getInputStream());
+            int first = socket.getInputStream().read();
             long millis = (System.nanoTime() - startNanos) / 1_000_000;
+            String rest = EdgeFixture.readAll(socket.getInputStream());
             written.join();
-            return new Answer(text, millis);
+            return new Answer(first < 0 ? "" : (char) first + rest, millis);
           } catch (IOException e) {
             throw new IllegalStateException(e);
           }
