--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -15,6 +15,7 @@
 import io.snipeloom.routing.ResponseMetadata;
 import io.snipeloom.routing.StatedLimit;
 import io.snipeloom.routing.StatedPause;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -168,6 +169,11 @@
     return fleet.codec().responseHeaders(responseHeaders);
   }
 
+  /** Returns what the request cost and what was predicted; empty if it has no prompt. */
+  Optional<CostOutcome> cost() {
+    return work == null ? Optional.empty() : work.outcome();
+  }
+
   /** Returns the complete response body; the receiver releases it. */
   ByteBuf body() {
     return body;
--- a/src/main/java/io/snipeloom/forwarding/AttemptWork.java
+++ b/src/main/java/io/snipeloom/forwarding/AttemptWork.java
@@ -1,5 +1,6 @@
 package io.snipeloom.forwarding;
 
+import io.snipeloom.cost.PredictedService;
 import io.snipeloom.cost.RequestCost;
 import io.snipeloom.cost.RequestKind;
 import io.snipeloom.routing.FleetCosts;
@@ -12,10 +13,14 @@
  * event loop thread.
  */
 final class AttemptWork {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
   private final FleetCosts costs;
   private final RoutedRequest request;
   private final ReplicaView view;
   private final Optional<TrackedRequest> tracked;
+  private final PredictedService predicted;
+  private final double pace;
   private final double runningBefore;
   private final long sentNanos;
 
@@ -24,11 +29,14 @@
       RoutedRequest request,
       ReplicaView view,
       Optional<TrackedRequest> tracked,
+      PredictedService predicted,
       long sentNanos) {
     this.costs = costs;
     this.request = request;
     this.view = view;
     this.tracked = tracked;
+    this.predicted = predicted;
+    this.pace = view.costs().pace().factor(sentNanos);
     this.runningBefore = costs.running(view, sentNanos);
     this.sentNanos = sentNanos;
   }
@@ -37,9 +45,10 @@
   static AttemptWork of(
       Fleet fleet, RoutedRequest request, ReplicaView view, long uncachedTokens, long sentNanos) {
     RequestCost cost = fleet.costOf(request);
+    PredictedService predicted = fleet.costs().predict(view, cost, uncachedTokens, sentNanos);
     Optional<TrackedRequest> tracked =
         request.kind().map(kind -> fleet.costs().onSent(view, cost, uncachedTokens, sentNanos));
-    return new AttemptWork(fleet.costs(), request, view, tracked, sentNanos);
+    return new AttemptWork(fleet.costs(), request, view, tracked, predicted, sentNanos);
   }
 
   /**
@@ -73,6 +82,19 @@
     }
   }
 
+  /** Returns what the request cost and what was predicted; empty if it has no prompt. */
+  Optional<CostOutcome> outcome() {
+    return tracked.map(
+        running ->
+            new CostOutcome(
+                request.route().name(),
+                Math.round(running.estimatedTokens()),
+                Math.round(running.outputTokens()),
+                predicted,
+                running.firstEventNanos() / NANOS_PER_MILLI,
+                pace));
+  }
+
   /** Takes the request out of the work of the replica. */
   void onEnded() {
     tracked.ifPresent(TrackedRequest::onEnded);
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -402,6 +402,17 @@
     attempt = null;
     progress = stream.progress(source.framing());
     history.onCompleted(source.view().replica().id());
+    source.cost().ifPresent(cost -> recordCost(source.view(), cost));
+  }
+
+  private void recordCost(ReplicaView view, CostOutcome cost) {
+    log.cost(view.replica().id(), cost);
+    metrics.output(cost.route(), cost.tokens(), cost.estimatedTokens());
+    metrics.pace(cost.pace());
+    if (cost.predicted().known()) {
+      metrics.firstEvent(
+          cost.route(), cost.firstEventMillis(), cost.predicted().firstEventMillis());
+    }
   }
 
   /** Relays the complete response of a replica to the caller unchanged. */
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -19,6 +19,8 @@
  * Writes the log lines of one request, each with its attempt ID. Confined to the event loop thread.
  */
 final class ExchangeLog {
+  private static final double PERCENT = 100;
+
   private final EventLog log;
   private String id = "";
   private String request = "";
@@ -129,6 +131,36 @@
         remainingMillis);
   }
 
+  /** Logs what a model request cost, and what was predicted when it was sent. */
+  void cost(ReplicaId replica, CostOutcome cost) {
+    log.log(
+        "cost",
+        "id",
+        id,
+        "replica",
+        replica,
+        "route",
+        cost.route(),
+        "estimated_tokens",
+        cost.estimatedTokens(),
+        "tokens",
+        cost.tokens(),
+        "predicted",
+        cost.predicted().known(),
+        "predicted_first_ms",
+        Math.round(cost.predicted().firstEventMillis()),
+        "first_ms",
+        cost.firstEventMillis(),
+        "predicted_end_ms",
+        Math.round(cost.predicted().endMillis()),
+        "fits",
+        cost.predicted().fits(),
+        "pace_percent",
+        Math.round(cost.pace() * PERCENT),
+        "reports_age_ms",
+        cost.predicted().ageMillis());
+  }
+
   /** Logs that a response to another request was skipped. */
   void foreignResponse(ReplicaId replica, String responseAttemptId, int status) {
     log.log(
--- a/src/main/java/io/snipeloom/routing/ReplicaPicker.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaPicker.java
@@ -146,10 +146,11 @@
     ReplicaView best = null;
     double bestScore = Double.MAX_VALUE;
     PartPlacement placement = placementOf(prompt, candidates, nowNanos);
-    Collection<ReplicaView> eligible = eligible(candidates, nowNanos);
+    List<ReplicaView> eligible = eligible(candidates, nowNanos);
     WorkTerms terms = new WorkTerms(costs, eligible, cost, targetGapMillis, nowNanos);
-    for (ReplicaView candidate : eligible) {
-      double score = score(candidate, prompt, placement, terms, nowNanos);
+    for (int i = 0; i < eligible.size(); i++) {
+      ReplicaView candidate = eligible.get(i);
+      double score = score(candidate, i, prompt, placement, terms, nowNanos);
       if (score < bestScore) {
         best = candidate;
         bestScore = score;
@@ -168,10 +169,11 @@
   public Optional<ReplicaView> pick(Collection<ReplicaView> candidates, long nowNanos) {
     ReplicaView best = null;
     double bestScore = Double.MAX_VALUE;
-    Collection<ReplicaView> eligible = eligible(candidates, nowNanos);
+    List<ReplicaView> eligible = eligible(candidates, nowNanos);
     PaceComparison paces = new PaceComparison(eligible, nowNanos);
-    for (ReplicaView candidate : eligible) {
-      double score = requestScore(candidate, nowNanos) * paces.factor(candidate);
+    for (int i = 0; i < eligible.size(); i++) {
+      ReplicaView candidate = eligible.get(i);
+      double score = requestScore(candidate, nowNanos) * paces.factor(i);
       if (score < bestScore) {
         best = candidate;
         bestScore = score;
@@ -222,21 +224,23 @@
 
   private double score(
       ReplicaView candidate,
+      int index,
       Prompt prompt,
       PartPlacement placement,
       WorkTerms terms,
       long nowNanos) {
     ReplicaLoad load = candidate.load();
     long uncached = uncachedTokens(candidate, prompt, placement);
+    double running = costs.running(candidate, nowNanos);
     double work =
         load.pendingPrefillTokens()
             + (peers.isKnown() ? peers.pendingTokens(candidate.replica().id()) : 0)
             + (double) load.waiting(nowNanos) * WAITING_REQUEST_TOKENS
-            + costs.running(candidate, nowNanos)
-                * Math.max(RUNNING_REQUEST_TOKENS, terms.runningRequestTokens(candidate))
+            + running
+                * Math.max(RUNNING_REQUEST_TOKENS, terms.runningRequestTokens(candidate, running))
             + uncached;
-    return work * terms.pace(candidate)
-        + terms.displacedTokens(candidate, uncached)
+    return work * terms.pace(index)
+        + terms.displacedTokens(candidate, index, uncached, running)
         + peerAdjustment(candidate, prompt, placement, terms.recomputedWeight())
         + candidate.health().errorShare() * ERROR_PENALTY_TOKENS
         + (candidate.replica().zone().equals(zone) ? 0 : CROSS_ZONE_TOKENS);
@@ -300,7 +304,7 @@
   }
 
   /** Returns the candidates that may receive a request, without those that back off if possible. */
-  private Collection<ReplicaView> eligible(Collection<ReplicaView> candidates, long nowNanos) {
+  private List<ReplicaView> eligible(Collection<ReplicaView> candidates, long nowNanos) {
     List<ReplicaView> withinLimits =
         candidates.stream()
             .filter(view -> view.willingness().takesRequests(nowNanos))
--- a/src/main/java/io/snipeloom/routing/WorkTerms.java
+++ b/src/main/java/io/snipeloom/routing/WorkTerms.java
@@ -2,7 +2,7 @@
 
 import io.snipeloom.cost.RequestCost;
 import io.snipeloom.cost.ServicePace;
-import java.util.Collection;
+import java.util.List;
 
 /**
  * What the learned costs add to the score of a replica for one model request, in prompt tokens that
@@ -24,13 +24,12 @@
   private final PaceComparison paces;
   private final RequestCost cost;
   private final long targetGapMillis;
-  private final long nowNanos;
   private final double promptTokensPerOutputToken;
   private final ServicePace service;
 
   WorkTerms(
       FleetCosts costs,
-      Collection<ReplicaView> candidates,
+      List<ReplicaView> candidates,
       RequestCost cost,
       long targetGapMillis,
       long nowNanos) {
@@ -38,17 +37,16 @@
     this.paces = new PaceComparison(candidates, nowNanos);
     this.cost = cost;
     this.targetGapMillis = targetGapMillis;
-    this.nowNanos = nowNanos;
     this.service =
         candidates.isEmpty()
             ? new ServicePace()
-            : costs.service(candidates.iterator().next().replica().service());
+            : costs.service(candidates.get(0).replica().service());
     this.promptTokensPerOutputToken = service.promptTokensPerOutputToken();
   }
 
   /** Returns how long work takes at a replica, compared with the others. */
-  double pace(ReplicaView candidate) {
-    return paces.factor(candidate);
+  double pace(int index) {
+    return paces.factor(index);
   }
 
   /**
@@ -63,12 +61,12 @@
    * Returns what one request that runs at a replica delays this one: they slow each other down for
    * as long as both generate.
    */
-  double runningRequestTokens(ReplicaView candidate) {
+  double runningRequestTokens(ReplicaView candidate, double running) {
     if (promptTokensPerOutputToken == 0) {
       return 0;
     }
-    double running = Math.max(1, costs.running(candidate, nowNanos));
-    double together = Math.min(cost.outputTokens(), costs.outputLeft(candidate) / running);
+    double meanLeft = costs.outputLeft(candidate) / Math.max(1, running);
+    double together = Math.min(cost.outputTokens(), meanLeft);
     return together * promptTokensPerOutputToken * OUTPUT_DELAY_WEIGHT;
   }
 
@@ -76,19 +74,19 @@
    * Returns what this request costs those that run at a replica: the tokens of preempted requests,
    * which are processed again, and the pauses of streams that exceed the expected ones.
    */
-  double displacedTokens(ReplicaView candidate, long uncachedTokens) {
+  double displacedTokens(ReplicaView candidate, int index, long uncachedTokens, double running) {
     double missing = costs.missingTokens(candidate, uncachedTokens + cost.outputTokens());
-    return Math.max(0, missing) + lateGapTokens(candidate);
+    return Math.max(0, missing) + lateGapTokens(candidate, index, running);
   }
 
-  private double lateGapTokens(ReplicaView candidate) {
+  private double lateGapTokens(ReplicaView candidate, int index, double running) {
     if (targetGapMillis == 0 || !service.isKnown()) {
       return 0;
     }
     double gapMillis =
-        service.outputTokenMillis(costs.running(candidate, nowNanos) + 1)
+        service.outputTokenMillis(running + 1)
             * candidate.costs().tokensPerEvent()
-            * candidate.costs().pace().factor(nowNanos);
+            * paces.pace(index);
     return Math.max(0, gapMillis - targetGapMillis) * LATE_GAP_TOKENS_PER_MILLI;
   }
 }
--- a/src/main/java/io/snipeloom/telemetry/FleetMetrics.java
+++ b/src/main/java/io/snipeloom/telemetry/FleetMetrics.java
@@ -6,6 +6,8 @@
 
 /** The event counters and latency histograms of an instance. Thread-safe. */
 public final class FleetMetrics {
+  private static final double PERCENT = 100;
+
   private final MetricRegistry registry = new MetricRegistry();
   private final Histogram firstByteMillis = histogram("first_byte_millis");
   private final Histogram totalMillis = histogram("request_millis");
@@ -47,6 +49,39 @@
     reservationMillis.update(millis);
   }
 
+  /**
+   * Records the output of a request by what was estimated.
+   *
+   * @param route the name of the route
+   * @param tokens the output, in tokens
+   * @param estimatedTokens the estimate, in tokens
+   */
+  public void output(String route, long tokens, long estimatedTokens) {
+    histogram("output_percent_of_estimate." + route)
+        .update(Math.round(tokens * PERCENT / Math.max(1, estimatedTokens)));
+  }
+
+  /**
+   * Records the time to a first event by what was predicted.
+   *
+   * @param route the name of the route
+   * @param millis the time, in milliseconds
+   * @param predictedMillis the prediction, in milliseconds
+   */
+  public void firstEvent(String route, long millis, double predictedMillis) {
+    histogram("first_event_percent_of_prediction." + route)
+        .update(Math.round(millis * PERCENT / Math.max(1, predictedMillis)));
+  }
+
+  /**
+   * Records the pace of a replica that completed a request.
+   *
+   * @param pace how long work took there by what is usual
+   */
+  public void pace(double pace) {
+    histogram("replica_pace_percent").update(Math.round(pace * PERCENT));
+  }
+
   /** Returns the registry that contains all meters and histograms. */
   public MetricRegistry registry() {
     return registry;
