--- a/src/main/java/io/snipeloom/admission/AdmissionControl.java
+++ b/src/main/java/io/snipeloom/admission/AdmissionControl.java
@@ -122,9 +122,7 @@
       double worst = 0;
       double longestDrain = 0;
       for (KindProfiles.Profile other : urgent) {
-        double correction = accuracy.medianRatio(other.kind());
-        KindStrain seen =
-            strains.record(other, KindStrain.of(other, predictions, correction), nowNanos);
+        KindStrain seen = strains.of(other, () -> strainOf(other, predictions), nowNanos);
         worst = Math.max(worst, seen.strain());
         if (other.priority() < request.priority()) {
           worstOfMoreUrgent = Math.max(worstOfMoreUrgent, seen.strain());
@@ -191,6 +189,10 @@
     }
   }
 
+  private KindStrain strainOf(KindProfiles.Profile kind, Predictions predictions) {
+    return KindStrain.of(kind, predictions, accuracy.medianRatio(kind.kind()));
+  }
+
   private static double rise(double strain, double start, double range, double max) {
     return Math.max(0, Math.min(max, (strain - start) / range));
   }
--- a/src/main/java/io/snipeloom/admission/StandingStrain.java
+++ b/src/main/java/io/snipeloom/admission/StandingStrain.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /**
  * The strain of each kind of request that lasted, which is the least of the recent ones. Not
@@ -14,6 +15,9 @@
   /** The least strain of two such windows, the one before and the current one, counts. */
   private static final long WINDOW_NANOS = 200_000_000L;
 
+  /** How long a strain counts as the present one; each look asks for all replicas. */
+  private static final long FRESH_NANOS = 50_000_000L;
+
   /** The age from which a window before says nothing about the present. */
   private static final long MAX_AGE_NANOS = 2_000_000_000L;
 
@@ -31,31 +35,45 @@
       lastNanos = nowNanos;
     }
 
+    private boolean isFresh(long nowNanos) {
+      return nowNanos - lastNanos < FRESH_NANOS;
+    }
+
+    private KindStrain least() {
+      return lesser(before, current);
+    }
+
     private KindStrain add(KindStrain seen, long nowNanos) {
       if (nowNanos - startNanos < WINDOW_NANOS) {
-        current = least(current, seen);
+        current = lesser(current, seen);
       } else {
         before = nowNanos - lastNanos > MAX_AGE_NANOS ? KindStrain.NONE : current;
         current = seen;
         startNanos = nowNanos;
       }
       lastNanos = nowNanos;
-      return least(before, current);
+      return least();
     }
 
-    private static KindStrain least(KindStrain one, KindStrain other) {
+    private static KindStrain lesser(KindStrain one, KindStrain other) {
       return one.strain() < other.strain() ? one : other;
     }
   }
 
-  /** Records the strain of a kind and returns the least of the recent ones. */
-  KindStrain record(KindProfiles.Profile kind, KindStrain seen, long nowNanos) {
+  /**
+   * Returns the least of the recent strains of a kind.
+   *
+   * @param kind the kind
+   * @param look determines the strain now, unless it was determined just before
+   * @param nowNanos the current time
+   */
+  KindStrain of(KindProfiles.Profile kind, Supplier<KindStrain> look, long nowNanos) {
     byKind.keySet().removeIf(known -> known.isForgotten(nowNanos));
     Windows windows = byKind.get(kind);
     if (windows == null) {
-      byKind.put(kind, new Windows(seen, nowNanos));
+      byKind.put(kind, new Windows(look.get(), nowNanos));
       return KindStrain.NONE;
     }
-    return windows.add(seen, nowNanos);
+    return windows.isFresh(nowNanos) ? windows.least() : windows.add(look.get(), nowNanos);
   }
 }
