The time to come back is tested against what a caller in a hurry honours

Cause: the test passed with a time of up to the whole remaining time, because half of the target was the tighter bound. With 600 ms left it fails without the third.

--- a/src/test/java/io/snipeloom/admission/AdmissionControlTest.java
+++ b/src/test/java/io/snipeloom/admission/AdmissionControlTest.java
@@ -204,6 +204,8 @@
             .toArray();
     assertThat(times[MANY - 1], lessThanOrEqualTo(400L));
     assertThat(times[MANY - 1] - times[0], greaterThan(200L));
+    AdmissionRequest hurried = request("chat", "a", 0, 600);
+    assertThat(RetrySchedule.retryMillis(2_000, hurried, 1), lessThanOrEqualTo(200L));
     long half = times[MANY / 2];
     assertThat(half, lessThan(RetrySchedule.retryMillis(2_000, other, 0.5)));
   }
