Log where a customer's tokens are; no 402 while tokens may yet be inherited

A line each 5 s for each customer (spent, reserved, held, claimed, unclaimed), what an inheritance left stranded, and a counter. A request is told 503 in place of 402 while its instance has yet to inherit or within 6 s of its start. A lender that the store answers waits for a report in place of lending the little that the last one allows.

--- a/src/main/java/io/snipeloom/edge/SpendEventLogger.java
+++ b/src/main/java/io/snipeloom/edge/SpendEventLogger.java
@@ -1,6 +1,7 @@
 package io.snipeloom.edge;
 
 import io.snipeloom.spend.SpendEvents;
+import io.snipeloom.spend.SpendStatus;
 import io.snipeloom.state.CustomerId;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.telemetry.FleetMetrics;
@@ -64,9 +65,36 @@
   }
 
   @Override
-  public void onInherited(CustomerId customer, long tokens) {
-    metrics.count("claims_inherited");
-    log.log("claim_inherited", "customer", customer, "tokens", tokens);
+  public void onInherited(CustomerId customer, long tokens, long strandedTokens) {
+    if (tokens > 0) {
+      metrics.count("claims_inherited");
+    }
+    if (strandedTokens > 0) {
+      metrics.count("claims_stranded");
+    }
+    log.log("claim_inherited", "customer", customer, "tokens", tokens, "stranded", strandedTokens);
+  }
+
+  @Override
+  public void onStatus(CustomerId customer, SpendStatus status) {
+    log.log(
+        "tokens",
+        "customer",
+        customer,
+        "spent",
+        status.spentTokens(),
+        "reserved",
+        status.reservedTokens(),
+        "held",
+        status.availableTokens(),
+        "allowed",
+        status.allowedTokens(),
+        "claimed",
+        status.claimedTokens(),
+        "unclaimed",
+        status.limit() - status.claimedTokens(),
+        "limit",
+        status.limit());
   }
 
   @Override
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -58,6 +58,8 @@
         status.availableTokens(),
         "allowed",
         status.allowedTokens(),
+        "reserved",
+        status.reservedTokens(),
         "claimed",
         status.claimedTokens(),
         "limit",
--- a/src/main/java/io/snipeloom/spend/CustomerAccount.java
+++ b/src/main/java/io/snipeloom/spend/CustomerAccount.java
@@ -109,6 +109,19 @@
     return available;
   }
 
+  long reserved() {
+    return reserved;
+  }
+
+  long spent() {
+    return spent;
+  }
+
+  /** Returns whether this instance ever held tokens of the customer. */
+  boolean isUsed() {
+    return granted > 0;
+  }
+
   /** Adds an increase of the claimed total to the claim rate of this or the other instances. */
   void onClaimed(long tokens, boolean own, long nowNanos) {
     if (tokens > 0) {
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -88,6 +88,8 @@
     return new SpendStatus(
         account.available(),
         account.allowance(nowNanos),
+        account.reserved(),
+        account.spent(),
         totals.of(account.customer()),
         account.limit(),
         loaded ? TimeUnit.NANOSECONDS.toMillis(nowNanos - claimedTotalsConfirmedNanos) : -1);
@@ -433,7 +435,8 @@
         return;
       }
       if (account.missingTokens() > unclaimed(account) && !account.isBorrowing()) {
-        account.refuseFirst(ReserveOutcome.EXHAUSTED);
+        boolean exhausted = !usageReporter.isRecovering(nowNanos);
+        account.refuseFirst(exhausted ? ReserveOutcome.EXHAUSTED : ReserveOutcome.UNAVAILABLE);
         account.requestReturn();
       }
     }
--- a/src/main/java/io/snipeloom/spend/ReserveOutcome.java
+++ b/src/main/java/io/snipeloom/spend/ReserveOutcome.java
@@ -6,6 +6,6 @@
   RESERVED,
   /** The remaining prepaid tokens do not cover the request. */
   EXHAUSTED,
-  /** It could not be determined in time whether enough tokens remain. */
+  /** It could not be determined in time whether enough tokens remain, or more may soon be found. */
   UNAVAILABLE
 }
--- a/src/main/java/io/snipeloom/spend/SpendControl.java
+++ b/src/main/java/io/snipeloom/spend/SpendControl.java
@@ -15,6 +15,9 @@
   /** How long a request waits for a loan: a few round trips between availability zones. */
   private static final long LOAN_WAIT_NANOS = 100_000_000L;
 
+  /** The time between two events that tell where the tokens of the customers are. */
+  private static final long STATUS_INTERVAL_NANOS = 5_000_000_000L;
+
   private final String writer;
   private final LedgerStore store;
   private final LoanPeers peers;
@@ -25,6 +28,7 @@
   private ClaimPolicy policy;
   private CustomerHolders holders = CustomerHolders.ALONE;
   private boolean returning;
+  private long lastStatusNanos = Long.MIN_VALUE / 2;
   private boolean storeAvailable = true;
 
   /**
@@ -209,6 +213,7 @@
 
   /**
    * Lends tokens to another instance, either from the available tokens or by a claim made for it.
+   * While the store is available, this may wait for a usage report that allows it.
    *
    * @param request the request of the other instance
    * @param nowNanos the current monotonic time
@@ -224,16 +229,21 @@
     boolean refillable =
         storeAvailable
             && partitionOf(account.customer()).canClaim(account, request.wantedTokens(), nowNanos);
-    long tokens = LoanPolicy.lent(account.role(), request, account.available(), refillable);
-    tokens = Math.max(0, Math.min(tokens, account.allowance(nowNanos)));
-    if (refillable && tokens < request.missingTokens()) {
-      claimAndLend(account, request.wantedTokens(), nowNanos, listener);
+    long lendable = LoanPolicy.lent(account.role(), request, account.available(), refillable);
+    if (refillable && Math.min(lendable, account.allowance(nowNanos)) < request.missingTokens()) {
+      reserveAndLend(account, request.wantedTokens(), nowNanos, listener);
+      return;
+    }
+    if (storeAvailable && lendable > account.allowance(nowNanos)) {
+      reserveAndLend(account, lendable, nowNanos, listener);
       return;
     }
+    long tokens = Math.max(0, Math.min(lendable, account.allowance(nowNanos)));
     completeLoan(account, account.lend(tokens, nowNanos) ? tokens : 0, listener);
   }
 
-  private void claimAndLend(
+  /** Lends tokens once they have been claimed, if too few are available, and a report allows it. */
+  private void reserveAndLend(
       CustomerAccount account, long tokens, long nowNanos, LongConsumer listener) {
     account.addWaiter(
         new CustomerAccount.Waiter(
@@ -294,6 +304,18 @@
         partition.startCallIfDue(nowNanos);
       }
     }
+    if (nowNanos - lastStatusNanos >= STATUS_INTERVAL_NANOS) {
+      lastStatusNanos = nowNanos;
+      tellStatus(nowNanos);
+    }
+  }
+
+  private void tellStatus(long nowNanos) {
+    for (CustomerAccount account : accounts.values()) {
+      if (account.isUsed()) {
+        events.onStatus(account.customer(), status(account.customer(), nowNanos));
+      }
+    }
   }
 
   /**
--- a/src/main/java/io/snipeloom/spend/SpendEvents.java
+++ b/src/main/java/io/snipeloom/spend/SpendEvents.java
@@ -32,9 +32,19 @@
   /**
    * This incarnation inherited tokens that the previous one left unused.
    *
-   * @param tokens the tokens that were inherited
+   * @param tokens the tokens that were inherited, 0 if there were none
+   * @param strandedTokens the tokens that the previous one had not used when it last reported, and
+   *     that nobody can spend any more, because it may have used them since
    */
-  void onInherited(CustomerId customer, long tokens);
+  void onInherited(CustomerId customer, long tokens, long strandedTokens);
+
+  /**
+   * Tells regularly where the tokens of a customer are.
+   *
+   * @param customer a customer of whom this instance held tokens
+   * @param status the tokens by place
+   */
+  void onStatus(CustomerId customer, SpendStatus status);
 
   /**
    * This instance borrowed tokens from another one.
--- a/src/main/java/io/snipeloom/spend/UsageReporter.java
+++ b/src/main/java/io/snipeloom/spend/UsageReporter.java
@@ -36,6 +36,9 @@
    */
   private static final long CLOCKS_TIMEOUT_NANOS = 4_000_000_000L;
 
+  /** How long instances that start at the same time may take to inherit, with a margin. */
+  private static final long RECOVERY_NANOS = 6_000_000_000L;
+
   private final String writer;
   private final MachineClock clock;
   private final String machine;
@@ -59,6 +62,7 @@
   private UsageReport predecessor;
 
   private Map<CustomerId, Long> inherited = new LinkedHashMap<>();
+  private Map<CustomerId, Long> stranded = new LinkedHashMap<>();
 
   /** Receives the tokens that are inherited from the previous incarnation. */
   interface InheritanceListener {
@@ -101,6 +105,14 @@
     return sequence > 0;
   }
 
+  /**
+   * Returns whether this instance, and others that started at the same time, may yet inherit
+   * tokens, so that a total that is claimed is not known to be exhausted.
+   */
+  boolean isRecovering(long nowNanos) {
+    return !isReporting() || nowNanos - startNanos < RECOVERY_NANOS;
+  }
+
   boolean isSettled() {
     return !callInProgress && pendingReport == null && !urgent;
   }
@@ -167,6 +179,7 @@
     if (sequence == 0 && !own) {
       predecessor = report.orElse(null);
       inherited = new LinkedHashMap<>();
+      stranded = new LinkedHashMap<>();
     }
     startCallIfDue(nowNanos);
   }
@@ -202,6 +215,7 @@
 
   private void inheritNothing() {
     events.onPredecessor(predecessor.writer(), 0, SpendEvents.ElapsedBy.UNKNOWN);
+    predecessor.usages().forEach(usage -> inherit(usage, 0));
     predecessor = null;
   }
 
@@ -210,17 +224,18 @@
         predecessor.writer(),
         elapsedNanos,
         sameClock ? SpendEvents.ElapsedBy.MONOTONIC_CLOCK : SpendEvents.ElapsedBy.FLEET_CLOCK);
-    if (predecessor.era() == era) {
-      for (UsageReport.CustomerUsage usage : predecessor.usages()) {
-        long tokens = usage.unused(elapsedNanos);
-        if (tokens > 0) {
-          inherited.put(usage.customer(), tokens);
-        }
-      }
-    }
+    boolean last = predecessor.era() == era;
+    predecessor.usages().forEach(usage -> inherit(usage, last ? usage.unused(elapsedNanos) : 0));
     predecessor = null;
   }
 
+  private void inherit(UsageReport.CustomerUsage usage, long tokens) {
+    if (tokens > 0) {
+      inherited.put(usage.customer(), tokens);
+    }
+    stranded.put(usage.customer(), usage.grantedTokens() - usage.usedTokens() - tokens);
+  }
+
   private void append(long nowNanos) {
     callInProgress = true;
     store.append(
@@ -284,11 +299,12 @@
     pendingReport = null;
     sequence = confirmed.sequence();
     inherited.forEach(
-        (customer, tokens) -> {
-          inheritanceListener.onInherited(customer, tokens, nowNanos);
-          events.onInherited(customer, tokens);
-        });
+        (customer, tokens) -> inheritanceListener.onInherited(customer, tokens, nowNanos));
+    stranded.forEach(
+        (customer, tokens) ->
+            events.onInherited(customer, inherited.getOrDefault(customer, 0L), tokens));
     inherited = new LinkedHashMap<>();
+    stranded = new LinkedHashMap<>();
     accounts.forEach(account -> account.onReportConfirmed(confirmed));
     accounts.forEach(account -> account.serveWaiters(nowNanos));
   }
--- a/src/test/java/io/snipeloom/spend/SpendSchedule.java
+++ b/src/test/java/io/snipeloom/spend/SpendSchedule.java
@@ -48,7 +48,10 @@
         public void onPredecessor(String writer, long ageNanos, ElapsedBy by) {}
 
         @Override
-        public void onInherited(CustomerId id, long tokens) {}
+        public void onInherited(CustomerId id, long tokens, long strandedTokens) {}
+
+        @Override
+        public void onStatus(CustomerId id, SpendStatus status) {}
       };
 
   private final Random random;
