Replicas whose entries come before the configuration have caches too

Callers: an instance that read the entries of replicas before its first configuration took their caches as one token for as long as they lived, so no shared part ever counted as cached there, and prompts went anywhere. Cause: the properties of the engine were looked up once, at the first entry; whichever of the two reads of the store answers first decides. Ruled out: reports older than a second (the line says that the other reported), lost reports (the line of the held request had arrived). A configuration that changes the engine of a service changes its replicas from now on.

--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -127,6 +127,7 @@
     configuration = newer;
     streams.onRoutes(newer.servicesOfResumableStreams(), System.nanoTime());
     views.values().forEach(view -> view.limit().changeColdStart(coldStartOf(view.replica())));
+    views.replaceAll((id, view) -> view.with(traitsOf(view.replica())));
     for (CustomerConfiguration customer : newer.customers()) {
       customer.prepaidTokens().ifPresent(tokens -> spend.changeLimit(customer.id(), tokens));
     }
--- a/src/main/java/io/snipeloom/routing/PrefixCacheModel.java
+++ b/src/main/java/io/snipeloom/routing/PrefixCacheModel.java
@@ -16,7 +16,7 @@
   /** The fraction of an engine's cache that running requests leave for cached parts. */
   private static final double CACHE_FRACTION = 0.7;
 
-  private final long capacityTokens;
+  private long capacityTokens;
   private final LinkedHashMap<String, Long> tokensByPart = new LinkedHashMap<>(64, 0.75f, true);
   private long cachedTokens;
 
@@ -26,7 +26,17 @@
    * @param cacheTokens the capacity of the KV cache of the engine, in tokens
    */
   public PrefixCacheModel(long cacheTokens) {
-    this.capacityTokens = (long) (cacheTokens * CACHE_FRACTION);
+    capacityTokens = (long) (cacheTokens * CACHE_FRACTION);
+  }
+
+  /**
+   * Changes the capacity.
+   *
+   * @param cacheTokens the capacity of the KV cache of the engine, in tokens
+   */
+  public void changeCapacity(long cacheTokens) {
+    capacityTokens = (long) (cacheTokens * CACHE_FRACTION);
+    evict();
   }
 
   /**
@@ -39,6 +49,10 @@
       Long previous = tokensByPart.put(part.id(), part.tokens());
       cachedTokens += part.tokens() - (previous == null ? 0 : previous);
     }
+    evict();
+  }
+
+  private void evict() {
     Iterator<Map.Entry<String, Long>> eldest = tokensByPart.entrySet().iterator();
     while (cachedTokens > capacityTokens && eldest.hasNext()) {
       cachedTokens -= eldest.next().getValue();
--- a/src/main/java/io/snipeloom/routing/ReplicaCosts.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaCosts.java
@@ -20,10 +20,19 @@
    * @param traits the properties of its engine, or null if it serves no models
    */
   static ReplicaCosts of(EngineTraits traits) {
+    return of(new ReplicaPace(), new ReplicaWork(), traits);
+  }
+
+  private static ReplicaCosts of(ReplicaPace pace, ReplicaWork work, EngineTraits traits) {
     return new ReplicaCosts(
-        new ReplicaPace(),
-        new ReplicaWork(),
+        pace,
+        work,
         traits == null ? Long.MAX_VALUE : traits.cacheTokens(),
         traits == null ? 1 : traits.tokensPerEvent());
   }
+
+  /** Returns what was observed of a replica whose engine has other properties than was known. */
+  ReplicaCosts with(EngineTraits traits) {
+    return of(pace, work, traits);
+  }
 }
--- a/src/main/java/io/snipeloom/routing/ReplicaView.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaView.java
@@ -30,17 +30,20 @@
    * @param traits the properties of its engine, or null if it serves no models
    */
   public static ReplicaView of(Replica replica, EngineTraits traits) {
-    long tokens = traits == null ? NO_ENGINE_TOKENS : traits.cacheTokens();
     return new ReplicaView(
         replica,
         new ReplicaLoad(),
         new ReplicaHealth(),
-        new PrefixCacheModel(tokens),
+        new PrefixCacheModel(cacheTokens(traits)),
         new ReplicaLimit(replica.id()),
         new ReplicaWillingness(),
         ReplicaCosts.of(traits));
   }
 
+  private static long cacheTokens(EngineTraits traits) {
+    return traits == null ? NO_ENGINE_TOKENS : traits.cacheTokens();
+  }
+
   /**
    * Returns whether the replica wants fewer requests or none at the moment, by its own answers.
    *
@@ -58,4 +61,16 @@
   public ReplicaView with(Replica newer) {
     return new ReplicaView(newer, load, health, prefixCache, limit, willingness, costs);
   }
+
+  /**
+   * Returns a view that shares the tracked state, of a replica whose engine has other properties
+   * than was known.
+   *
+   * @param traits the properties of its engine, or null if it serves no models
+   */
+  public ReplicaView with(EngineTraits traits) {
+    prefixCache.changeCapacity(cacheTokens(traits));
+    return new ReplicaView(
+        replica, load, health, prefixCache, limit, willingness, costs.with(traits));
+  }
 }
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -180,6 +180,15 @@
     return log.toString(StandardCharsets.UTF_8).lines().anyMatch(expected);
   }
 
+  /** Returns the first line of the log that contains a text. */
+  String lineWith(String text) {
+    return log.toString(StandardCharsets.UTF_8)
+        .lines()
+        .filter(line -> line.contains(text))
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Waits until the instance has logged that a replica is draining. */
   void awaitDraining(String replica) throws InterruptedException {
     awaitLines(
