--- a/src/main/java/io/snipeloom/spend/ClaimRole.java
+++ b/src/main/java/io/snipeloom/spend/ClaimRole.java
@@ -97,7 +97,7 @@
   private static final int MAX_BURST_DIVISOR = 3;
 
   /** The burst of a holder, as a multiple of that of an instance that claims for itself. */
-  private static final int HOLDER_BURSTS = 2;
+  private static final int HOLDER_BURSTS = 3;
 
   /**
    * While the lender cannot claim more tokens, it lends at most its available tokens divided by
--- a/src/main/java/io/snipeloom/spend/UsageReport.java
+++ b/src/main/java/io/snipeloom/spend/UsageReport.java
@@ -48,7 +48,7 @@
    * instance is back sooner, so it loses little of what the previous incarnation held. A live
    * writer that could not report for this long is in an outage of the store.
    */
-  private static final long OUTAGE_THRESHOLD_NANOS = 2_500_000_000L;
+  private static final long OUTAGE_THRESHOLD_NANOS = 5_000_000_000L;
 
   /** Makes immutable copies of the lists. */
   public UsageReport {
