Admission under load only where replicas state their pace

The review also read the placement of a prompt once for each replica (32 times at 32 replicas); it reads it once now. AdmissionExchangeTest has a test of the gate (4 tests pass); it was not run with the gate taken out.

--- a/src/main/java/io/snipeloom/cost/ReplicaPace.java
+++ b/src/main/java/io/snipeloom/cost/ReplicaPace.java
@@ -136,6 +136,11 @@
         : OptionalDouble.empty();
   }
 
+  /** Returns whether the replica has stated how long work takes on its host. */
+  public boolean isStated() {
+    return states;
+  }
+
   /** Returns whether anything is known of the pace. */
   public boolean isKnown() {
     return samples > 0 || states;
--- a/src/main/java/io/snipeloom/forwarding/ExchangeAdmission.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeAdmission.java
@@ -14,7 +14,8 @@
  * The admission of one request under load. Confined to the event loop thread.
  *
  * <p>Only model requests of routes with a target are decided about, at services whose engines are
- * described in the configuration.
+ * described in the configuration and most of whose replicas state how long work takes on their
+ * hosts. Without that the predictions are too uncertain to refuse anybody.
  */
 final class ExchangeAdmission {
   private static final double NANOS_PER_MILLI = 1e6;
@@ -36,10 +37,14 @@
     this.fleet = fleet;
     this.request = request;
     this.reviewedNanos = nowNanos;
-    this.review = isDecidedAbout() ? Optional.of(reviewNow(nowNanos)) : Optional.empty();
+    List<ReplicaView> replicas = isDescribed() ? replicas(nowNanos) : List.of();
+    this.review =
+        mostStateTheirPace(replicas)
+            ? Optional.of(reviewNow(replicas, nowNanos))
+            : Optional.empty();
   }
 
-  private boolean isDecidedAbout() {
+  private boolean isDescribed() {
     return request.metadata().prompt().isPresent()
         && request.route().targetMillis() > 0
         && request
@@ -49,17 +54,20 @@
             .isPresent();
   }
 
-  private AdmissionReview reviewNow(long nowNanos) {
+  private List<ReplicaView> replicas(long nowNanos) {
+    return fleet.availableReplicas(request.service()).stream()
+        .filter(view -> view.willingness().takesRequests(nowNanos))
+        .toList();
+  }
+
+  private static boolean mostStateTheirPace(List<ReplicaView> replicas) {
+    long stating = replicas.stream().filter(view -> view.costs().pace().isStated()).count();
+    return stating * 2 > replicas.size();
+  }
+
+  private AdmissionReview reviewNow(List<ReplicaView> replicas, long nowNanos) {
     Prompt prompt = request.metadata().prompt().get();
-    List<ReplicaView> replicas =
-        fleet.availableReplicas(request.service()).stream()
-            .filter(view -> view.willingness().takesRequests(nowNanos))
-            .toList();
-    long uncachedTokens =
-        replicas.stream()
-            .mapToLong(view -> fleet.picker().uncachedTokens(view, replicas, prompt, nowNanos))
-            .min()
-            .orElse(prompt.inputTokens());
+    long uncachedTokens = fleet.picker().leastUncachedTokens(replicas, prompt, nowNanos);
     Predictions predictions = (cost, tokens) -> outlook(replicas, cost, tokens, nowNanos);
     AdmissionRequest described =
         new AdmissionRequest(
--- a/src/main/java/io/snipeloom/routing/ReplicaPicker.java
+++ b/src/main/java/io/snipeloom/routing/ReplicaPicker.java
@@ -221,6 +221,22 @@
     return Math.max(0, uncached);
   }
 
+  /**
+   * Returns the fewest prompt tokens that any of the replicas would have to process.
+   *
+   * @param candidates all replicas that accept requests
+   * @param prompt the prompt
+   * @param nowNanos the current time
+   */
+  public long leastUncachedTokens(
+      Collection<ReplicaView> candidates, Prompt prompt, long nowNanos) {
+    PartPlacement placement = placementOf(prompt, candidates, nowNanos);
+    return candidates.stream()
+        .mapToLong(candidate -> uncachedTokens(candidate, prompt, placement))
+        .min()
+        .orElse(prompt.inputTokens());
+  }
+
   private PartPlacement placementOf(
       Prompt prompt, Collection<ReplicaView> candidates, long nowNanos) {
     return new PartPlacement(candidates, prompt, part -> copiesOf(part, nowNanos));
--- a/src/test/java/io/snipeloom/edge/AdmissionExchangeTest.java
+++ b/src/test/java/io/snipeloom/edge/AdmissionExchangeTest.java
@@ -27,11 +27,12 @@
 
   private EdgeFixture edge;
   private FakeReplica engine;
+  private volatile boolean statesPace = true;
 
   @BeforeEach
   void startInstance() throws Exception {
     edge = new EdgeFixture();
-    engine = FakeReplica.start(AdmissionExchangeTest::respond);
+    engine = FakeReplica.start(this::respond);
     edge.register("e-1", "llm", engine, "ready");
     edge.configure(1, 10_000_000);
     edge.awaitReady();
@@ -69,6 +70,17 @@
     assertThat("seen by the replica", isSeenByReplica("first"), is(true));
   }
 
+  /**
+   * Guards services whose replicas do not state their pace: they are served as without admission.
+   */
+  @Test
+  void nothingIsRefusedWhereReplicasDoNotStateTheirPace() throws Exception {
+    statesPace = false;
+    observeStreams();
+    sendWithTimeLimit("short", SHORT_MILLIS, "");
+    assertThat("seen by the replica", isSeenByReplica("short"), is(true));
+  }
+
   private void observeStreams() throws IOException {
     for (int i = 0; i < OBSERVED_STREAMS; i++) {
       String response = edge.send("/draft/1", "s" + i, PROMPT.formatted(i));
@@ -90,13 +102,14 @@
     return engine.requests().stream().anyMatch(request -> attempt.equals(request.attempt()));
   }
 
-  private static boolean respond(FakeReplica.Request request, Socket socket)
+  private boolean respond(FakeReplica.Request request, Socket socket)
       throws IOException, InterruptedException {
     Thread.sleep(FIRST_EVENT_MILLIS);
     FakeReplica.write(
         socket,
         "HTTP/1.1 200 X\r\nSnipeloom-Attempt-Id: %s\r\nSnipeloom-Replica-Signature: s\r\n"
                 .formatted(request.attempt())
+            + (statesPace ? "Snipeloom-Replica-Load: 1,0,64,100\r\n" : "")
             + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n");
     for (int id = 1; id <= EVENTS; id++) {
       FakeReplica.write(socket, "id: %d\ndata: x\n\n".formatted(id));
