Log and measure how late the event loop is and how long a request waits before it is sent

The record of GONE (6 requests sent over 0.5 s after their callers had left) fits three causes that no line told apart: a request that lay unread, one that waited inside the instance, one that was held up on its way to the replica. Now the line sent has waited_ms (read to sent) and loop_delay_ms (the most that it may have lain unread), loop_delayed marks each delay of 100 ms or more, and histograms hold both. No logic changed.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -38,6 +38,7 @@
 import io.snipeloom.store.TopicWatch;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.telemetry.FleetMetrics;
+import io.snipeloom.telemetry.LoopDelay;
 import io.snipeloom.transport.MetricsText;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -78,6 +79,10 @@
   private static final long CONVICTIONS_TIMEOUT_NANOS = 1_500_000_000L;
 
   private static final long TICK_INTERVAL_MILLIS = 50;
+
+  /** How late the event loop must be for a line in the log; a fraction of a caller's patience. */
+  private static final long LOGGED_LOOP_DELAY_MILLIS = 100;
+
   private static final long HEARTBEAT_INTERVAL_MILLIS = 5_000;
 
   /**
@@ -108,6 +113,7 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final LoopTimer timer;
+  private final LoopDelay loopDelay = new LoopDelay(TICK_INTERVAL_MILLIS, System.nanoTime());
   private final KeyedLog store;
   private final LoanClient loanClient;
   private final DemandSender demandSender;
@@ -172,7 +178,7 @@
     metrics.registry().gauge("cold_replicas", () -> fleet::coldReplicas);
     this.configurationFeed = new ConfigurationFeed(fleet, log, this::onStoreOutcome);
     this.convictionFeed = new ConvictionFeed(fleet.crashes(), settings.instance(), log);
-    this.proxyServer = new ProxyServer(loop, fleet, log, metrics);
+    this.proxyServer = new ProxyServer(loop, fleet, log, metrics, loopDelay);
   }
 
   /**
@@ -282,6 +288,7 @@
 
   private void tick() {
     long nowNanos = System.nanoTime();
+    recordLoopDelay(loopDelay.onTick(nowNanos));
     proxyServer.tick(nowNanos);
     fleet.spend().tick(nowNanos);
     fleet.streams().tick(fleet.directory().replicas(), nowNanos);
@@ -299,6 +306,13 @@
     }
   }
 
+  private void recordLoopDelay(long delayMillis) {
+    metrics.loopDelay(delayMillis);
+    if (delayMillis >= LOGGED_LOOP_DELAY_MILLIS) {
+      log.log("loop_delayed", "delay_ms", delayMillis, "open_requests", proxyServer.openRequests());
+    }
+  }
+
   private void logEntitlement(long nowNanos) {
     if (roster.isEntitled(nowNanos) != entitled) {
       entitled = !entitled;
--- a/src/main/java/io/snipeloom/forwarding/CallerRequest.java
+++ b/src/main/java/io/snipeloom/forwarding/CallerRequest.java
@@ -13,7 +13,9 @@
  * @param headers the headers as received
  * @param body the body, which the exchange releases when it ends
  * @param buffer counts the bytes of the body; the exchange releases it when it ends
- * @param arrivedNanos when the request header was received, as {@link System#nanoTime}
+ * @param arrivedNanos when the request header was read, as {@link System#nanoTime}
+ * @param loopDelayMillis how late the event loop was when it read the header, in milliseconds; the
+ *     request may have arrived that long before
  */
 record CallerRequest(
     HttpMethod method,
@@ -21,7 +23,9 @@
     HttpHeaders headers,
     ByteBuf body,
     RequestBuffer buffer,
-    long arrivedNanos) {
+    long arrivedNanos,
+    long loopDelayMillis) {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /** Releases the body. */
   void release() {
@@ -29,6 +33,15 @@
     buffer.release();
   }
 
+  /**
+   * Returns the time since the request was read, in milliseconds.
+   *
+   * @param nowNanos the current time
+   */
+  long ageMillis(long nowNanos) {
+    return (nowNanos - arrivedNanos) / NANOS_PER_MILLI;
+  }
+
   /** Returns the path without the query. */
   String path() {
     int query = uri.indexOf('?');
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -390,8 +390,10 @@
         routed.sharedParts(),
         sent.uncachedTokens(),
         fleet.picker().peers(),
+        request,
         now,
         remainingMillis());
+    metrics.waitBeforeSend(request.ageMillis(now));
   }
 
   @Override
@@ -577,10 +579,6 @@
     return routed.remainingMillis(System.nanoTime());
   }
 
-  private long elapsedMillis() {
-    return (System.nanoTime() - request.arrivedNanos()) / NANOS_PER_MILLI;
-  }
-
   private void respond(LocalResponse local) {
     String attemptId = metadata == null ? "" : metadata.attemptId();
     response.sendLocal(local, fleet.codec().localResponseHeaders(attemptId));
@@ -595,7 +593,7 @@
     final long consumedTokens = settle();
     caller.buffer().discard();
     request.release();
-    long totalMillis = elapsedMillis();
+    long totalMillis = request.ageMillis(System.nanoTime());
     metrics.total(totalMillis);
     metrics.count("request_" + outcome.replace('.', '_'));
     log.request(
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -152,6 +152,7 @@
       List<PromptPart> sharedParts,
       long uncachedTokens,
       PeerDemand peers,
+      CallerRequest read,
       long nowNanos,
       long remainingMillis) {
     log.log(
@@ -186,6 +187,10 @@
         peers.reporters(),
         "error_share",
         view.health().errorShare(),
+        "waited_ms",
+        read.ageMillis(nowNanos),
+        "loop_delay_ms",
+        read.loopDelayMillis(),
         "left_ms",
         remainingMillis);
   }
--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -81,6 +81,7 @@
   private CallerWriter writer;
   private IncomingBody body;
   private long headReceivedNanos;
+  private long loopDelayMillis;
   private long headerStartNanos;
   private boolean inHeader;
   private long idleSinceNanos;
@@ -166,6 +167,7 @@
     head = request;
     inHeader = false;
     headReceivedNanos = System.nanoTime();
+    loopDelayMillis = server.loopDelayMillis(headReceivedNanos);
     keepAlive = HttpUtil.isKeepAlive(request);
     if (request.method().equals(HttpMethod.CONNECT) || !request.uri().startsWith("/")) {
       reject(HttpResponseStatus.BAD_REQUEST, "request target is not a path");
@@ -267,7 +269,8 @@
             head.headers(),
             body.bytes(),
             body.buffer(),
-            headReceivedNanos);
+            headReceivedNanos,
+            loopDelayMillis);
     head = null;
     body = null;
     exchange =
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -16,6 +16,7 @@
 import io.snipeloom.routing.RequestLimits;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.telemetry.FleetMetrics;
+import io.snipeloom.telemetry.LoopDelay;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -39,6 +40,7 @@
   private final Fleet fleet;
   private final EventLog log;
   private final FleetMetrics metrics;
+  private final LoopDelay loopDelay;
   private final CrashDetector crashDetector;
   private final Set<ProxyConnection> connections = new HashSet<>();
   private Channel listener;
@@ -53,12 +55,15 @@
    * @param fleet the configuration and the replicas
    * @param log the event log
    * @param metrics the request metrics
+   * @param loopDelay how late the event loop is
    */
-  public ProxyServer(EventLoop loop, Fleet fleet, EventLog log, FleetMetrics metrics) {
+  public ProxyServer(
+      EventLoop loop, Fleet fleet, EventLog log, FleetMetrics metrics, LoopDelay loopDelay) {
     this.loop = loop;
     this.fleet = fleet;
     this.log = log;
     this.metrics = metrics;
+    this.loopDelay = loopDelay;
     this.crashDetector = new CrashDetector(loop, fleet, log, metrics);
   }
 
@@ -178,6 +183,11 @@
     return System.nanoTime() - lastTickNanos > limitNanos;
   }
 
+  /** Returns how late the event loop is, in milliseconds. */
+  long loopDelayMillis(long nowNanos) {
+    return loopDelay.millis(nowNanos);
+  }
+
   CrashDetector crashDetector() {
     return crashDetector;
   }
--- a/src/main/java/io/snipeloom/telemetry/FleetMetrics.java
+++ b/src/main/java/io/snipeloom/telemetry/FleetMetrics.java
@@ -13,6 +13,8 @@
   private final Histogram firstByteMillis = histogram("first_byte_millis");
   private final Histogram totalMillis = histogram("request_millis");
   private final Histogram reservationMillis = histogram("reservation_millis");
+  private final Histogram loopDelayMillis = histogram("loop_delay_millis");
+  private final Histogram waitMillis = histogram("wait_before_send_millis");
 
   /**
    * Counts an event.
@@ -50,6 +52,24 @@
     reservationMillis.update(millis);
   }
 
+  /**
+   * Records how late the event loop ran a periodic task.
+   *
+   * @param millis the delay, in milliseconds
+   */
+  public void loopDelay(long millis) {
+    loopDelayMillis.update(millis);
+  }
+
+  /**
+   * Records the time from reading a request to sending it to a replica.
+   *
+   * @param millis the time, in milliseconds
+   */
+  public void waitBeforeSend(long millis) {
+    waitMillis.update(millis);
+  }
+
   /**
    * Registers a value that is read when the metrics are.
    *
