--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -108,6 +108,11 @@
    * @param prepaid the prepaid tokens of the customer
    */
   void configure(int version, long prepaid) {
+    configure(store, version, prepaid);
+  }
+
+  /** Publishes the same configuration in a store. */
+  static void configure(FakeStore store, int version, long prepaid) {
     store.put(
         "keyed.op",
         "config",
@@ -140,6 +145,17 @@
 
   /** Writes the entry of a replica to the store. */
   void register(String id, String service, FakeReplica replica, String state, String version) {
+    register(store, id, service, replica, state, version);
+  }
+
+  /** Writes the entry of a replica to a store. */
+  static void register(
+      FakeStore store,
+      String id,
+      String service,
+      FakeReplica replica,
+      String state,
+      String version) {
     store.put(
         REPLICA_TOPIC,
         id,
--- /dev/null
+++ b/src/test/java/io/snipeloom/edge/EdgeProcess.java
@@ -0,0 +1,118 @@
+package io.snipeloom.edge;
+
+import io.snipeloom.platform.FakeStore;
+import io.snipeloom.transport.Eventually;
+import io.snipeloom.transport.FreePorts;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Runs an edge instance as a process of its own, which signals can stop and resume. */
+final class EdgeProcess implements AutoCloseable {
+  private final FakeStore store;
+  private final int callersPort = FreePorts.next();
+  private final int readinessPort = FreePorts.next();
+  private final Path log;
+  private final Process process;
+
+  /**
+   * Starts the process.
+   *
+   * @param directory where its settings and its log are kept
+   * @param store the store that it uses
+   */
+  EdgeProcess(Path directory, FakeStore store) throws IOException {
+    this.store = store;
+    log = directory.resolve("edge.log");
+    Path settings = directory.resolve("edge.json");
+    Files.writeString(
+        settings,
+        """
+        {"instance": "edge-1", "zone": "zone-a", "callers": "127.0.0.1:%d",
+         "readiness": "127.0.0.1:%d", "metrics": "127.0.0.1:%d", "loans": "127.0.0.1:%d",
+         "store": "127.0.0.1:%d", "storePartitions": 3, "retryRatio": 0.2, "retrySlack": 40,
+         "retryWindowSeconds": 10, "graceSeconds": 5}
+        """
+            .formatted(
+                callersPort,
+                readinessPort,
+                FreePorts.next(),
+                FreePorts.next(),
+                store.address().getPort()));
+    process =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx96m",
+                "-XX:+UseSerialGC",
+                "-cp",
+                System.getProperty("java.class.path"),
+                EdgeMain.class.getName(),
+                settings.toString())
+            .redirectErrorStream(true)
+            .redirectOutput(log.toFile())
+            .start();
+  }
+
+  /** Waits until the process reports that it is ready and has learned of a replica. */
+  void awaitReady(String replica) {
+    Eventually.await("the process is ready", this::isReady);
+    Eventually.await(
+        "the replica is known", () -> log().contains("event=replica replica=" + replica + " "));
+  }
+
+  private boolean isReady() {
+    try {
+      URI uri = URI.create("http://127.0.0.1:" + readinessPort + "/");
+      HttpURLConnection connection = (HttpURLConnection) uri.toURL().openConnection();
+      return connection.getResponseCode() == 200;
+    } catch (IOException e) {
+      // Nothing listens yet.
+      return false;
+    }
+  }
+
+  /** Opens a connection to the address for callers. */
+  Socket open() throws IOException {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), callersPort);
+    socket.setSoTimeout(8_000);
+    return socket;
+  }
+
+  /** Suspends the process; its connections stay open and the kernel goes on to accept new ones. */
+  void suspend() throws IOException, InterruptedException {
+    signal("STOP");
+  }
+
+  /** Resumes the process. */
+  void resume() throws IOException, InterruptedException {
+    signal("CONT");
+  }
+
+  private void signal(String name) throws IOException, InterruptedException {
+    String command = "kill -%s %d".formatted(name, process.pid());
+    Process shell = new ProcessBuilder("sh", "-c", command).inheritIO().start();
+    if (shell.waitFor() != 0) {
+      throw new IllegalStateException("no signal " + name + " sent");
+    }
+  }
+
+  /** Returns what the process has logged so far. */
+  String log() {
+    try {
+      return Files.readString(log);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly().onExit().join();
+    store.stop();
+  }
+}
