A request is sent only after what has arrived from its caller was read

Cause: a request and the close behind it lay unread while the event loop was behind. The request was read and sent in one pass over the ready connections, the close read in the next. The guard (start 4 ms later if the last tick was over 200 ms ago) ended with the first tick after the stop, while the backlog was accepted and read over many passes; and 4 ms end within one long pass. Ruled out: a wait inside the instance (waited_ms=0), a wait for tokens (it ends after 400 ms; requests of callers that left meanwhile were not sent either with the mechanism taken out), a request held up on its way (the replica of the test reads at once). Fix: just before the request is written to a replica, the connection of the caller is read until nothing is left, so that a close that reached the machine is known whatever the loop is behind with, and after every wait (tokens, connection, retry). It costs one read that finds nothing; no request is delayed, and the guard with its two constants is gone. An unused connection to the replica goes back to its pool.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -237,6 +237,11 @@
     log.stop();
   }
 
+  /** Returns the event loop, which a test can keep busy. */
+  EventLoop loop() {
+    return loop;
+  }
+
   /** Stops at once without draining, as if the process were killed. */
   void halt() {
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly();
@@ -289,7 +294,6 @@
   private void tick() {
     long nowNanos = System.nanoTime();
     recordLoopDelay(loopDelay.onTick(nowNanos));
-    proxyServer.tick(nowNanos);
     fleet.spend().tick(nowNanos);
     fleet.streams().tick(fleet.directory().replicas(), nowNanos);
     fleet.crashes().tick(nowNanos);
--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -81,9 +81,12 @@
   /** The exchange that an attempt belongs to. */
   interface Owner {
 
-    /** Returns whether the caller still waits for a response. */
+    /** Returns whether the caller still waits for a response, as far as is known. */
     boolean isCallerWaiting();
 
+    /** Finds out, just before the request is sent, whether the caller still waits. */
+    boolean confirmCaller();
+
     /** Returns the traits of the request. */
     RequestTraits traits();
 
@@ -236,8 +239,8 @@
   }
 
   private void onConnection(ClientConnection opened) {
-    if (ended || !owner.isCallerWaiting()) {
-      opened.close();
+    if (ended || !owner.confirmCaller()) {
+      fleet.connectionPool(view.replica()).giveBack(opened);
       end();
       return;
     }
--- a/src/main/java/io/snipeloom/forwarding/CallerChannel.java
+++ b/src/main/java/io/snipeloom/forwarding/CallerChannel.java
@@ -7,9 +7,17 @@
 /** Sends the response of one request to its caller. */
 interface CallerChannel {
 
-  /** Returns whether the connection to the caller is open. */
+  /** Returns whether the connection to the caller is open, as far as it has been read. */
   boolean isOpen();
 
+  /**
+   * Reads what has arrived from the caller and returns whether it is still connected.
+   *
+   * <p>Called just before a request is sent to a replica: a close that the event loop has not come
+   * to read yet counts. Must not be called while the connection is being read.
+   */
+  boolean isStillConnected();
+
   /** Returns the buffer in which each byte of a replica's response is counted when received. */
   ResponseBuffer buffer();
 
--- a/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
+++ b/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
@@ -119,6 +119,13 @@
     connect(onConnection, failure -> onFailure.accept(failure.getClass().getSimpleName()));
   }
 
+  /** Takes back a connection on which nothing was sent. */
+  void giveBack(ClientConnection connection) {
+    if (connection.isUsable()) {
+      offer(connection);
+    }
+  }
+
   /** Closes the idle connections. Pending requests continue; their connections are not reused. */
   void close() {
     closed = true;
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -333,6 +333,18 @@
     return !done && caller.isOpen();
   }
 
+  @Override
+  public boolean confirmCaller() {
+    if (done) {
+      return false;
+    }
+    boolean connected = caller.isStillConnected();
+    if (!connected) {
+      metrics.count("caller_left_before_send");
+    }
+    return connected;
+  }
+
   @Override
   public RequestTraits traits() {
     return routed.traits();
--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
@@ -34,7 +35,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The connection of one caller, which processes one request at a time.
@@ -58,17 +58,6 @@
    */
   private static final long UNREAD_TIMEOUT_MILLIS = 60_000;
 
-  /**
-   * If the event loop was blocked for longer than this, a caller may have disconnected unnoticed.
-   */
-  private static final long STALL_THRESHOLD_NANOS = 200_000_000L;
-
-  /**
-   * The delay before a request that was read after a stall is processed, so that a disconnect of
-   * its caller is read first.
-   */
-  private static final long STALL_DELAY_MILLIS = 4;
-
   private final ProxyServer server;
   private final EventLoop loop;
   private final Fleet fleet;
@@ -88,6 +77,7 @@
   private Exchange exchange;
   private boolean keepAlive;
   private boolean rejected;
+  private boolean bytesRead;
 
   /** Whether a request was refused whose body the caller still sends. */
   private boolean discardingBody;
@@ -126,6 +116,7 @@
 
   /** Records that bytes arrived, before they are decoded. */
   void onBytes() {
+    bytesRead = true;
     if (exchange == null && head == null && !inHeader) {
       inHeader = true;
       headerStartNanos = System.nanoTime();
@@ -283,11 +274,8 @@
             request,
             this,
             this::onExchangeEnded);
-    if (server.isStalled(STALL_THRESHOLD_NANOS)) {
-      loop.schedule(this::startIfOpen, STALL_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-    } else {
-      exchange.start();
-    }
+    // Before it sends the request, the exchange reads the connection, which is being read now.
+    loop.execute(this::startIfOpen);
   }
 
   private void startIfOpen() {
@@ -472,6 +460,17 @@
     return channel.isActive();
   }
 
+  @Override
+  public boolean isStillConnected() {
+    AbstractNioChannel.NioUnsafe socket = (AbstractNioChannel.NioUnsafe) channel.unsafe();
+    bytesRead = true;
+    while (bytesRead && channel.isActive() && channel.config().isAutoRead()) {
+      bytesRead = false;
+      socket.read();
+    }
+    return channel.isActive();
+  }
+
   @Override
   public ResponseBuffer buffer() {
     return buffer;
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -46,7 +46,6 @@
   private Channel listener;
   private ServerSocketChannel socket;
   private boolean draining;
-  private long lastTickNanos = System.nanoTime();
 
   /**
    * Creates a server that does not listen yet.
@@ -142,15 +141,6 @@
     new ArrayList<>(connections).forEach(ProxyConnection::closeIfIdle);
   }
 
-  /**
-   * Records that the event loop is running; called at a fixed interval.
-   *
-   * @param nowNanos the current time, as {@link System#nanoTime}
-   */
-  public void tick(long nowNanos) {
-    lastTickNanos = nowNanos;
-  }
-
   /** Closes the connections that exceed the time limits for headers, bodies or idleness. */
   public void closeTimedOut() {
     long now = System.nanoTime();
@@ -175,14 +165,6 @@
     return connections.stream().filter(ProxyConnection::isBusy).count();
   }
 
-  /**
-   * Returns whether more than the given time has passed since the last tick, that is, whether the
-   * event loop was blocked.
-   */
-  boolean isStalled(long limitNanos) {
-    return System.nanoTime() - lastTickNanos > limitNanos;
-  }
-
   /** Returns how late the event loop is, in milliseconds. */
   long loopDelayMillis(long nowNanos) {
     return loopDelay.millis(nowNanos);
--- /dev/null
+++ b/src/test/java/io/snipeloom/edge/BlockedLoopTest.java
@@ -0,0 +1,62 @@
+package io.snipeloom.edge;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasSize;
+
+import io.snipeloom.edge.DepartedCallers.Leaving;
+import io.snipeloom.platform.FakeReplica;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Keeps the event loop of an instance busy while callers send requests. */
+@Timeout(60)
+class BlockedLoopTest {
+  private static final long BLOCKED_MILLIS = 1_200;
+
+  private EdgeFixture edge;
+
+  @BeforeEach
+  void startInstance() throws IOException {
+    edge = new EdgeFixture();
+  }
+
+  @AfterEach
+  void stopInstance() {
+    edge.close();
+  }
+
+  /** Guards against dropping a caller that stays, whose next request follows on its connection. */
+  @Test
+  void pipelinedRequestsOfCallersThatStayAreServedAfterTheLoopWasBlocked() throws Exception {
+    try (DepartedCallers departed = new DepartedCallers(Leaving.CLOSE);
+        FakeReplica replica = FakeReplica.start(departed::respond);
+        Socket caller = openAfterStart(replica)) {
+      edge.blockLoop(BLOCKED_MILLIS);
+      for (int i = 0; i < 5; i++) {
+        FakeReplica.write(caller, EdgeFixture.request("/status/" + i, "p" + i, "", i == 4));
+      }
+      String responses = EdgeFixture.readAll(caller.getInputStream());
+      String[] parts = responses.split("HTTP/1.1 200", -1);
+      assertThat(List.of(parts), hasSize(6));
+      assertThat(List.of(parts).subList(1, 6), everyItem(endsWith("read")));
+    }
+  }
+
+  private Socket openAfterStart(FakeReplica replica) throws IOException, InterruptedException {
+    start("app", replica);
+    return edge.open();
+  }
+
+  private void start(String service, FakeReplica replica) throws IOException, InterruptedException {
+    edge.configure(1, 1_000_000);
+    edge.register("i-1", service, replica, "ready");
+    edge.awaitReady();
+  }
+}
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -17,6 +17,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Predicate;
 
 /** Runs an edge instance on a fake store; the test provides replicas and callers. */
@@ -253,6 +255,11 @@
         + "Content-Length: 4\r\n\r\nbody";
   }
 
+  /** Keeps the event loop busy for a time, as a long garbage collection does. */
+  void blockLoop(long millis) {
+    daemon.loop().execute(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis)));
+  }
+
   void stop() {
     daemon.stop();
   }
