An odd record of the store names nothing and hides none of the records after it

Report of other operators: one odd entry among those of the replicas, and machines ended again and again or stopped following the list. The ledger of a customer that cannot be decoded stopped its whole partition. Now numbers and addresses are checked, without any lookup; such a record takes its place among the offsets and says nothing; a watch goes on after what a listener throws, also a StackOverflowError, with the line record_failed; where a customer's ledger cannot be read, nothing is claimed for that customer.

--- a/src/main/java/io/snipeloom/edge/ConfigurationFeed.java
+++ b/src/main/java/io/snipeloom/edge/ConfigurationFeed.java
@@ -55,6 +55,11 @@
     onOutcome.accept(outcome);
   }
 
+  @Override
+  public void onFailure(String topic, Throwable failure) {
+    log.log("record_failed", "topic", topic, "reason", failure);
+  }
+
   /** Ends the evacuations that listings have lacked for long enough. */
   void tick(long nowNanos) {
     evacuations.tick(nowNanos);
--- a/src/main/java/io/snipeloom/edge/ConvictionFeed.java
+++ b/src/main/java/io/snipeloom/edge/ConvictionFeed.java
@@ -69,6 +69,11 @@
     }
   }
 
+  @Override
+  public void onFailure(String topic, Throwable failure) {
+    log.log("record_failed", "topic", topic, "reason", failure);
+  }
+
   private void apply(KeyedRecord record) {
     Optional<String> recordedBy = KeyedConvictions.recordingInstance(record);
     Optional<RequestTrait> tried = KeyedConvictions.triedRequest(record);
--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -156,7 +156,7 @@
             settings.callers().getAddress().getHostAddress(),
             fleetClock,
             startNanos,
-            new KeyedLedger(store, LEDGER_TOPIC),
+            new KeyedLedger(store, LEDGER_TOPIC, this::onMalformedLedgerRecord),
             new KeyedUsage(store, USAGE_TOPIC, settings.instance(), settings.storePartitions()),
             settings.storePartitions(),
             new ClaimPolicy(OUTAGE_COVERAGE_SECONDS, fleetSize),
@@ -376,6 +376,10 @@
     }
   }
 
+  private void onMalformedLedgerRecord(String key) {
+    log.log("ledger_record_refused", "customer", key, "taken_for", "all tokens are claimed");
+  }
+
   private StreamContinuity newStreamContinuity() {
     OriginEventLogger events = new OriginEventLogger(log, metrics);
     return new StreamContinuity(
--- a/src/main/java/io/snipeloom/edge/FleetMembers.java
+++ b/src/main/java/io/snipeloom/edge/FleetMembers.java
@@ -1,6 +1,7 @@
 package io.snipeloom.edge;
 
 import io.snipeloom.routing.ShareRoster;
+import io.snipeloom.routing.SocketAddresses;
 import io.snipeloom.store.KeyedLog;
 import io.snipeloom.store.KeyedRecord;
 import io.snipeloom.store.StoreOutcome;
@@ -31,7 +32,7 @@
   private static final String TOPIC = "members";
 
   /** The last field of a heartbeat: IP address and port. */
-  private static final Pattern ADDRESS = Pattern.compile(" ([0-9a-f.:]+):([0-9]{1,5})$");
+  private static final Pattern ADDRESS = Pattern.compile(" ([0-9.:]+)$");
 
   private final KeyedLog log;
   private final String instance;
@@ -154,9 +155,7 @@
    */
   private static Optional<InetSocketAddress> address(String heartbeat) {
     Matcher matcher = ADDRESS.matcher(heartbeat);
-    return matcher.find()
-        ? Optional.of(new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2))))
-        : Optional.empty();
+    return matcher.find() ? SocketAddresses.parse(matcher.group(1)) : Optional.empty();
   }
 
   private void update(String name, String text) {
--- a/src/main/java/io/snipeloom/edge/LoopTimer.java
+++ b/src/main/java/io/snipeloom/edge/LoopTimer.java
@@ -36,7 +36,7 @@
     return () -> {
       try {
         task.run();
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | StackOverflowError e) {
         log.log("task_failed", "reason", e, "at", e.getStackTrace()[0]);
       }
     };
--- a/src/main/java/io/snipeloom/edge/ReplicaFeed.java
+++ b/src/main/java/io/snipeloom/edge/ReplicaFeed.java
@@ -69,6 +69,11 @@
     onOutcome.accept(outcome);
   }
 
+  @Override
+  public void onFailure(String topic, Throwable failure) {
+    log.log("record_failed", "topic", topic, "reason", failure);
+  }
+
   /** Returns the replica, or null if the record is a removal or cannot be decoded. */
   private Replica decode(KeyedRecord record) {
     if (record.isRemoval()) {
--- a/src/main/java/io/snipeloom/platform/PlatformStore.java
+++ b/src/main/java/io/snipeloom/platform/PlatformStore.java
@@ -243,14 +243,24 @@
     }
     List<KeyedRecord> records = new ArrayList<>();
     for (JsonNode item : root.path("items")) {
-      byte[] value = Base64.getDecoder().decode(item.path("value").asText());
-      records.add(new KeyedRecord(item.path("key").asText(), value));
+      records.add(decodeItem(item));
     }
     boolean hasMore = root.path("hasMore").asBoolean() && !records.isEmpty();
-    String lastKey = hasMore ? records.get(records.size() - 1).key() : "";
+    String lastKey =
+        hasMore ? root.path("items").path(records.size() - 1).path("key").asText() : "";
     return new RecordPage(records, root.path("end").asLong(), lastKey);
   }
 
+  /** Decodes an entry of a listing; one that cannot be read doesn't hide those after it. */
+  private static KeyedRecord decodeItem(JsonNode item) {
+    try {
+      byte[] value = Base64.getDecoder().decode(item.path("value").asText());
+      return new KeyedRecord(item.path("key").asText(), value);
+    } catch (IllegalArgumentException e) {
+      return KeyedRecord.unreadable();
+    }
+  }
+
   private static RecordPage decodeExpired(ByteBuf body) throws IOException {
     JsonNode first = MAPPER.readTree(ByteBufUtil.getBytes(body)).path("first");
     return new RecordPage(List.of(), first.asLong(), "");
--- a/src/main/java/io/snipeloom/platform/RecordFraming.java
+++ b/src/main/java/io/snipeloom/platform/RecordFraming.java
@@ -35,10 +35,7 @@
     List<KeyedRecord> records = new ArrayList<>();
     try {
       while (bytes.isReadable()) {
-        ByteBuf record = bytes.readSlice(bytes.readInt());
-        ByteBuf key = record.readSlice(record.readUnsignedByte());
-        records.add(
-            new KeyedRecord(key.toString(StandardCharsets.UTF_8), ByteBufUtil.getBytes(record)));
+        records.add(decodeRecord(bytes.readSlice(bytes.readInt())));
       }
     } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
       throw SnipeloomException.of(
@@ -48,4 +45,17 @@
     }
     return records;
   }
+
+  /** Decodes one record; the store takes any bytes for one, also such that hold no key. */
+  private static KeyedRecord decodeRecord(ByteBuf record) {
+    if (!record.isReadable()) {
+      return KeyedRecord.unreadable();
+    }
+    int keyBytes = record.readUnsignedByte();
+    if (keyBytes == 0 || keyBytes > record.readableBytes()) {
+      return KeyedRecord.unreadable();
+    }
+    String key = record.readSlice(keyBytes).toString(StandardCharsets.UTF_8);
+    return new KeyedRecord(key, ByteBufUtil.getBytes(record));
+  }
 }
--- a/src/main/java/io/snipeloom/platform/ReplicaDecoder.java
+++ b/src/main/java/io/snipeloom/platform/ReplicaDecoder.java
@@ -6,6 +6,7 @@
 import io.snipeloom.routing.Replica;
 import io.snipeloom.routing.ReplicaId;
 import io.snipeloom.routing.ReplicaState;
+import io.snipeloom.routing.SocketAddresses;
 import io.snipeloom.routing.SoftwareVersion;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
@@ -36,7 +37,7 @@
       JsonNode node = MAPPER.readTree(entry);
       return new Replica(
           new ReplicaId(id),
-          node.path("born").asLong(0),
+          whole(node, "born"),
           text(node, "service"),
           address(text(node, "address")),
           new SoftwareVersion(text(node, "version")),
@@ -44,8 +45,8 @@
           slots(node),
           state(text(node, "state")),
           cold(node.get("coldRemainingMs")),
-          node.path("sequence").asLong(0));
-    } catch (IOException | IllegalArgumentException e) {
+          whole(node, "sequence"));
+    } catch (IOException | RuntimeException | StackOverflowError e) {
       throw SnipeloomException.of(
               ErrorCode.MALFORMED_RECORD, "invalid entry of replica " + id + ": " + e.getMessage())
           .withCause(e);
@@ -54,12 +55,24 @@
 
   private static int slots(JsonNode node) {
     JsonNode slots = node.path("slots");
-    if (!slots.isIntegralNumber()) {
-      throw new IllegalArgumentException("field slots is missing or not an integer");
+    if (!slots.isIntegralNumber() || !slots.canConvertToInt()) {
+      throw new IllegalArgumentException("field slots is missing, not an integer or too large");
     }
     return slots.asInt();
   }
 
+  /** Returns a whole number, 0 if it is missing. */
+  private static long whole(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (value.isMissingNode()) {
+      return 0;
+    }
+    if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+      throw new IllegalArgumentException("field " + field + " is not an integer or too large");
+    }
+    return value.asLong();
+  }
+
   private static ColdReport cold(JsonNode value) {
     if (value == null || value.isNull()) {
       return ColdReport.NONE;
@@ -76,12 +89,9 @@
   }
 
   private static InetSocketAddress address(String text) {
-    int colon = text.lastIndexOf(':');
-    String host = text.substring(0, Math.max(0, colon));
-    if (!host.matches("[0-9]+(\\.[0-9]+){3}")) {
-      throw new IllegalArgumentException("address is not an IPv4 address with a port");
-    }
-    return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+    return SocketAddresses.parse(text)
+        .orElseThrow(
+            () -> new IllegalArgumentException("address is not an IPv4 address with a port"));
   }
 
   private static String text(JsonNode node, String field) {
--- a/src/main/java/io/snipeloom/spend/LedgerRecord.java
+++ b/src/main/java/io/snipeloom/spend/LedgerRecord.java
@@ -34,6 +34,9 @@
   /** The number of fields that earlier versions wrote. */
   private static final int FIELDS_WITHOUT_ERA = 3;
 
+  /** A claimed total above every limit, with room for sums. */
+  private static final long EVERYTHING = Long.MAX_VALUE / 4;
+
   /** Validates the claimed total. */
   public LedgerRecord {
     if (claimedTokens < 0) {
@@ -41,6 +44,16 @@
     }
   }
 
+  /**
+   * Returns the record that takes the place of one that cannot be decoded. Nothing can be claimed
+   * for its customer, since what others have claimed is not known.
+   *
+   * @param customer the customer
+   */
+  public static LedgerRecord unreadable(CustomerId customer) {
+    return new LedgerRecord(customer, EVERYTHING, "", 0, 0, 0, false);
+  }
+
   /** Returns whether tokens were claimed or returned in an era, up to this record. */
   boolean showsChangeIn(long inEra) {
     return era == inEra && changedInEra;
--- a/src/main/java/io/snipeloom/store/KeyedLedger.java
+++ b/src/main/java/io/snipeloom/store/KeyedLedger.java
@@ -4,23 +4,31 @@
 import io.snipeloom.spend.LedgerRecord;
 import io.snipeloom.spend.LedgerStore;
 import io.snipeloom.state.CustomerId;
+import io.snipeloom.state.SnipeloomException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** Stores the ledger of prepaid tokens in a keyed topic, with one key per customer. */
 public final class KeyedLedger implements LedgerStore {
+  /** Takes the place of a customer whose name cannot be read. */
+  private static final CustomerId NOBODY = CustomerId.of("unreadable-customer");
+
   private final KeyedLog log;
   private final String topic;
+  private final Consumer<String> onMalformed;
 
   /**
    * Creates a ledger.
    *
    * @param log the log that contains the topic
    * @param topic the topic, which must hold nothing but the ledger
+   * @param onMalformed called with the key of a record that cannot be decoded
    */
-  public KeyedLedger(KeyedLog log, String topic) {
+  public KeyedLedger(KeyedLog log, String topic, Consumer<String> onMalformed) {
     this.log = log;
     this.topic = topic;
+    this.onMalformed = onMalformed;
   }
 
   @Override
@@ -100,9 +108,24 @@
         });
   }
 
-  private static List<LedgerRecord> decoded(RecordPage page) {
-    return page.records().stream()
-        .map(record -> LedgerRecord.parse(CustomerId.of(record.key()), record.value()))
-        .toList();
+  private List<LedgerRecord> decoded(RecordPage page) {
+    return page.records().stream().map(this::decoded).toList();
+  }
+
+  private LedgerRecord decoded(KeyedRecord record) {
+    try {
+      return LedgerRecord.parse(CustomerId.of(record.key()), record.value());
+    } catch (SnipeloomException e) {
+      onMalformed.accept(record.key());
+      return LedgerRecord.unreadable(customerOf(record.key()));
+    }
+  }
+
+  private static CustomerId customerOf(String key) {
+    try {
+      return CustomerId.of(key);
+    } catch (SnipeloomException e) {
+      return NOBODY;
+    }
   }
 }
--- a/src/main/java/io/snipeloom/store/KeyedRecord.java
+++ b/src/main/java/io/snipeloom/store/KeyedRecord.java
@@ -9,6 +9,9 @@
 public record KeyedRecord(String key, byte[] value) {
   private static final int MAX_KEY_LENGTH = 255;
 
+  /** A key that nobody uses: the replacement character of Unicode. */
+  private static final String UNREADABLE_KEY = "\uFFFD";
+
   /** Validates the length of the key. */
   public KeyedRecord {
     if (key.isEmpty() || key.length() > MAX_KEY_LENGTH) {
@@ -16,6 +19,14 @@
     }
   }
 
+  /**
+   * Returns the record that takes the place of one whose key cannot be read, so that the offsets of
+   * those after it are right. It removes a key that nobody uses.
+   */
+  public static KeyedRecord unreadable() {
+    return new KeyedRecord(UNREADABLE_KEY, new byte[0]);
+  }
+
   /**
    * Returns whether the record removes its key.
    *
--- a/src/main/java/io/snipeloom/store/TopicWatch.java
+++ b/src/main/java/io/snipeloom/store/TopicWatch.java
@@ -90,6 +90,15 @@
      * @param outcome the outcome of the call
      */
     void onOutcome(StoreOutcome outcome);
+
+    /**
+     * A record or a listing could not be applied, since a call to this listener failed. The watch
+     * goes on with the records after it.
+     *
+     * @param topic the topic
+     * @param failure what the listener threw
+     */
+    void onFailure(String topic, Throwable failure);
   }
 
   /**
@@ -147,11 +156,20 @@
           era = log.era();
           listed = true;
           listedKeys = records.size();
-          listener.onListed(records);
+          deliver(() -> listener.onListed(records));
           read();
         });
   }
 
+  /** Passes records on. A record that the listener fails at must not end the watch. */
+  private void deliver(Runnable delivery) {
+    try {
+      delivery.run();
+    } catch (RuntimeException | StackOverflowError e) {
+      listener.onFailure(topic, e);
+    }
+  }
+
   private void read() {
     if (log.era() != era) {
       listener.onOutcome(StoreOutcome.REVERTED);
@@ -167,7 +185,7 @@
       case DONE -> {
         next += page.records().size();
         if (!page.records().isEmpty()) {
-          listener.onAppended(page.records());
+          page.records().forEach(record -> deliver(() -> listener.onAppended(List.of(record))));
           if (backlog.isListed(page.end() - next, listedKeys)) {
             start();
             return;
--- a/src/test/java/io/snipeloom/platform/FakeStore.java
+++ b/src/test/java/io/snipeloom/platform/FakeStore.java
@@ -131,7 +131,7 @@
   public synchronized Optional<byte[]> newestValue(String topic, int partition, String key) {
     byte[] name = key.getBytes(StandardCharsets.UTF_8);
     Optional<byte[]> found = Optional.empty();
-    for (byte[] record : records(topic + "/" + partition)) {
+    for (byte[] record : keyedRecords(topic + "/" + partition)) {
       if (Arrays.equals(Arrays.copyOfRange(record, 1, 1 + record[0]), name)) {
         found = Optional.of(Arrays.copyOfRange(record, 1 + record[0], record.length));
       }
@@ -141,7 +141,7 @@
 
   /** Returns the keys of partition 0 of a topic whose newest record has a value. */
   public synchronized Set<String> keys(String topic) {
-    return records(topic + "/0").stream()
+    return keyedRecords(topic + "/0").stream()
         .map(record -> new String(record, 1, record[0], StandardCharsets.UTF_8))
         .filter(key -> newestValue(topic, 0, key).orElseThrow().length > 0)
         .collect(Collectors.toSet());
@@ -162,6 +162,19 @@
     notifyAll();
   }
 
+  /** Appends bytes to partition 0 of a topic as a record, whatever they hold. */
+  public synchronized void putBytes(String topic, byte[] record) {
+    records(topic + "/0").add(record);
+    notifyAll();
+  }
+
+  /** Returns the records that hold a key, which a listing can show. */
+  private List<byte[]> keyedRecords(String partition) {
+    return records(partition).stream()
+        .filter(record -> record.length > 0 && record[0] > 0 && record[0] < record.length)
+        .toList();
+  }
+
   private List<byte[]> records(String partition) {
     return partitions.computeIfAbsent(partition, key -> new ArrayList<>());
   }
@@ -241,7 +254,7 @@
     }
     List<byte[]> records = records(query.get("topic") + "/" + query.get("part"));
     Map<String, String> newest = new LinkedHashMap<>();
-    for (byte[] record : records) {
+    for (byte[] record : keyedRecords(query.get("topic") + "/" + query.get("part"))) {
       String key = new String(record, 1, record[0], StandardCharsets.UTF_8);
       byte[] value = Arrays.copyOfRange(record, 1 + record[0], record.length);
       newest.remove(key);
--- a/src/test/java/io/snipeloom/store/TopicWatchTest.java
+++ b/src/test/java/io/snipeloom/store/TopicWatchTest.java
@@ -13,9 +13,13 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests how a watch catches up on records that were appended while it could not read. */
 class TopicWatchTest {
+  private final List<Throwable> failures = new ArrayList<>();
+  private Throwable failure = new IllegalArgumentException("odd");
   private static final int RECORDS_PER_PAGE = 4;
 
   private final PagedLog log = new PagedLog();
@@ -79,6 +83,20 @@
     assertThat(received.subList(6, 12), contains("a=2", "b=2", "c=2", "d=2", "e=2", "f=2"));
   }
 
+  /** Guards against a record that ends the watch, so that none after it is read. */
+  @ParameterizedTest
+  @ValueSource(classes = {IllegalArgumentException.class, StackOverflowError.class})
+  void recordAtWhichTheListenerFailsDoesNotEndTheWatch(Class<? extends Throwable> type) {
+    failure = type == StackOverflowError.class ? new StackOverflowError() : failure;
+    log.put("a", "odd");
+    start(TopicWatch.Backlog.READ_ALL);
+    log.put("b", "odd");
+    log.put("c", "sound");
+    log.deliverAll();
+    assertThat(received, contains("a=odd", "b=odd", "c=sound"));
+    assertThat(failures, contains(failure, failure));
+  }
+
   private void start(TopicWatch.Backlog backlog) {
     TopicWatch.Listener listener =
         new TopicWatch.Listener() {
@@ -90,16 +108,31 @@
           @Override
           public void onAppended(List<KeyedRecord> records) {
             records.forEach(record -> received.add(text(record)));
+            if (text(records.get(0)).endsWith("=odd")) {
+              throwUnchecked(failure);
+            }
           }
 
           @Override
           public void onOutcome(StoreOutcome outcome) {
             outcomes.add(outcome);
           }
+
+          @Override
+          public void onFailure(String topic, Throwable failure) {
+            failures.add(failure);
+          }
         };
     new TopicWatch(log, "topic", 0, 0, backlog, (task, delay) -> log.defer(task), listener).start();
   }
 
+  private static void throwUnchecked(Throwable thrown) {
+    if (thrown instanceof Error error) {
+      throw error;
+    }
+    throw (RuntimeException) thrown;
+  }
+
   private static String text(KeyedRecord record) {
     return record.key() + "=" + new String(record.value(), java.nio.charset.StandardCharsets.UTF_8);
   }
