A refusal counts only for the request that it answers

Report of other operators: a replica wrote an earlier refusal once more on a kept connection; clients were told that requests had not run which had, or such a request ran twice. Cause: a refusal without an id was taken for one of the request that waited, whichever it answered; and a request that finds no other replica goes to the same one again, by a connection on which a copy of its first refusal may come. Now a connection that carried a refusal without an id is closed after it (line unnamed_refusal), and a request that goes to a replica once more takes a new connection.

--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -105,6 +105,9 @@
     /** Returns the request by which its cost is estimated. */
     RoutedRequest routed();
 
+    /** Returns whether the replica has received the request before, in an earlier attempt. */
+    boolean wasSentTo(ReplicaView view);
+
     /** Returns how long the replica may send nothing, in milliseconds; 0 for no limit. */
     long silenceTimeoutMillis();
 
@@ -197,7 +200,13 @@
 
   void connect() {
     transfer = fleet.buffers().bodies().begin(view.replica().id(), request.body().readableBytes());
-    fleet.connectionPool(view.replica()).acquire(this::onConnection, this::onConnectFailed);
+    ConnectionPool pool = fleet.connectionPool(view.replica());
+    if (owner.wasSentTo(view)) {
+      // A second copy of the first response, which has the same ID, must not be taken for this one.
+      pool.acquireNew(this::onConnection, this::onConnectFailed);
+    } else {
+      pool.acquire(this::onConnection, this::onConnectFailed);
+    }
   }
 
   /** Stops reading the response, until it is resumed or the attempt ends. */
@@ -340,6 +349,11 @@
       log.foreignResponse(view.replica().id(), metadata.attemptId(), status);
       return false;
     }
+    if (!hasAttemptId) {
+      // A second copy of this refusal could not be told from one of the next request.
+      connection.closeAfterResponse();
+      log.unnamedRefusal(view.replica().id(), status);
+    }
     metadata.load().ifPresent(this::recordLoad);
     recordLimit(metadata.limit());
     recordCold(metadata.cold());
--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -107,6 +107,11 @@
     channel.close();
   }
 
+  /** Closes the connection after the current response, whatever its head says. */
+  void closeAfterResponse() {
+    reusable = false;
+  }
+
   boolean isOpen() {
     return channel.isActive();
   }
--- a/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
+++ b/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
@@ -109,6 +109,11 @@
         failure -> onResult.accept(ProbeResult.of(failure)));
   }
 
+  /** Establishes a new connection, on which no earlier response can arrive. */
+  void acquireNew(Consumer<ClientConnection> onConnection, Consumer<String> onFailure) {
+    connect(onConnection, failure -> onFailure.accept(failure.getClass().getSimpleName()));
+  }
+
   /** Provides an idle connection or establishes a new one. */
   void acquire(Consumer<ClientConnection> onConnection, Consumer<String> onFailure) {
     ClientConnection connection = pollIdle();
@@ -116,7 +121,7 @@
       onConnection.accept(connection);
       return;
     }
-    connect(onConnection, failure -> onFailure.accept(failure.getClass().getSimpleName()));
+    acquireNew(onConnection, onFailure);
   }
 
   /** Takes back a connection on which nothing was sent. */
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -408,6 +408,11 @@
     metrics.waitBeforeSend(request.ageMillis(now));
   }
 
+  @Override
+  public boolean wasSentTo(ReplicaView view) {
+    return history.wasTried(view.replica().id());
+  }
+
   @Override
   public long silenceTimeoutMillis() {
     return RetryRules.silenceTimeoutMillis(routed.route());
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -239,6 +239,13 @@
         status);
   }
 
+  /**
+   * Logs that a replica refused without naming the request, so that its connection is not reused.
+   */
+  void unnamedRefusal(ReplicaId replica, int refusalStatus) {
+    log.log("unnamed_refusal", "id", id, "replica", replica, "status", refusalStatus);
+  }
+
   /** Logs that a replica said for the first time that it is leaving. */
   void replicaLeaving(ReplicaId replica) {
     log.log("replica_leaving", "id", id, "replica", replica);
