Only events that go on with a stream reach its caller

Report of other operators: a stream broke off, the next replica answered with an error, and clients found its text or its head in their stream, or the stream ended as if complete. Now a stream goes on only with status 200 and its type; once events have IDs, one without an ID or whose number does not rise ends the attempt (comments pass), and so does a rest after the last event; the stream goes on elsewhere or is broken off, never ended as complete.

--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -47,6 +47,9 @@
   /** The status with which another replica answers that is at the address now. */
   private static final int ANOTHER_REPLICA_STATUS = 421;
 
+  /** The status of a response that goes on with a stream. */
+  private static final int STREAM_STATUS = 200;
+
   /** The first status of an answer that says that the request was not run to a good end. */
   private static final int FIRST_ERROR_STATUS = 300;
 
@@ -108,6 +111,12 @@
     /** Returns whether the replica has received the request before, in an earlier attempt. */
     boolean wasSentTo(ReplicaView view);
 
+    /** Returns whether the caller has received events of the stream, which this attempt goes on. */
+    boolean isStreamBegun();
+
+    /** Returns whether the replica sent what does not go on with the stream. */
+    boolean isStreamOutOfOrder();
+
     /** Returns how long the replica may send nothing, in milliseconds; 0 for no limit. */
     long silenceTimeoutMillis();
 
@@ -360,6 +369,12 @@
     responseFailure = classify(metadata);
     String type = responseHeaders.get(HttpHeaderNames.CONTENT_TYPE, "");
     streaming = responseFailure == null && type.startsWith("text/event-stream");
+    if (responseFailure == null
+        && owner.isStreamBegun()
+        && (!streaming || status != STREAM_STATUS)) {
+      streaming = false;
+      responseFailure = AttemptFailure.BROKEN;
+    }
     return true;
   }
 
@@ -419,6 +434,10 @@
     lastReceivedNanos = System.nanoTime();
     if (streaming) {
       owner.onStreamContent(this, content);
+      if (owner.isStreamOutOfOrder()) {
+        breakOff("the events do not go on with the stream");
+        return;
+      }
       if (owner.pendingEventBytes() > MAX_EVENT_BYTES) {
         breakOff("event is too long");
         return;
--- a/src/main/java/io/snipeloom/forwarding/EventStream.java
+++ b/src/main/java/io/snipeloom/forwarding/EventStream.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Splits a stream of server-sent events into complete events and records the last event ID.
@@ -13,24 +14,47 @@
  */
 final class EventStream {
   private static final String ID_FIELD = "id:";
+  private static final String COMMENT_PREFIX = ":";
+  private static final Pattern NUMBER = Pattern.compile("[0-9]{1,18}");
 
   private final ByteBuf pending = Unpooled.buffer();
   private String lastEventId = "";
+  private String previousId = "";
+  private boolean outOfOrder;
   private int eventCount;
   private int eventsBeforeAttempt;
 
-  /** Appends bytes and returns the events that are now complete; the result may be empty. */
+  /**
+   * Appends bytes and returns the events that are now complete and go on with the stream; the
+   * result may be empty.
+   */
   ByteBuf append(ByteBuf content) {
     pending.writeBytes(content);
-    int end = endOfCompleteEvents();
-    ByteBuf complete = Unpooled.copiedBuffer(pending.readSlice(end));
-    pending.discardReadBytes();
-    if (complete.isReadable()) {
-      scan(complete);
+    int start = pending.readerIndex();
+    int end = endOfEvent(start);
+    while (end >= 0 && !outOfOrder) {
+      outOfOrder = !accept(pending.toString(start, end - start, StandardCharsets.UTF_8));
+      start = outOfOrder ? start : end;
+      end = endOfEvent(start);
     }
+    ByteBuf complete = Unpooled.copiedBuffer(pending.readSlice(start - pending.readerIndex()));
+    pending.discardReadBytes();
     return complete;
   }
 
+  /** Sets the last event that came before the stream, after which its events go on. */
+  void startAfter(String eventId) {
+    previousId = eventId;
+  }
+
+  /**
+   * Returns whether the current attempt sent an event that does not go on with the stream: one
+   * without an ID after others with one, or one that the caller has.
+   */
+  boolean isOutOfOrder() {
+    return outOfOrder;
+  }
+
   /** Returns whether the bytes after the last complete event are the beginning of another event. */
   boolean isInsideEvent() {
     return pending.forEachByte(EventStream::isLineBreak) >= 0;
@@ -50,6 +74,7 @@
   /** Discards the bytes after the last complete event, before the next attempt. */
   void beginAttempt() {
     pending.clear();
+    outOfOrder = false;
     eventsBeforeAttempt = eventCount;
   }
 
@@ -71,42 +96,54 @@
     return eventCount;
   }
 
-  private int endOfCompleteEvents() {
-    int newlines = 0;
-    for (int i = pending.writerIndex() - 1; i >= pending.readerIndex(); i--) {
+  /** Returns the index after the blank line that ends the next event; -1 if there is none yet. */
+  private int endOfEvent(int from) {
+    boolean lineEmpty = true;
+    for (int i = from; i < pending.writerIndex(); i++) {
       byte b = pending.getByte(i);
       if (b == '\n') {
-        newlines++;
-        if (newlines == 2) {
-          return afterBlankLine(i);
+        if (lineEmpty) {
+          return i + 1;
         }
+        lineEmpty = true;
       } else if (b != '\r') {
-        newlines = 0;
+        lineEmpty = false;
       }
     }
-    return 0;
+    return -1;
   }
 
-  /**
-   * Returns the number of readable bytes up to and including the blank line whose first newline is
-   * at the given index.
-   */
-  private int afterBlankLine(int firstNewline) {
-    int next = pending.indexOf(firstNewline + 1, pending.writerIndex(), (byte) '\n');
-    return next + 1 - pending.readerIndex();
-  }
-
-  private void scan(ByteBuf complete) {
-    String text = complete.toString(StandardCharsets.UTF_8);
-    boolean inEvent = false;
-    for (String line : text.split("\r?\n", -1)) {
+  /** Records an event; returns false if it does not go on with the stream. */
+  private boolean accept(String event) {
+    String id = "";
+    boolean empty = true;
+    boolean comment = true;
+    for (String line : event.split("\r?\n", -1)) {
+      empty &= line.isEmpty();
+      comment &= line.isEmpty() || line.startsWith(COMMENT_PREFIX);
       if (line.startsWith(ID_FIELD)) {
-        lastEventId = line.substring(ID_FIELD.length()).trim();
+        id = line.substring(ID_FIELD.length()).trim();
       }
-      if (line.isEmpty() && inEvent) {
-        eventCount++;
-      }
-      inEvent = !line.isEmpty();
     }
+    if (!comment && !follows(id)) {
+      return false;
+    }
+    if (!id.isEmpty()) {
+      lastEventId = id;
+      previousId = id;
+    }
+    if (!empty) {
+      eventCount++;
+    }
+    return true;
+  }
+
+  /** Returns whether an event may follow the one before: once events have IDs, the IDs rise. */
+  private boolean follows(String id) {
+    if (previousId.isEmpty()) {
+      return true;
+    }
+    boolean comparable = NUMBER.matcher(id).matches() && NUMBER.matcher(previousId).matches();
+    return comparable ? Long.parseLong(id) > Long.parseLong(previousId) : !id.isEmpty();
   }
 }
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -225,7 +225,7 @@
 
   private void resume(StreamOrigin origin) {
     if (!done) {
-      stream.resumeFrom(origin);
+      stream.resumeFrom(origin, routed.metadata().lastEventId());
       routed = routed.withService(origin.service());
       reserveTokens();
     }
@@ -413,6 +413,16 @@
     return history.wasTried(view.replica().id());
   }
 
+  @Override
+  public boolean isStreamBegun() {
+    return response.isBegun();
+  }
+
+  @Override
+  public boolean isStreamOutOfOrder() {
+    return stream.isOutOfOrder();
+  }
+
   @Override
   public long silenceTimeoutMillis() {
     return RetryRules.silenceTimeoutMillis(routed.route());
--- a/src/main/java/io/snipeloom/forwarding/RelayedStream.java
+++ b/src/main/java/io/snipeloom/forwarding/RelayedStream.java
@@ -21,9 +21,20 @@
     return events.append(content);
   }
 
-  /** Sets what began the stream, if an earlier attempt of the caller received its first event. */
-  void resumeFrom(StreamOrigin begunBy) {
+  /**
+   * Sets what began the stream, if an earlier attempt of the caller received its first event.
+   *
+   * @param begunBy what began it
+   * @param lastEventId the last event that the caller received
+   */
+  void resumeFrom(StreamOrigin begunBy, Optional<String> lastEventId) {
     origin = Optional.of(begunBy);
+    lastEventId.ifPresent(events::startAfter);
+  }
+
+  /** Returns whether the current attempt sent what does not go on with the stream. */
+  boolean isOutOfOrder() {
+    return events.isOutOfOrder();
   }
 
   /**
@@ -60,6 +71,9 @@
    * @param framing how the end of the response is marked
    */
   boolean mayEnd(ResponseFraming framing) {
+    if (events.eventCount() > 0 && events.partialBytes() > 0) {
+      return false;
+    }
     return !events.isInsideEvent() && (framing.isExplicit() || events.eventsOfAttempt() > 0);
   }
 
