--- a/src/main/java/io/snipeloom/store/KeyedRecord.java
+++ b/src/main/java/io/snipeloom/store/KeyedRecord.java
@@ -10,7 +10,7 @@
   private static final int MAX_KEY_LENGTH = 255;
 
   /** A key that nobody uses: the replacement character of Unicode. */
-  private static final String UNREADABLE_KEY = "\uFFFD";
+  private static final String UNREADABLE_KEY = "�";
 
   /** Validates the length of the key. */
   public KeyedRecord {
