--- a/src/test/java/io/snipeloom/edge/RepeatedRefusalTest.java
+++ b/src/test/java/io/snipeloom/edge/RepeatedRefusalTest.java
@@ -25,20 +25,20 @@
  */
 @Timeout(60)
 class RepeatedRefusalTest {
+  private static final String NOT_EXECUTED = "Snipeloom-Not-Executed: 1\r\n";
+  private static final String NO_BODY = "Content-Length: 0\r\n\r\n";
+
   private final Map<Socket, String> refusals = Collections.synchronizedMap(new IdentityHashMap<>());
   private final List<String> runs = new CopyOnWriteArrayList<>();
   private EdgeFixture edge;
 
   /** The refusals of a replica, of which some do not name the request. */
   private enum Refusal {
-    WITHOUT_ID("HTTP/1.1 503 Full\r\nSnipeloom-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
-    WITHOUT_ID_WITH_BODY(
-        "HTTP/1.1 503 Full\r\nSnipeloom-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"),
-    TOO_MANY("HTTP/1.1 429 Many\r\nSnipeloom-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
-    MISDIRECTED("HTTP/1.1 421 Other\r\nSnipeloom-Replica-Id: i-9\r\nContent-Length: 0\r\n\r\n"),
-    WITH_ID(
-        "HTTP/1.1 503 Full\r\nSnipeloom-Attempt-Id: %s\r\nSnipeloom-Not-Executed: 1\r\n"
-            + "Content-Length: 0\r\n\r\n");
+    WITHOUT_ID("HTTP/1.1 503 Full\r\n" + NOT_EXECUTED + NO_BODY),
+    WITHOUT_ID_WITH_BODY("HTTP/1.1 503 Full\r\n" + NOT_EXECUTED + "Content-Length: 4\r\n\r\nfull"),
+    TOO_MANY("HTTP/1.1 429 Many\r\n" + NOT_EXECUTED + NO_BODY),
+    MISDIRECTED("HTTP/1.1 421 Other\r\nSnipeloom-Replica-Id: i-9\r\n" + NO_BODY),
+    WITH_ID("HTTP/1.1 503 Full\r\nSnipeloom-Attempt-Id: %s\r\n" + NOT_EXECUTED + NO_BODY);
 
     private final String text;
 
