--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -119,14 +119,6 @@
     configure(store, version, prepaid);
   }
 
-  /**
-   * Publishes the same configuration with a customer that has no prepaid total, whose requests need
-   * not wait until tokens are claimed.
-   */
-  void configureWithoutTotal(int version) {
-    configure(store, version, "");
-  }
-
   /** Publishes the configuration with a prepaid total in a store. */
   static void configure(FakeStore store, int version, long prepaid) {
     configure(store, version, ",\"prepaid\":" + prepaid);
@@ -151,6 +143,14 @@
                 total));
   }
 
+  /**
+   * Publishes the same configuration with a customer that has no prepaid total, whose requests need
+   * not wait until tokens are claimed.
+   */
+  void configureWithoutTotal(int version) {
+    configure(store, version, "");
+  }
+
   private static String route(
       String prefix, String type, String service, int attempts, boolean resume) {
     return ("{\"name\":\"r%s\",\"host\":\"h.example\",\"pathPrefix\":\"%s\",\"type\":\"%s\","
