A connection on which nothing was sent is reused

Callers saw nothing; replicas got a new connection for each request that was taken back after it had one (its caller had left, it was convicted), and two for each look at a replica whose connection broke. The idle time of a connection was set at the end of a response only, so that one without a response counted as idle since the origin of the clock and the next tick closed it.

ConnectionPoolTest.connectionThatWasGivenBackIsReused failed on (another connection was opened) and passes.

--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -128,6 +128,11 @@
     return lastHeaders;
   }
 
+  /** Records that the connection is idle from now on. */
+  void markIdle() {
+    idleSinceNanos = System.nanoTime();
+  }
+
   long idleSinceNanos() {
     return idleSinceNanos;
   }
@@ -188,7 +193,6 @@
     ResponseListener receiver = listener;
     listener = null;
     if (reusable && written && !outOfSync) {
-      idleSinceNanos = System.nanoTime();
       channel.config().setAutoRead(true);
       receiver.onEnd();
       channel.eventLoop().execute(this::offerIdle);
--- a/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
+++ b/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
@@ -182,6 +182,7 @@
     if (closed) {
       connection.close();
     } else {
+      connection.markIdle();
       idle.addLast(connection);
     }
   }
