What a replica has sent is read before it counts as silent, closed or alive

What callers saw: a request sent to a second replica although its answer had arrived (a retry of the budget, a replica out of favour); 504 although the answer had arrived before the deadline; 502 for a vote sent on an idle connection that its replica had closed, or on which an earlier refusal lay unread; a crash that was not counted since the close of the connection that looked for it lay unread.

Now the connection is read until nothing is left before an idle one is reused (ConnectionPool), before a replica counts as silent and at the deadline (Attempt.readArrived), and before a probed peer counts as alive. One reader serves both ends (ArrivalReader, in place of the ByteListener of the callers' side). It costs a read of each reused connection.

With the read of the pool taken out: ConnectionPoolTest.connectionWhoseCloseLiesUnreadIsNotReused and connectionOnWhichRefusalLiesUnreadIsNotReused fail. All pass now.

--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -218,6 +218,16 @@
     }
   }
 
+  /**
+   * Reads what the replica has sent and the event loop has not come to read yet. The attempt may
+   * have ended then. Must not be called while its connection is being read.
+   */
+  void readArrived() {
+    if (sent && !ended) {
+      connection.readArrived();
+    }
+  }
+
   /** Stops reading the response, until it is resumed or the attempt ends. */
   void stopReading() {
     readingStopped = true;
@@ -322,6 +332,7 @@
   }
 
   private void checkSilence(long limitMillis) {
+    readArrived();
     if (ended) {
       return;
     }
--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -33,6 +33,7 @@
   private static final int PART_BYTES = 65_536;
 
   private final Runnable onIdle;
+  private final ArrivalReader reader = new ArrivalReader(() -> {});
   private Channel channel;
   private ResponseListener listener;
   private boolean written;
@@ -112,8 +113,17 @@
     reusable = false;
   }
 
-  boolean isOpen() {
-    return channel.isActive();
+  /** Returns the handler that reads the connection, which goes before the codec. */
+  ArrivalReader reader() {
+    return reader;
+  }
+
+  /**
+   * Reads what has arrived from the peer, of which the listener is notified, and returns whether
+   * the connection is open. Must not be called while the connection is being read.
+   */
+  boolean readArrived() {
+    return reader.readArrived();
   }
 
   boolean isUsable() {
--- a/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
+++ b/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
@@ -98,7 +98,7 @@
           offer(connection);
           Runnable check =
               () -> {
-                if (connection.isOpen()) {
+                if (connection.readArrived()) {
                   onResult.accept(ProbeResult.ACCEPTED);
                 } else {
                   onClosed.accept(connection);
@@ -114,7 +114,10 @@
     connect(onConnection, failure -> onFailure.accept(failure.getClass().getSimpleName()));
   }
 
-  /** Provides an idle connection or establishes a new one. */
+  /**
+   * Provides an idle connection or establishes a new one. An idle connection that its peer has
+   * closed, or on which it sent something since, is not reused, even if that was not read yet.
+   */
   void acquire(Consumer<ClientConnection> onConnection, Consumer<String> onFailure) {
     ClientConnection connection = pollIdle();
     if (connection != null) {
@@ -148,7 +151,7 @@
   private ClientConnection pollIdle() {
     while (!idle.isEmpty()) {
       ClientConnection connection = idle.pollLast();
-      if (connection.isUsable() && isFresh(connection)) {
+      if (isFresh(connection) && connection.readArrived() && connection.isUsable()) {
         return connection;
       }
       connection.close();
@@ -204,6 +207,7 @@
               protected void initChannel(Channel channel) {
                 HttpDecoderConfig config =
                     new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+                channel.pipeline().addLast(connection.reader());
                 channel.pipeline().addLast(new HttpClientCodec(config, false, false));
                 channel.pipeline().addLast(connection);
               }
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -249,6 +249,9 @@
   }
 
   private void onDeadline() {
+    if (attempt != null) {
+      attempt.readArrived();
+    }
     if (done) {
       return;
     }
--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
@@ -63,6 +62,7 @@
   private final Fleet fleet;
   private final EventLog log;
   private final FleetMetrics metrics;
+  private final ArrivalReader reader = new ArrivalReader(this::onBytes);
   private final Deque<HttpObject> pendingMessages = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
@@ -77,7 +77,6 @@
   private Exchange exchange;
   private boolean keepAlive;
   private boolean rejected;
-  private boolean bytesRead;
 
   /** Whether a request was refused whose body the caller still sends. */
   private boolean discardingBody;
@@ -114,9 +113,12 @@
     process((HttpObject) message);
   }
 
-  /** Records that bytes arrived, before they are decoded. */
-  void onBytes() {
-    bytesRead = true;
+  /** Returns the handler that reads the connection, which goes before the decoder. */
+  ArrivalReader reader() {
+    return reader;
+  }
+
+  private void onBytes() {
     if (exchange == null && head == null && !inHeader) {
       inHeader = true;
       headerStartNanos = System.nanoTime();
@@ -462,13 +464,7 @@
 
   @Override
   public boolean isStillConnected() {
-    AbstractNioChannel.NioUnsafe socket = (AbstractNioChannel.NioUnsafe) channel.unsafe();
-    bytesRead = true;
-    while (bytesRead && channel.isActive() && channel.config().isAutoRead()) {
-      bytesRead = false;
-      socket.read();
-    }
-    return channel.isActive();
+    return reader.readArrived();
   }
 
   @Override
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -3,8 +3,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -119,7 +117,7 @@
             .setMaxInitialLineLength(limits().maxHeaderBytes())
             .setMaxHeaderSize(limits().maxHeaderBytes());
     ProxyConnection connection = new ProxyConnection(this, loop, fleet, log, metrics);
-    channel.pipeline().addLast(new ByteListener(connection));
+    channel.pipeline().addLast(connection.reader());
     channel.pipeline().addLast(new HttpRequestDecoder(config));
     channel.pipeline().addLast(new HttpResponseEncoder());
     channel.pipeline().addLast(connection);
@@ -185,19 +183,4 @@
   void onClosed(ProxyConnection connection) {
     connections.remove(connection);
   }
-
-  /** Notifies a connection of received bytes before they form a complete header. */
-  private static final class ByteListener extends ChannelInboundHandlerAdapter {
-    private final ProxyConnection connection;
-
-    ByteListener(ProxyConnection connection) {
-      this.connection = connection;
-    }
-
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-      connection.onBytes();
-      super.channelRead(context, message);
-    }
-  }
 }
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -5,6 +5,7 @@
 import io.snipeloom.routing.ColdStartBounds;
 import io.snipeloom.routing.Places;
 import io.snipeloom.telemetry.EventLog;
+import io.snipeloom.transport.BusyReading;
 import io.snipeloom.transport.FreePorts;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -300,6 +301,18 @@
     daemon.loop().execute(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis)));
   }
 
+  /** Returns what keeps the event loop busy in the middle of reading its connections. */
+  BusyReading busyReading() {
+    return new BusyReading(daemon.loop());
+  }
+
+  /** Opens a connection to the address for other instances. */
+  Socket openPeer() throws IOException {
+    Socket socket = new Socket(settings.loans().getAddress(), settings.loans().getPort());
+    socket.setSoTimeout(8_000);
+    return socket;
+  }
+
   void stop() {
     daemon.stop();
   }
--- a/src/test/java/io/snipeloom/forwarding/ConnectionPoolTest.java
+++ b/src/test/java/io/snipeloom/forwarding/ConnectionPoolTest.java
@@ -1,16 +1,20 @@
 package io.snipeloom.forwarding;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.sameInstance;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.snipeloom.transport.BusyReading;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -19,9 +23,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Tests which connections a pool reuses. */
+/** Tests what a pool does with connections of which the event loop has not read everything. */
 @Timeout(20)
 class ConnectionPoolTest {
+  private static final String REFUSAL = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+
+  /** Longer than a pool waits to see whether a probed peer goes on. */
+  private static final long BUSY_MILLIS = 400;
+
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
@@ -53,6 +62,37 @@
     assertThat(acquireAfter(socket -> {}), sameInstance(first));
   }
 
+  /** Guards against a request that is lost on a connection whose close lies unread. */
+  @Test
+  void connectionWhoseCloseLiesUnreadIsNotReused() throws Exception {
+    ClientConnection first = acquireAndGiveBack();
+    assertThat(acquireAfter(Socket::close), not(sameInstance(first)));
+  }
+
+  /** Guards against an earlier refusal that lies unread and is taken for the next answer. */
+  @Test
+  void connectionOnWhichRefusalLiesUnreadIsNotReused() throws Exception {
+    ClientConnection first = acquireAndGiveBack();
+    ClientConnection next =
+        acquireAfter(
+            socket -> socket.getOutputStream().write(REFUSAL.getBytes(StandardCharsets.US_ASCII)));
+    assertThat(next, not(sameInstance(first)));
+  }
+
+  /** Guards against a peer that counts as alive because the close of its connection lies unread. */
+  @Test
+  void probedPeerThatEndedWhileLoopWasBusyIsNotAlive() throws Exception {
+    try (BusyReading reading = new BusyReading(loop)) {
+      CompletableFuture<ConnectionPool.ProbeResult> result = new CompletableFuture<>();
+      loop.execute(() -> pool.probe(result::complete));
+      Socket accepted = peer.accept();
+      reading.begin(BUSY_MILLIS);
+      peer.close();
+      accepted.close();
+      assertThat(result.get(), is(ConnectionPool.ProbeResult.REFUSED));
+    }
+  }
+
   private ClientConnection acquireAndGiveBack() throws Exception {
     CompletableFuture<ClientConnection> acquired = new CompletableFuture<>();
     loop.execute(
