A caller that resumes its stream gets no other success in place of the rest

What callers saw: the text of an answer with status 201 or 206, or with 200 and no event stream, as the rest of their stream, complete. Cause: only a stream that this instance had begun was held to go on as one. Now an answer to a resumed stream with a status below 300 must be an event stream with status 200; else the attempt is broken off. An error keeps the status of its replica, which the caller sees.

ResumedStreamErrorTest.callerThatResumesAtAnotherInstanceGetsNoErrorAsTheRestOfItsStream (99 answers of the replica) failed on at the answer 201 with an event stream; passes. The framings of bodies stood in two tests and stand in BodyFraming.

--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -380,15 +380,26 @@
     responseFailure = classify(metadata);
     String type = responseHeaders.get(HttpHeaderNames.CONTENT_TYPE, "");
     streaming = responseFailure == null && type.startsWith("text/event-stream");
-    if (responseFailure == null
-        && owner.isStreamBegun()
-        && (!streaming || status != STREAM_STATUS)) {
+    if (responseFailure == null && mustGoOnWithStream() && !isStreamAnswer()) {
       streaming = false;
       responseFailure = AttemptFailure.BROKEN;
     }
     return true;
   }
 
+  /**
+   * Returns whether the caller takes what the replica sends for the rest of its stream. One that
+   * resumes its stream itself sees the status of an error.
+   */
+  private boolean mustGoOnWithStream() {
+    boolean resumes = owner.routed().resumesStream() && status < FIRST_ERROR_STATUS;
+    return owner.isStreamBegun() || resumes;
+  }
+
+  private boolean isStreamAnswer() {
+    return streaming && status == STREAM_STATUS;
+  }
+
   private void recordLoad(ResponseMetadata.Load load) {
     view.load().onReport(load.running(), load.waiting(), lastReceivedNanos);
     load.pacePercent()
--- a/src/test/java/io/snipeloom/edge/ResponseEndTest.java
+++ b/src/test/java/io/snipeloom/edge/ResponseEndTest.java
@@ -25,47 +25,9 @@
   private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
   private static final String SECOND_EVENT = "id: 2\ndata: b\n\n";
   private static final String PART_OF_EVENT = "id: 2\ndata: b";
-  private static final String END_OF_CHUNKS = "0\r\n\r\n";
 
   private EdgeFixture edge;
 
-  /** The ways in which a replica can mark the end of a body, each applied to a complete body. */
-  private enum Framing {
-    LENGTH {
-      @Override
-      String encode(String body) {
-        return "Content-Length: " + body.length() + "\r\n\r\n" + body;
-      }
-    },
-    CHUNKED {
-      @Override
-      String encode(String body) {
-        String size = Integer.toHexString(body.length());
-        return "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + body + "\r\n" + END_OF_CHUNKS;
-      }
-    },
-    CONNECTION_CLOSE {
-      @Override
-      String encode(String body) {
-        return "\r\n" + body;
-      }
-    };
-
-    /** Returns the framing headers, the end of the head and the body. */
-    abstract String encode(String body);
-
-    /** Sends a body as a whole and closes the connection. */
-    boolean respond(FakeReplica.Request request, Socket socket, String body) throws IOException {
-      FakeReplica.write(
-          socket,
-          "HTTP/1.1 200 OK\r\nSnipeloom-Attempt-Id: "
-              + request.attempt()
-              + "\r\nSnipeloom-Replica-Signature: s\r\nContent-Type: text/event-stream\r\n"
-              + encode(body));
-      return false;
-    }
-  }
-
   @BeforeEach
   void startInstance() throws IOException {
     edge = new EdgeFixture();
@@ -78,33 +40,33 @@
 
   /** Guards against a stream that its replica broke off inside an event and that looks complete. */
   @ParameterizedTest
-  @EnumSource(Framing.class)
-  void streamThatEndsInsideEventNeverLooksComplete(Framing framing) throws Exception {
+  @EnumSource(BodyFraming.class)
+  void streamThatEndsInsideEventNeverLooksComplete(BodyFraming framing) throws Exception {
     startReplica(
-        "e-1", (request, socket) -> framing.respond(request, socket, FIRST_EVENT + PART_OF_EVENT));
+        "e-1", (request, socket) -> respond(framing, request, socket, FIRST_EVENT + PART_OF_EVENT));
     String response = edge.send("/draft/1", "a1", PROMPT_HEADERS);
     assertThat(response, allOf(startsWith("HTTP/1.1 200"), containsString(FIRST_EVENT)));
     assertThat(response, not(containsString(PART_OF_EVENT)));
-    assertThat(response, not(endsWith(END_OF_CHUNKS)));
+    assertThat(response, not(endsWith(BodyFraming.END_OF_CHUNKS)));
     edge.awaitLog("outcome=broken_off");
   }
 
   /** Guards against a stream that is not resumed because the close looked like its end. */
   @ParameterizedTest
-  @EnumSource(Framing.class)
-  void streamThatEndsInsideEventResumesAtAnotherReplica(Framing framing) throws Exception {
+  @EnumSource(BodyFraming.class)
+  void streamThatEndsInsideEventResumesAtAnotherReplica(BodyFraming framing) throws Exception {
     FakeReplica.Script script =
         (request, socket) -> {
           boolean resumed = request.headers().containsKey("Last-Event-Id");
-          return framing.respond(
-              request, socket, resumed ? SECOND_EVENT : FIRST_EVENT + PART_OF_EVENT);
+          return respond(
+              framing, request, socket, resumed ? SECOND_EVENT : FIRST_EVENT + PART_OF_EVENT);
         };
     startReplica("e-1", script);
     startReplica("e-2", script);
     String response = edge.send("/draft/1", "a1", PROMPT_HEADERS);
     assertThat(
         response.replaceAll("\r\n[0-9a-f]+\r\n", ""), containsString(FIRST_EVENT + SECOND_EVENT));
-    assertThat(response, endsWith(END_OF_CHUNKS));
+    assertThat(response, endsWith(BodyFraming.END_OF_CHUNKS));
   }
 
   /**
@@ -113,22 +75,36 @@
    */
   @Test
   void streamWithoutLengthAndWithoutEventsIsNotComplete() throws Exception {
-    startReplica("e-1", (request, socket) -> Framing.CONNECTION_CLOSE.respond(request, socket, ""));
+    startReplica(
+        "e-1", (request, socket) -> respond(BodyFraming.CONNECTION_CLOSE, request, socket, ""));
     assertThat(edge.send("/draft/1", "a1", PROMPT_HEADERS), startsWith("HTTP/1.1 502"));
   }
 
   @ParameterizedTest
-  @EnumSource(Framing.class)
-  void streamThatEndsAfterEventIsComplete(Framing framing) throws Exception {
+  @EnumSource(BodyFraming.class)
+  void streamThatEndsAfterEventIsComplete(BodyFraming framing) throws Exception {
     startReplica(
-        "e-1", (request, socket) -> framing.respond(request, socket, FIRST_EVENT + SECOND_EVENT));
+        "e-1", (request, socket) -> respond(framing, request, socket, FIRST_EVENT + SECOND_EVENT));
     String response = edge.send("/draft/1", "a1", PROMPT_HEADERS);
     assertThat(
         response.replaceAll("\r\n[0-9a-f]+\r\n", ""), containsString(FIRST_EVENT + SECOND_EVENT));
-    assertThat(response, endsWith(END_OF_CHUNKS));
+    assertThat(response, endsWith(BodyFraming.END_OF_CHUNKS));
     edge.awaitLog("outcome=served");
   }
 
+  /** Sends a body as a whole and closes the connection. */
+  private static boolean respond(
+      BodyFraming framing, FakeReplica.Request request, Socket socket, String body)
+      throws IOException {
+    FakeReplica.write(
+        socket,
+        "HTTP/1.1 200 OK\r\nSnipeloom-Attempt-Id: "
+            + request.attempt()
+            + "\r\nSnipeloom-Replica-Signature: s\r\nContent-Type: text/event-stream\r\n"
+            + framing.encode(body));
+    return false;
+  }
+
   private void startReplica(String id, FakeReplica.Script script) throws Exception {
     edge.register(id, "llm", FakeReplica.start(script), "ready");
     edge.configureWithoutTotal(1);
