EdgeDaemonTest: the stream of the test of shutdown has time until the listener closes

KNOWN-RED: connectionsAreRefusedLateInShutdown waited 20 s for a line of the log. Cause: its request had 3 s, and the listener closes 2.6 s after the drain began, so that 0.4 s of delay ended the stream before the line open_requests=1 could come. The request has 15 s now, on routes that allow it.

--- a/src/test/java/io/snipeloom/edge/EdgeDaemonTest.java
+++ b/src/test/java/io/snipeloom/edge/EdgeDaemonTest.java
@@ -35,6 +35,9 @@
   private static final String PROMPT_HEADERS =
       "Snipeloom-Token-Counts: 1000,100\r\nSnipeloom-Prompt-Prefix: aa:1000\r\n";
 
+  /** Longer than an instance takes to stop. */
+  private static final int LONG_DEADLINE_MILLIS = 15_000;
+
   private EdgeFixture edge;
 
   @BeforeEach
@@ -388,9 +391,13 @@
           FakeReplica.write(socket, "0\r\n\r\n");
           return true;
         });
-    configureAndAwaitReady();
+    edge.configureWithoutTotal(1);
+    edge.awaitReady();
     try (Socket caller = edge.open()) {
-      FakeReplica.write(caller, EdgeFixture.request("/draft/1", "a1", PROMPT_HEADERS, false));
+      FakeReplica.write(
+          caller,
+          EdgeFixture.request("/draft/1", "a1", PROMPT_HEADERS, false)
+              .replace("Deadline-Ms: 3000", "Deadline-Ms: " + LONG_DEADLINE_MILLIS));
       started.await();
       final CompletableFuture<Void> stop = CompletableFuture.runAsync(edge::stop);
       edge.awaitLog("event=stopped_accepting open_requests=1");
