--- a/src/test/java/io/snipeloom/edge/EdgeSettingsTest.java
+++ b/src/test/java/io/snipeloom/edge/EdgeSettingsTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.snipeloom.platform.OddBytes;
 import io.snipeloom.state.SnipeloomException;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -88,6 +89,16 @@
     assertThrows(SnipeloomException.class, () -> parse("{"));
   }
 
+  /** Guards against settings that end the process by an error that nobody handles. */
+  @Test
+  void oddBytesAreRejected() throws IOException {
+    Path file = directory.resolve("odd.json");
+    for (byte[] odd : OddBytes.all()) {
+      Files.write(file, odd);
+      assertThrows(SnipeloomException.class, () -> EdgeSettings.parse(file));
+    }
+  }
+
   private EdgeSettings parse(String text) throws IOException {
     Path file = directory.resolve("settings.json");
     Files.writeString(file, text);
--- a/src/test/java/io/snipeloom/edge/OddRecordTest.java
+++ b/src/test/java/io/snipeloom/edge/OddRecordTest.java
@@ -1,13 +1,17 @@
 package io.snipeloom.edge;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
 import io.snipeloom.platform.FakeReplica;
 import io.snipeloom.platform.OddBytes;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.Stream;
@@ -23,6 +27,7 @@
 @Timeout(60)
 class OddRecordTest {
   private static final String REPLICAS = "keyed.servers";
+  private static final int LEDGER_PARTITIONS = 3;
   private static final String CONFIGURED = "event=configuration version=1 applied=true";
 
   /** An address of the range for documentation, at which nothing answers. */
@@ -100,6 +105,49 @@
     }
   }
 
+  /** Guards against claims of tokens of which others may hold any number. */
+  @Test
+  void nothingIsClaimedWhereLedgerRecordCannotBeRead() throws Exception {
+    for (int partition = 0; partition < LEDGER_PARTITIONS; partition++) {
+      edge.store.putBytes("keyed.ledger", partition, record("customer", new byte[] {'?'}));
+    }
+    FakeReplica replica = FakeReplica.start(OddRecordTest::respond);
+    edge.register("i-1", "llm", replica, "ready");
+    edge.awaitLog("event=replica replica=i-1 ");
+    String prompt = "Snipeloom-Token-Counts: 1000,100\r\nSnipeloom-Prompt-Prefix: aa:1000\r\n";
+    assertThat(edge.send("/draft/1", "a1", prompt), startsWith("HTTP/1.1 503"));
+    edge.awaitLog("event=ledger_record_refused customer=customer");
+    assertThat(replica.requests(), empty());
+  }
+
+  /** Guards against a message of another instance that ends the process or holds others up. */
+  @Test
+  void instanceServesOnAfterOddMessagesOfPeers() throws Exception {
+    for (byte[] message : OddBytes.all()) {
+      sendToPeerPort(ByteBuffer.allocate(4).putInt(message.length).array(), message);
+      sendToPeerPort(new byte[0], message);
+    }
+    assertThatSoundReplicaIsUsed("i-1");
+    try (EdgeFixture second = new EdgeFixture("edge-2", edge.store)) {
+      second.awaitReady();
+      edge.awaitLog("event=peer_demand known=true");
+    }
+    assertThat(edge.hasLogged(line -> line.contains("event=task_failed")), is(false));
+  }
+
+  /** Sends bytes as another instance does, and waits until their connection is closed. */
+  private void sendToPeerPort(byte[] length, byte[] message) throws IOException {
+    try (Socket peer = edge.openPeer()) {
+      peer.getOutputStream().write(length);
+      peer.getOutputStream().write(message);
+      peer.shutdownOutput();
+      EdgeFixture.readAll(peer.getInputStream());
+    } catch (SocketException e) {
+      // The instance has closed the connection before it had read everything.
+      return;
+    }
+  }
+
   private void leaveOddRecords(String topic) {
     List<byte[]> values = OddBytes.all();
     for (int i = 0; i < values.size(); i++) {
--- a/src/test/java/io/snipeloom/platform/FakeStore.java
+++ b/src/test/java/io/snipeloom/platform/FakeStore.java
@@ -163,8 +163,13 @@
   }
 
   /** Appends bytes to partition 0 of a topic as a record, whatever they hold. */
-  public synchronized void putBytes(String topic, byte[] record) {
-    records(topic + "/0").add(record);
+  public void putBytes(String topic, byte[] record) {
+    putBytes(topic, 0, record);
+  }
+
+  /** Appends bytes to a partition of a topic as a record, whatever they hold. */
+  public synchronized void putBytes(String topic, int partition, byte[] record) {
+    records(topic + "/" + partition).add(record);
     notifyAll();
   }
 
