--- a/src/test/java/io/snipeloom/edge/SuspendedProcessTest.java
+++ b/src/test/java/io/snipeloom/edge/SuspendedProcessTest.java
@@ -33,6 +33,9 @@
   private static final long PAUSE_MILLIS = 150;
   private static final int TURNS = 20;
 
+  /** The callers of an instance that is not suspended. */
+  private static final int CALLERS_OF_OTHER = 20;
+
   @TempDir(cleanup = CleanupMode.ON_SUCCESS)
   private Path directory;
 
@@ -91,6 +94,29 @@
     }
   }
 
+  /** Guards against an instance that is held up, or sends on late, for the pause of another. */
+  @Test
+  void otherInstanceServesWhileOneIsSuspendedAndNoRequestOfDepartedCallersIsSent()
+      throws Exception {
+    FakeStore store = FakeStore.start();
+    try (DepartedCallers departed = new DepartedCallers(Leaving.CLOSE);
+        FakeReplica replica = FakeReplica.start(departed::respond);
+        EdgeProcess suspended = start(store, replica);
+        EdgeFixture other = new EdgeFixture("edge-2", store)) {
+      other.awaitReady();
+      other.awaitLog("event=fleet_size before=4 now=2");
+      suspended.suspend();
+      departed.open(200, suspended::open);
+      sendAndLeave(departed);
+      for (int i = 0; i < CALLERS_OF_OTHER; i++) {
+        assertThat(other.send("/status/other", "other" + i, ""), startsWith("HTTP/1.1 200"));
+      }
+      Thread.sleep(SUSPENDED_MILLIS);
+      suspended.resume();
+      assertOnlyStayingCallersAreServed(departed);
+    }
+  }
+
   private static void sendAndLeave(DepartedCallers departed)
       throws IOException, InterruptedException {
     departed.sendAll("/status/", "");
@@ -112,7 +138,10 @@
   }
 
   private EdgeProcess start(FakeReplica replica) throws IOException {
-    FakeStore store = FakeStore.start();
+    return start(FakeStore.start(), replica);
+  }
+
+  private EdgeProcess start(FakeStore store, FakeReplica replica) throws IOException {
     EdgeFixture.configure(store, 1, 1_000_000);
     EdgeFixture.register(store, "i-1", "app", replica, "ready", "v1");
     EdgeProcess edge = new EdgeProcess(directory, store);
