Exchange and Attempt are split by what they decide

What decides whether a request may be sent at all (route, customer, convictions, origin of a resumed stream, admission under load, tokens) is RequestEntry now; what a response says of its replica is recorded by ReplicaStatements; AttemptOwner is an interface of its own. No behaviour changed, but that the deadline of a request with an unknown key is scheduled before it is refused.

--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -9,13 +9,8 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.snipeloom.buffering.BodyTransfer;
 import io.snipeloom.crashes.InFlight;
-import io.snipeloom.crashes.RequestTraits;
-import io.snipeloom.routing.ColdReport;
-import io.snipeloom.routing.ForwardMetadata;
 import io.snipeloom.routing.ReplicaView;
 import io.snipeloom.routing.ResponseMetadata;
-import io.snipeloom.routing.StatedLimit;
-import io.snipeloom.routing.StatedPause;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -44,9 +39,6 @@
   /** How long the connection of an attempt is kept after its deadline, for a late rejection. */
   private static final long LATE_HEAD_MILLIS = 200;
 
-  /** The status with which another replica answers that is at the address now. */
-  private static final int ANOTHER_REPLICA_STATUS = 421;
-
   /** The status of a response that goes on with a stream. */
   private static final int STREAM_STATUS = 200;
 
@@ -61,7 +53,7 @@
   private final long uncachedTokens;
   private final ExchangeLog log;
   private final CrashDetector crashDetector;
-  private final Owner owner;
+  private final AttemptOwner owner;
   private ClientConnection connection;
   private AttemptWork work;
   private ScheduledFuture<?> silenceTimer;
@@ -81,74 +73,6 @@
   private BodyTransfer transfer;
   private boolean readingStopped;
 
-  /** The exchange that an attempt belongs to. */
-  interface Owner {
-
-    /** Returns whether the caller still waits for a response, as far as is known. */
-    boolean isCallerWaiting();
-
-    /** Finds out, just before the request is sent, whether the caller still waits. */
-    boolean confirmCaller();
-
-    /** Returns the traits of the request. */
-    RequestTraits traits();
-
-    /** Returns whether the request is sent to find out whether it crashes replicas. */
-    boolean isTrial();
-
-    /** Returns whether the request may still be processed where a replica is. */
-    boolean mayGoTo(ReplicaView view);
-
-    /** Returns the metadata that is added to the request for a replica. */
-    ForwardMetadata forwardMetadata(ReplicaView view);
-
-    /** Called just before the request is written to the connection. */
-    void onSent(Attempt attempt);
-
-    /** Returns the request by which its cost is estimated. */
-    RoutedRequest routed();
-
-    /** Returns whether the replica has received the request before, in an earlier attempt. */
-    boolean wasSentTo(ReplicaView view);
-
-    /** Returns whether the caller has received events of the stream, which this attempt goes on. */
-    boolean isStreamBegun();
-
-    /** Returns whether the replica sent what does not go on with the stream. */
-    boolean isStreamOutOfOrder();
-
-    /** Returns how long the replica may send nothing, in milliseconds; 0 for no limit. */
-    long silenceTimeoutMillis();
-
-    /** Returns whether the request may be retried on another replica after the silence timeout. */
-    boolean mayRetryAfterSilence();
-
-    /** Called with bytes of an event stream; the owner must not retain the buffer. */
-    void onStreamContent(Attempt attempt, ByteBuf content);
-
-    /**
-     * Called when bytes of a response that is not an event stream have arrived.
-     *
-     * @return whether they may be kept; if not, the attempt was ended
-     */
-    boolean onBodyContent(Attempt attempt, int bytes);
-
-    /** Returns the length of the event that is not complete yet, in bytes. */
-    int pendingEventBytes();
-
-    /** Returns whether the event stream may end where the replica ended it. */
-    boolean isStreamComplete(Attempt attempt);
-
-    /** Called when the event stream is complete. */
-    void onStreamEnd(Attempt attempt);
-
-    /** Called with a complete response that is not an event stream and is not to be retried. */
-    void onResponse(Attempt attempt);
-
-    /** Called when the attempt failed; no other call follows. */
-    void onFailed(Attempt attempt, AttemptFailure failure, String reason);
-  }
-
   Attempt(
       EventLoop loop,
       Fleet fleet,
@@ -158,7 +82,7 @@
       long uncachedTokens,
       ExchangeLog log,
       CrashDetector crashDetector,
-      Owner owner) {
+      AttemptOwner owner) {
     this.loop = loop;
     this.fleet = fleet;
     this.request = request;
@@ -359,7 +283,8 @@
     framing = ResponseFraming.of(head);
     responseHeaders = head.headers();
     ResponseMetadata metadata = fleet.codec().responseMetadata(status, responseHeaders);
-    recordWillingness(metadata);
+    ReplicaStatements statements = new ReplicaStatements(view, log, sentNanos, lastReceivedNanos);
+    statements.recordWillingness(status, metadata);
     if (ended) {
       connection.close();
       return false;
@@ -374,9 +299,7 @@
       connection.closeAfterResponse();
       log.unnamedRefusal(view.replica().id(), status);
     }
-    metadata.load().ifPresent(this::recordLoad);
-    recordLimit(metadata.limit());
-    recordCold(metadata.cold());
+    statements.recordState(metadata);
     responseFailure = classify(metadata);
     String type = responseHeaders.get(HttpHeaderNames.CONTENT_TYPE, "");
     streaming = responseFailure == null && type.startsWith("text/event-stream");
@@ -400,44 +323,6 @@
     return streaming && status == STREAM_STATUS;
   }
 
-  private void recordLoad(ResponseMetadata.Load load) {
-    view.load().onReport(load.running(), load.waiting(), lastReceivedNanos);
-    load.pacePercent()
-        .ifPresent(percent -> view.costs().pace().onStated(percent, lastReceivedNanos));
-  }
-
-  /** Logs a limit of the replica if it differs from the one that it stated last. */
-  private void recordLimit(StatedLimit limit) {
-    StatedLimit before = view.limit().stated();
-    view.limit().onStated(limit, sentNanos, lastReceivedNanos);
-    if (!limit.equals(before)) {
-      log.replicaLimit(view.replica().id(), before, limit);
-    }
-  }
-
-  /** Records how long the replica stays cold, and logs it if it was not known to be cold. */
-  private void recordCold(ColdReport report) {
-    long before = view.limit().coldMillis(lastReceivedNanos);
-    view.limit().onColdReport(report, sentNanos, lastReceivedNanos);
-    if (report.isCold() && before == 0) {
-      log.replicaCold(view.replica().id(), report);
-    }
-  }
-
-  /** Records what the replica says of itself, which holds whatever request it answers. */
-  private void recordWillingness(ResponseMetadata metadata) {
-    if (status == ANOTHER_REPLICA_STATUS) {
-      return;
-    }
-    if (metadata.leaving() && view.willingness().onLeaving()) {
-      log.replicaLeaving(view.replica().id());
-    }
-    if (metadata.pause().kind() != StatedPause.Kind.NONE) {
-      view.willingness().onPause(metadata.pause(), lastReceivedNanos);
-      log.replicaPauses(view.replica().id(), metadata.pause());
-    }
-  }
-
   private AttemptFailure classify(ResponseMetadata metadata) {
     if (metadata.notExecuted()) {
       return AttemptFailure.NOT_EXECUTED;
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -2,23 +2,15 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.util.concurrent.ScheduledFuture;
-import io.snipeloom.admission.AdmissionDecision;
-import io.snipeloom.admission.AdmissionReview;
 import io.snipeloom.buffering.BufferDecision;
 import io.snipeloom.buffering.ResponseBuffer;
-import io.snipeloom.crashes.Admission;
 import io.snipeloom.crashes.Conviction;
 import io.snipeloom.crashes.RequestTraits;
 import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.routing.CustomerConfiguration;
-import io.snipeloom.routing.FleetConfiguration;
 import io.snipeloom.routing.ForwardMetadata;
 import io.snipeloom.routing.ReplicaView;
-import io.snipeloom.routing.RequestMetadata;
-import io.snipeloom.routing.Route;
-import io.snipeloom.spend.ReserveOutcome;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.telemetry.EventLog;
@@ -30,13 +22,11 @@
 /**
  * Processes one request from its arrival to its final response.
  *
- * <p>The steps are: find the route and the customer, reserve tokens, send the request to a replica,
- * relay the response, and retry on another replica if that is allowed. Confined to the event loop
- * thread.
+ * <p>Once its {@link RequestEntry} accepts the request, it is sent to a replica, the response is
+ * relayed, and the request is retried on another replica if that is allowed. Confined to the event
+ * loop thread.
  */
-final class Exchange implements Attempt.Owner {
-  private static final long NANOS_PER_MILLI = 1_000_000L;
-
+final class Exchange implements AttemptOwner, RequestEntry.Listener {
   /**
    * The number of further events that are counted as consumed when an attempt is interrupted. The
    * replica may have produced them although they did not arrive.
@@ -55,11 +45,7 @@
   private final AttemptHistory history = new AttemptHistory();
   private final RelayedStream stream = new RelayedStream();
 
-  private RequestMetadata metadata;
-  private RoutedRequest routed;
-  private boolean onTrial;
-  private ExchangeAdmission admission;
-  private Reservation reservation;
+  private final RequestEntry entry;
   private ScheduledFuture<?> deadlineTimer;
   private Attempt attempt;
   private ResponseProgress progress = ResponseProgress.NONE;
@@ -87,12 +73,13 @@
     this.caller = caller;
     this.onDone = onDone;
     this.response = new CallerResponse(caller, metrics, request.arrivedNanos());
+    this.entry = new RequestEntry(fleet, this.log, metrics, request, stream, this);
   }
 
   /** Starts processing the request. */
   void start() {
     try {
-      admit();
+      entry.start();
     } catch (SnipeloomException e) {
       respond(LocalResponse.of(e.code(), e.getMessage()));
     }
@@ -111,13 +98,13 @@
 
   /** Ends the request if requests like it are refused by now and its answer has not begun. */
   void refuseIfConvicted() {
-    if (done || response.isBegun() || routed == null) {
+    if (done || response.isBegun() || !entry.isRouted()) {
       return;
     }
-    Optional<Conviction> conviction = findConviction(onTrial);
+    Optional<Conviction> conviction = findConviction(entry.isTrial());
     if (conviction.isPresent()) {
       stopAttempt("convicted");
-      refuse(conviction.get());
+      onConvicted(conviction.get());
     }
   }
 
@@ -138,78 +125,32 @@
 
   /** Returns the attempt ID of the request, empty if unknown. */
   String attemptId() {
-    return metadata == null ? "" : metadata.attemptId();
+    return entry.attemptId();
   }
 
-  private void admit() {
-    Optional<FleetConfiguration> current = fleet.configuration();
-    if (current.isEmpty()) {
-      respond(
-          LocalResponse.notExecuted(
-              ErrorCode.NOT_READY,
-              "no configuration has been received yet",
-              LocalResponse.STARTUP_RETRY_MILLIS,
-              Long.MAX_VALUE));
-      return;
-    }
-    FleetConfiguration configuration = current.get();
-    String host = request.headers().get(HttpHeaderNames.HOST, "");
-    Optional<Route> found = configuration.route(host, request.path());
-    if (found.isEmpty()) {
-      respond(LocalResponse.of(ErrorCode.NOT_FOUND, "no route matches the host and path"));
-      return;
-    }
-    metadata = fleet.codec().requestMetadata(request.headers());
-    log.setAttemptId(metadata.attemptId());
-    routed = RoutedRequest.of(configuration, found.get(), metadata, request, Math.random());
+  @Override
+  public void onRouted(RoutedRequest routed) {
     caller.buffer().begin(routed.customer().map(CustomerConfiguration::id));
-    if (routed.isUnauthenticated()) {
-      respond(LocalResponse.of(ErrorCode.UNAUTHENTICATED, "unknown API key"));
-      return;
-    }
-    scheduleDeadline();
-    log.setRequest(routed.traits().request().value());
-    fleet.crashes().admit(routed.traits(), System.nanoTime(), this::onAdmission);
+    long delayNanos = Math.max(0, routed.deadlineNanos() - System.nanoTime());
+    deadlineTimer = loop.schedule(this::onDeadline, delayNanos, TimeUnit.NANOSECONDS);
   }
 
-  private void onAdmission(Admission admission) {
-    if (done) {
-      return;
-    }
-    onTrial = admission.trial();
-    if (admission.conviction().isPresent()) {
-      refuse(admission.conviction().get());
-    } else if (routed.resumesStream()) {
-      findOrigin();
-    } else if (!isRefusedUnderLoad()) {
-      reserveTokens();
-    }
+  @Override
+  public void onAccepted() {
+    dispatch();
   }
 
-  private boolean isRefusedUnderLoad() {
-    admission = new ExchangeAdmission(fleet, routed, System.nanoTime());
-    Optional<AdmissionReview> review = admission.review().filter(AdmissionReview::isSpecial);
-    if (review.isEmpty()) {
-      return false;
-    }
-    AdmissionDecision decision = review.get().decision();
-    log.admission(routed, review.get(), remainingMillis());
-    metrics.count("admission_" + review.get().outcome());
-    if (!decision.admitted()) {
-      respond(
-          LocalResponse.notExecuted(
-              ErrorCode.OVERLOADED, decision.reason(), decision.retryMillis(), remainingMillis()));
-    }
-    return !decision.admitted();
+  @Override
+  public void onRefused(LocalResponse refusal) {
+    respond(refusal);
   }
 
   private Optional<Conviction> findConviction(boolean tried) {
-    return tried
-        ? fleet.crashes().findPart(routed.traits())
-        : fleet.crashes().find(routed.traits());
+    return tried ? fleet.crashes().findPart(traits()) : fleet.crashes().find(traits());
   }
 
-  private void refuse(Conviction conviction) {
+  @Override
+  public void onConvicted(Conviction conviction) {
     String reason = conviction.trait() + " crashed replicas " + conviction.crashes() + " times";
     if (history.mayHaveRun()) {
       fail(ErrorCode.UPSTREAM_FAILED, reason);
@@ -218,36 +159,6 @@
     }
   }
 
-  private void findOrigin() {
-    new ResumedStream(fleet.streams(), routed, log, metrics)
-        .find(System.nanoTime(), this::resume, this::refuseToResume);
-  }
-
-  private void resume(StreamOrigin origin) {
-    if (!done) {
-      stream.resumeFrom(origin, routed.metadata().lastEventId());
-      routed = routed.withService(origin.service());
-      reserveTokens();
-    }
-  }
-
-  private void refuseToResume(String reason) {
-    if (done) {
-      return;
-    }
-    long retryMillis =
-        fleet.isStoreAvailable()
-            ? LocalResponse.CRASH_RETRY_MILLIS
-            : LocalResponse.OUTAGE_RETRY_MILLIS;
-    respond(
-        LocalResponse.notExecuted(ErrorCode.NO_UPSTREAM, reason, retryMillis, remainingMillis()));
-  }
-
-  private void scheduleDeadline() {
-    long delayNanos = Math.max(0, routed.deadlineNanos() - System.nanoTime());
-    deadlineTimer = loop.schedule(this::onDeadline, delayNanos, TimeUnit.NANOSECONDS);
-  }
-
   private void onDeadline() {
     if (attempt != null) {
       attempt.readArrived();
@@ -263,54 +174,15 @@
     fail(ErrorCode.DEADLINE_EXCEEDED, "deadline exceeded");
   }
 
-  private void reserveTokens() {
-    if (!routed.isPrepaid()) {
-      dispatch();
-      return;
-    }
-    reservation = new Reservation(fleet, routed.customer().get().id(), metadata.prompt().get());
-    long requestedNanos = System.nanoTime();
-    reservation.request(
-        outcome -> {
-          metrics.reservation((System.nanoTime() - requestedNanos) / NANOS_PER_MILLI);
-          onReserved(outcome);
-        });
-  }
-
-  private void onReserved(ReserveOutcome outcome) {
-    if (outcome == ReserveOutcome.RESERVED) {
-      dispatch();
-      return;
-    }
-    log.tokensRefused(
-        reservation.customer(),
-        outcome,
-        reservation.tokens(),
-        reservation.status(),
-        fleet.isStoreAvailable());
-    if (outcome == ReserveOutcome.EXHAUSTED) {
-      respond(
-          LocalResponse.of(
-              ErrorCode.BUDGET_EXHAUSTED, "the remaining prepaid tokens do not cover the request"));
-    } else {
-      respond(
-          LocalResponse.notExecuted(
-              ErrorCode.BUDGET_UNAVAILABLE,
-              "prepaid tokens cannot be claimed at the moment",
-              LocalResponse.OUTAGE_RETRY_MILLIS,
-              remainingMillis()));
-    }
-  }
-
   private void dispatch() {
-    Optional<Conviction> conviction = findConviction(onTrial && history.sends() == 0);
+    Optional<Conviction> conviction = findConviction(entry.isTrial() && history.sends() == 0);
     if (conviction.isPresent()) {
-      refuse(conviction.get());
+      onConvicted(conviction.get());
       return;
     }
     ReplicaChoice choice =
         ReplicaChoice.of(
-            fleet, routed, request.body().readableBytes(), stream, history, System.nanoTime());
+            fleet, routed(), request.body().readableBytes(), stream, history, System.nanoTime());
     if (choice.picked().isEmpty()) {
       lackMillis = choice.retryMillis();
       choice.counter().ifPresent(metrics::count);
@@ -322,7 +194,7 @@
             loop,
             fleet,
             request,
-            metadata.attemptId(),
+            attemptId(),
             choice.picked().get(),
             choice.uncachedTokens(),
             log,
@@ -350,17 +222,17 @@
 
   @Override
   public RequestTraits traits() {
-    return routed.traits();
+    return routed().traits();
   }
 
   @Override
   public RoutedRequest routed() {
-    return routed;
+    return entry.routed();
   }
 
   @Override
   public boolean isTrial() {
-    return onTrial;
+    return entry.isTrial();
   }
 
   @Override
@@ -369,7 +241,7 @@
       metrics.count("moved_for_evacuation");
       return false;
     }
-    boolean atHome = ReplicaChoice.isAtHome(view, fleet, routed);
+    boolean atHome = ReplicaChoice.isAtHome(view, fleet, routed());
     if (!atHome) {
       metrics.count("moved_for_homes");
     }
@@ -378,7 +250,7 @@
 
   @Override
   public ForwardMetadata forwardMetadata(ReplicaView view) {
-    return routed.forwardMetadata(view.replica().id(), stream.lastEventId(), System.nanoTime());
+    return routed().forwardMetadata(view.replica().id(), stream.lastEventId(), System.nanoTime());
   }
 
   @Override
@@ -390,9 +262,10 @@
       log.sentToCold(sent.view().replica().id(), sent.view().limit().coldMillis(now));
     }
     if (history.sends() == 1) {
-      fleet.retryAllowanceOf(routed.service()).onRequest(now);
+      fleet.retryAllowanceOf(routed().service()).onRequest(now);
     }
-    metadata
+    entry
+        .metadata()
         .prompt()
         .ifPresent(
             prompt -> {
@@ -401,8 +274,8 @@
             });
     log.sent(
         sent.view(),
-        stream.position(metadata),
-        routed.sharedParts(),
+        stream.position(entry.metadata()),
+        routed().sharedParts(),
         sent.uncachedTokens(),
         fleet.picker().peers(),
         request,
@@ -428,12 +301,12 @@
 
   @Override
   public long silenceTimeoutMillis() {
-    return RetryRules.silenceTimeoutMillis(routed.route());
+    return RetryRules.silenceTimeoutMillis(routed().route());
   }
 
   @Override
   public boolean mayRetryAfterSilence() {
-    return history.mayRetryAfterSilence(routed.route(), remainingMillis());
+    return history.mayRetryAfterSilence(routed().route(), remainingMillis());
   }
 
   @Override
@@ -447,9 +320,9 @@
     }
     history.onExecuted();
     source.onEvents(stream.eventsOfAttempt());
-    if (admission != null) {
-      admission.onEvents(history.sends(), System.nanoTime());
-    }
+    entry
+        .admission()
+        .ifPresent(admission -> admission.onEvents(history.sends(), System.nanoTime()));
     recordOrigin(source);
     response.sendHeadOnce(source);
     caller.sendContent(complete);
@@ -471,8 +344,8 @@
 
   private void recordOrigin(Attempt source) {
     Optional<StreamOrigin> begun = stream.onEvents(source.view().replica());
-    if (begun.isPresent() && routed.route().isResumableStream()) {
-      fleet.streams().onBegun(metadata.attemptId(), begun.get(), System.nanoTime());
+    if (begun.isPresent() && routed().route().isResumableStream()) {
+      fleet.streams().onBegun(attemptId(), begun.get(), System.nanoTime());
     }
   }
 
@@ -539,9 +412,9 @@
     long remainingMillis = remainingMillis();
     boolean retry =
         caller.isOpen()
-            && history.mayRetry(routed.route(), failure, remainingMillis)
+            && history.mayRetry(routed().route(), failure, remainingMillis)
             && (failure == AttemptFailure.NOT_CONNECTED
-                || fleet.retryAllowanceOf(routed.service()).tryRetry(System.nanoTime()));
+                || fleet.retryAllowanceOf(routed().service()).tryRetry(System.nanoTime()));
     log.attemptFailed(
         failed.view().replica().id(),
         failure,
@@ -606,17 +479,17 @@
   }
 
   private long remainingMillis() {
-    return routed.remainingMillis(System.nanoTime());
+    return routed().remainingMillis(System.nanoTime());
   }
 
   private void respond(LocalResponse local) {
-    String attemptId = metadata == null ? "" : metadata.attemptId();
-    response.sendLocal(local, fleet.codec().localResponseHeaders(attemptId));
+    response.sendLocal(local, fleet.codec().localResponseHeaders(attemptId()));
     finish(local.code().text(), local.status(), local.reason());
   }
 
   private void finish(String outcome, int status, String reason) {
     done = true;
+    entry.end();
     if (deadlineTimer != null) {
       deadlineTimer.cancel(false);
     }
@@ -628,9 +501,9 @@
     metrics.count("request_" + outcome.replace('.', '_'));
     log.request(
         new ExchangeLog.Summary(
-            routed == null ? "" : routed.customerName(),
-            routed == null ? "" : routed.route().name(),
-            routed == null ? 0 : routed.configuration().version(),
+            entry.isRouted() ? routed().customerName() : "",
+            entry.isRouted() ? routed().route().name() : "",
+            entry.isRouted() ? routed().configuration().version() : 0,
             outcome,
             status,
             reason,
@@ -645,15 +518,16 @@
 
   /** Settles the reservation and returns the tokens counted as consumed. */
   private long settle() {
-    if (reservation == null) {
-      return 0;
-    }
+    return entry.reservation().map(this::settle).orElse(0L);
+  }
+
+  private long settle(Reservation reservation) {
     if (!history.mayHaveRun()) {
       return reservation.settleUnused();
     }
     int producedEvents =
         stream.eventCount() + (history.isInterrupted() ? MAX_UNRECEIVED_EVENTS : 0);
     return reservation.settleExecuted(
-        (long) producedEvents * fleet.tokensPerEvent(routed.service()));
+        (long) producedEvents * fleet.tokensPerEvent(routed().service()));
   }
 }
