Of prompt parts that were at the same crashes only the rarest is convicted

Five crashes came within 0.25 s, at all of them the parts aa (in every prompt) and bad0; instances that had sent little knew no share of aa, no request had been survived for 0.3 s yet, and both were convicted: "convicted trait=part:aa crashes=5", 6 ms before "part:bad0 crashes=6". Nothing with aa was sent any more that could have shown that it is sound.

Cause: traits that no evidence tells apart were convicted together. Now the rarest of them is, or among parts of the same prompts the last: it explains all the crashes. The others keep what was counted against them: at the first crash that no convicted part explains, the crashes with the convicted one count again, unless a request with the part was survived since. So if the other part is the culprit after all, one further crash convicts it, within the three that a part may reach.

A failure of CrashingPartTest shows the lines of crashes now.

--- a/src/main/java/io/snipeloom/crashes/CrashControl.java
+++ b/src/main/java/io/snipeloom/crashes/CrashControl.java
@@ -379,18 +379,18 @@
   }
 
   private void decide(long nowNanos) {
-    List<CrashEvidence.Culprit> culprits = findCulprits(nowNanos);
-    while (!culprits.isEmpty()) {
-      culprits.forEach(culprit -> convictions.convict(culprit.trait(), culprit.crashes()));
-      culprits = findCulprits(nowNanos);
+    Optional<CrashEvidence.Culprit> culprit = findCulprit(nowNanos);
+    while (culprit.isPresent()) {
+      convictions.convict(culprit.get().trait(), culprit.get().crashes());
+      culprit = findCulprit(nowNanos);
     }
     undecided = evidence.mayDecideLater(nowNanos);
     evidenceAdded = false;
     lastDecisionNanos = nowNanos;
   }
 
-  private List<CrashEvidence.Culprit> findCulprits(long nowNanos) {
-    return evidence.findCulprits(convictions::contains, counts.crashingByReplica(), nowNanos);
+  private Optional<CrashEvidence.Culprit> findCulprit(long nowNanos) {
+    return evidence.findCulprit(convictions::contains, counts.crashingByReplica(), nowNanos);
   }
 
   private void restoreTrial(long nowNanos) {
--- a/src/main/java/io/snipeloom/crashes/CrashEvidence.java
+++ b/src/main/java/io/snipeloom/crashes/CrashEvidence.java
@@ -4,10 +4,12 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -29,6 +31,8 @@
  *       again says little more.
  *   <li>A crash that a convicted trait explains says nothing about others, and one that a crashing
  *       request explains says nothing about what other requests have.
+ *   <li>Of traits that were at the same crashes, the rarest explains them. The crashes count again
+ *       for one of the others once it is at a crash that no convicted trait explains.
  * </ul>
  *
  * <p>Not thread-safe.
@@ -109,30 +113,64 @@
     }
   }
 
-  /** The attempts of one trait at a replica that crashed. */
-  private record Presence(long lastSentNanos, String request, double share) {
+  /**
+   * The attempts of one trait at a replica that crashed.
+   *
+   * @param lastSentNanos when the youngest of them was sent
+   * @param request the identifier of the request of the youngest
+   * @param share the share of all attempts that have the trait
+   * @param position the position of the trait among those of the crash; parts of one prompt are in
+   *     its order
+   */
+  private record Presence(long lastSentNanos, String request, double share, int position) {
     Presence plus(Presence other) {
       Presence youngest = lastSentNanos >= other.lastSentNanos ? this : other;
-      return new Presence(youngest.lastSentNanos, youngest.request, Math.max(share, other.share));
+      return new Presence(
+          youngest.lastSentNanos,
+          youngest.request,
+          Math.max(share, other.share),
+          youngest.position);
     }
   }
 
-  /** The crashes that count for one trait. */
+  /**
+   * The crashes that count for one trait.
+   *
+   * @param unexplained those of the crashes that no convicted trait explains
+   * @param shares the sum of the shares of the trait at the crashes
+   * @param positions the sum of its positions
+   */
   private record Count(
       RequestTrait trait,
       int crashes,
+      int unexplained,
       Map<String, Integer> crashesOfRequests,
       double evidence,
+      double shares,
+      int positions,
       long firstNanos,
       long lastNanos) {
-    Count plus(Crash crash, Presence presence) {
+    /** The rarest trait first; among parts of the same prompts the last one. */
+    private static final Comparator<Count> BY_RARITY =
+        Comparator.comparingDouble(Count::shares)
+            .thenComparing(Comparator.comparingInt(Count::positions).reversed())
+            .thenComparing(count -> count.trait().toString());
+
+    static Count none(RequestTrait trait, long firstNanos) {
+      return new Count(trait, 0, 0, Map.of(), 0, 0, 0, firstNanos, firstNanos);
+    }
+
+    Count plus(Crash crash, Presence presence, boolean explained) {
       Map<String, Integer> ofRequests = new HashMap<>(crashesOfRequests);
       ofRequests.merge(presence.request(), 1, Integer::sum);
       return new Count(
           trait,
           crashes + 1,
+          unexplained + (explained ? 0 : 1),
           ofRequests,
           evidence + crash.evidence(presence),
+          shares + presence.share(),
+          positions + presence.position(),
           firstNanos,
           crash.atNanos);
     }
@@ -148,11 +186,12 @@
     long atNanos = nowNanos - report.ageMillis() * NANOS_PER_MILLI;
     Crash crash = crashes.computeIfAbsent(report.replica(), replica -> new Crash(replica, atNanos));
     crash.attempts += report.attempts();
-    for (Suspect suspect : report.suspects()) {
+    for (int i = 0; i < report.suspects().size(); i++) {
+      Suspect suspect = report.suspects().get(i);
       long sentNanos = atNanos - suspect.sentMillisBefore() * NANOS_PER_MILLI;
       crash.suspects.merge(
           suspect.trait(),
-          new Presence(sentNanos, suspect.request(), suspect.share()),
+          new Presence(sentNanos, suspect.request(), suspect.share(), i),
           Presence::plus);
       lastCrashNanos.merge(suspect.trait(), crash.atNanos, Math::max);
     }
@@ -195,44 +234,48 @@
   }
 
   /**
-   * Returns the traits that cause crashes which no convicted trait explains.
+   * Returns a trait that causes crashes which no convicted trait explains; empty if there is none.
    *
    * @param convicted returns whether a trait has been convicted
    * @param crashingRequests the requests that crash replicas whatever parts they have, of each
    *     replica that ended under them
    * @param nowNanos the current time
    */
-  List<Culprit> findCulprits(
+  Optional<Culprit> findCulprit(
       Predicate<RequestTrait> convicted, Map<String, Set<String>> crashingRequests, long nowNanos) {
-    List<Crash> unexplained = unexplained(convicted);
+    List<Crash> single = singleCrashes();
+    List<Crash> unexplained =
+        single.stream()
+            .filter(crash -> crash.suspects.keySet().stream().noneMatch(convicted))
+            .toList();
     List<Count> eligible =
-        count(unexplained, crashingRequests).stream()
+        count(single, convicted, crashingRequests).stream()
             .filter(count -> !convicted.test(count.trait()))
             .filter(count -> isEligible(count, nowNanos))
             .filter(count -> coverage(count, unexplained) >= MIN_COVERAGE)
             .sorted(
                 Comparator.comparingDouble(Count::evidence)
                     .thenComparingInt(Count::crashes)
-                    .reversed()
-                    .thenComparing(count -> count.trait().toString()))
+                    .reversed())
             .toList();
     if (eligible.isEmpty()) {
-      return List.of();
+      return Optional.empty();
     }
     Count first = eligible.get(0);
     List<Count> rivals =
         eligible.stream()
             .filter(count -> count.crashes() >= first.crashes())
             .filter(count -> count.evidence() >= first.evidence())
+            .sorted(Count.BY_RARITY)
             .toList();
     if (rivals.size() > 1 && first.crashes() < CRASHES_TO_CONVICT_DOUBTFUL) {
-      return List.of();
+      return Optional.empty();
     }
-    return rivals.stream().map(count -> new Culprit(count.trait(), count.crashes())).toList();
+    return Optional.of(new Culprit(rivals.get(0).trait(), rivals.get(0).crashes()));
   }
 
   /**
-   * Returns whether {@link #findCulprits} may return more later although no evidence is added.
+   * Returns whether {@link #findCulprit} may return one later although no evidence is added.
    *
    * @param nowNanos the current time
    */
@@ -246,7 +289,8 @@
     int needed = soundLately ? CRASHES_TO_CONVICT_DOUBTFUL : CRASHES_TO_CONVICT;
     double evidenceNeeded = soundLately ? EVIDENCE_TO_CONVICT_DOUBTFUL : EVIDENCE_TO_CONVICT;
     long delayNanos = soundLately ? MIN_DELAY_SOUND_NANOS : MIN_DELAY_NANOS;
-    return count.crashes() >= needed
+    return count.unexplained() > 0
+        && count.crashes() >= needed
         && count.crashesOfRequests().size() >= REQUESTS_TO_CONVICT
         && count.evidence() >= evidenceNeeded
         && nowNanos - count.firstNanos() >= delayNanos;
@@ -260,11 +304,11 @@
     return (double) present / ofItsTime.size();
   }
 
-  /** Returns the crashes that may show a culprit, in the order of their times. */
-  private List<Crash> unexplained(Predicate<RequestTrait> convicted) {
+  /** Returns the crashes without a cause in common, in the order of their times. */
+  private List<Crash> singleCrashes() {
     List<Crash> inOrder = new ArrayList<>(crashes.values());
     inOrder.sort(Comparator.comparingLong(crash -> crash.atNanos));
-    List<Crash> unexplained = new ArrayList<>();
+    List<Crash> single = new ArrayList<>();
     int first = 0;
     int end = 0;
     for (Crash crash : inOrder) {
@@ -275,36 +319,63 @@
           && inOrder.get(end).atNanos <= crash.atNanos + SIMULTANEOUS_NANOS) {
         end++;
       }
-      boolean alone = end - first < SIMULTANEOUS_CRASHES;
-      if (alone && crash.suspects.keySet().stream().noneMatch(convicted)) {
-        unexplained.add(crash);
+      if (end - first < SIMULTANEOUS_CRASHES) {
+        single.add(crash);
       }
     }
-    return unexplained;
+    return single;
   }
 
-  private Collection<Count> count(List<Crash> inOrder, Map<String, Set<String>> crashingRequests) {
+  private Collection<Count> count(
+      List<Crash> inOrder,
+      Predicate<RequestTrait> convicted,
+      Map<String, Set<String>> crashingRequests) {
+    Map<RequestTrait, Set<RequestTrait>> companions = companions(inOrder, convicted);
     Map<RequestTrait, Count> counts = new HashMap<>();
     for (Crash crash : inOrder) {
       Set<String> crashing = crashingRequests.getOrDefault(crash.replica, Set.of());
+      List<RequestTrait> causes = crash.suspects.keySet().stream().filter(convicted).toList();
       crash.suspects.forEach(
           (trait, presence) -> {
-            Count before =
-                counts.getOrDefault(
-                    trait, new Count(trait, 0, Map.of(), 0, crash.atNanos, crash.atNanos));
+            Count before = counts.getOrDefault(trait, Count.none(trait, crash.atNanos));
             boolean sentSince =
                 before.crashes() == 0
                     || presence.lastSentNanos() - before.lastNanos() >= -TIME_TOLERANCE_NANOS;
-            boolean explained = !crashing.isEmpty() && !crashing.contains(presence.request());
+            boolean ofRequest = !crashing.isEmpty() && !crashing.contains(presence.request());
+            boolean explained =
+                ofRequest
+                    || !causes.stream().allMatch(cause -> companions.get(cause).contains(trait));
             boolean further = sentSince && !explained && !before.isExhausted(presence);
             if (further && isSuspected(trait, crash.atNanos)) {
-              counts.put(trait, before.plus(crash, presence));
+              counts.put(trait, before.plus(crash, presence, !causes.isEmpty()));
             }
           });
     }
     return counts.values();
   }
 
+  /**
+   * Returns for each convicted trait those that were at all of its crashes, if there are enough.
+   */
+  private static Map<RequestTrait, Set<RequestTrait>> companions(
+      List<Crash> crashes, Predicate<RequestTrait> convicted) {
+    Map<RequestTrait, Set<RequestTrait>> companions = new HashMap<>();
+    Map<RequestTrait, Integer> crashCounts = new HashMap<>();
+    for (Crash crash : crashes) {
+      for (RequestTrait cause : crash.suspects.keySet()) {
+        if (convicted.test(cause)) {
+          crashCounts.merge(cause, 1, Integer::sum);
+          companions
+              .computeIfAbsent(cause, key -> new HashSet<>(crash.suspects.keySet()))
+              .retainAll(crash.suspects.keySet());
+        }
+      }
+    }
+    companions.replaceAll(
+        (cause, traits) -> crashCounts.get(cause) < CRASHES_TO_CONVICT ? Set.of() : traits);
+    return companions;
+  }
+
   private void expire(long nowNanos) {
     List<String> expired = new ArrayList<>();
     crashes.forEach(
--- a/src/test/java/io/snipeloom/edge/CrashingPartTest.java
+++ b/src/test/java/io/snipeloom/edge/CrashingPartTest.java
@@ -135,13 +135,22 @@
       sendCrashing(instance);
       served += sendSound(instance).startsWith("HTTP/1.1 200") ? 1 : 0;
     }
-    String counts = instances.get(0).counts().toString();
     assertThat(
-        "sound requests served of " + sound + ", " + counts,
+        "sound requests served of " + sound + ", " + crashLines(),
         served,
         greaterThanOrEqualTo(sound - 1));
   }
 
+  /** Returns what the instances logged of crashes and refusals, to tell why a test failed. */
+  private String crashLines() {
+    StringBuilder lines = new StringBuilder();
+    for (EdgeFixture instance : instances) {
+      lines.append(instance.counts()).append('\n');
+      lines.append(instance.linesWith("event=replica_", "event=convict", "outcome=")).append('\n');
+    }
+    return lines.toString();
+  }
+
   /** Sends crashing requests beside sound ones until the part must be known. */
   private void crashReplicas() throws Exception {
     List<Future<?>> pending = new ArrayList<>();
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Runs an edge instance on a fake store; the test provides replicas and callers. */
 final class EdgeFixture implements AutoCloseable {
@@ -239,6 +240,14 @@
         .collect(Collectors.groupingBy(event -> event, TreeMap::new, Collectors.counting()));
   }
 
+  /** Returns the lines of the log that contain one of the texts, to tell why a test failed. */
+  String linesWith(String... texts) {
+    return log.toString(StandardCharsets.UTF_8)
+        .lines()
+        .filter(line -> Stream.of(texts).anyMatch(line::contains))
+        .collect(Collectors.joining("\n"));
+  }
+
   /** Returns the first line of the log that contains a text. */
   String lineWith(String text) {
     return log.toString(StandardCharsets.UTF_8)
