--- a/src/test/java/io/snipeloom/daemon/LocalFleet.java
+++ b/src/test/java/io/snipeloom/daemon/LocalFleet.java
@@ -192,9 +192,12 @@
   }
 
   void awaitReady(String router) {
-    Eventually.await(
-        router + " ready",
-        () -> statusOf(url(ports.get(router + "/operations")) + "/ready") == 200);
+    String address = url(ports.get(router + "/operations")) + "/ready";
+    try {
+      Eventually.await(router + " ready", () -> statusOf(address) == 200);
+    } catch (AssertionError e) {
+      throw new AssertionError(e.getMessage() + logTails(), e);
+    }
   }
 
   /** Returns the status of a GET request, or 0 if the call failed. */
--- a/src/test/java/io/snipeloom/edge/CrashDetectionTest.java
+++ b/src/test/java/io/snipeloom/edge/CrashDetectionTest.java
@@ -195,7 +195,8 @@
     replicas.add(sound);
     edge.register("i-sound", service, sound, "ready");
     edge.awaitLog("event=replica replica=i-sound ");
-    assertThat(send(path), startsWith("HTTP/1.1 503"));
+    String response = send(path);
+    assertThat(edge.linesWith("event="), response, startsWith("HTTP/1.1 503"));
     assertThat(sound.requests(), is(empty()));
   }
 
--- a/src/test/java/io/snipeloom/platform/FakeReplica.java
+++ b/src/test/java/io/snipeloom/platform/FakeReplica.java
@@ -20,6 +20,7 @@
 public final class FakeReplica implements AutoCloseable {
   private final ServerSocket listener;
   private final Script script;
+  private final Thread acceptor = new Thread(this::accept, "replica-acceptor");
   private final CopyOnWriteArrayList<Request> requests = new CopyOnWriteArrayList<>();
   private final CopyOnWriteArrayList<Socket> connections = new CopyOnWriteArrayList<>();
 
@@ -46,7 +47,8 @@
   public static FakeReplica start(Script script) throws IOException {
     ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     FakeReplica replica = new FakeReplica(listener, script);
-    startDaemonThread(replica::accept);
+    replica.acceptor.setDaemon(true);
+    replica.acceptor.start();
     return replica;
   }
 
@@ -65,9 +67,13 @@
     listener.close();
   }
 
-  /** Ends the replica as a crash does: the listener and all connections are closed. */
+  /**
+   * Ends the replica as a crash does: the listener and all connections are closed. The kernel
+   * accepts connections until the thread that waits for them has ended.
+   */
   public void crash() throws IOException {
     listener.close();
+    join(acceptor);
     for (Socket connection : connections) {
       connection.close();
     }
@@ -140,6 +146,14 @@
     return line.toString(StandardCharsets.ISO_8859_1).strip();
   }
 
+  private static void join(Thread thread) {
+    try {
+      thread.join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static void startDaemonThread(Runnable task) {
     Thread thread = new Thread(task, "replica");
     thread.setDaemon(true);
