--- a/src/main/java/io/snipeloom/forwarding/CallerRequest.java
+++ b/src/main/java/io/snipeloom/forwarding/CallerRequest.java
@@ -14,8 +14,8 @@
  * @param body the body, which the exchange releases when it ends
  * @param buffer counts the bytes of the body; the exchange releases it when it ends
  * @param arrivedNanos when the request header was read, as {@link System#nanoTime}
- * @param loopDelayMillis how late the event loop was when it read the header, in milliseconds; the
- *     request may have arrived that long before
+ * @param loopDelayMillis how late the event loop was when it read the header, in milliseconds; on a
+ *     connection that was accepted before, the request has waited no longer
  */
 record CallerRequest(
     HttpMethod method,
