--- a/src/test/java/io/snipeloom/crashes/CrashEvidenceTest.java
+++ b/src/test/java/io/snipeloom/crashes/CrashEvidenceTest.java
@@ -83,6 +83,19 @@
     assertThat(culprits(10_000), contains(PART, COMMON_PART));
   }
 
+  /**
+   * Guards against a part of all prompts that is convicted because other instances have yet to say
+   * what else was at the last crash.
+   */
+  @Test
+  void crashThatOtherInstancesHaveYetToReportDoesNotDecide() {
+    for (int crash = 0; crash < 3; crash++) {
+      crash(1_000L * crash, suspect(COMMON_PART, RARE), suspect(PART, RARE));
+    }
+    crash(3_000, suspect(COMMON_PART, RARE));
+    assertThat(culprits(3_050), is(empty()));
+  }
+
   /** Guards against a sound part that is convicted by one crash with which it has nothing to do. */
   @Test
   void partThatWasSurvivedSinceIsNotTheCulpritOfOneLaterCrash() {
