A stand-in that is down serves nothing more on connections that are yet to be closed

Cause, by reading: the connections are closed by a task of their event loop, and a request that the loop reads before that task was served. Now what is read while the stand-in is down is discarded.

The tests of the stand-ins: 48 passed.

--- a/src/main/java/io/snipeloom/standin/ConnectionFaults.java
+++ b/src/main/java/io/snipeloom/standin/ConnectionFaults.java
@@ -67,7 +67,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (isSilent()) {
+    if (isSilent() || connections.isDown()) {
       ReferenceCountUtil.release(message);
       return;
     }
--- a/src/main/java/io/snipeloom/standin/Connections.java
+++ b/src/main/java/io/snipeloom/standin/Connections.java
@@ -38,7 +38,12 @@
 
   /** Returns whether new connections are closed on accept. */
   boolean isRefusing() {
-    return refusing || control.faults().down();
+    return refusing || isDown();
+  }
+
+  /** Returns whether all connections are closed, or about to be, and nothing is served. */
+  boolean isDown() {
+    return control.faults().down();
   }
 
   /** Returns whether all connections discard their traffic. */
