--- a/review/standins/Caller.java
+++ b/review/standins/Caller.java
@@ -62,7 +62,8 @@
               + limitMillis
               + "\r\n"
               + headers
-              + "Content-Length: 4\r\n\r\nbody";
+              + "Content-Length: 8\r\n\r\n"
+              + body(attempt, headers);
       socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
       read(new BufferedInputStream(socket.getInputStream()), answer);
     } catch (IOException e) {
@@ -80,6 +81,14 @@
     return answer;
   }
 
+  /** Returns a body that no other request has, except one that takes the same stream up. */
+  private static String body(String attempt, String headers) {
+    int prompt = headers.indexOf("Snipeloom-Prompt-Prefix:");
+    String unique =
+        prompt < 0 ? attempt : headers.substring(prompt, headers.indexOf('\r', prompt));
+    return "%08x".formatted(unique.hashCode());
+  }
+
   private static void read(InputStream in, Answer answer) throws IOException {
     String line = Replica.line(in);
     if (line.isEmpty()) {
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -34,6 +34,9 @@
         status = toRun.run(deployment) ? 0 : 1;
       } catch (Exception e) {
         deployment.record.tell("the case could not run: %s", e);
+        for (Edge edge : deployment.edges) {
+          deployment.record.tell("log of %s:%n%s", edge.name, edge.log());
+        }
       }
     } catch (IOException e) {
       System.out.println("the case could not run: " + e);
--- a/review/standins/Edge.java
+++ b/review/standins/Edge.java
@@ -7,16 +7,22 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** One entry instance, run as a process with the command of the deploy file. */
 final class Edge {
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 32_000;
+  private static final Set<Integer> PORTS = ConcurrentHashMap.newKeySet();
+
   final String name;
   final String ip;
-  final int front = freePort();
-  private final int ready = freePort();
+  final int front;
+  private final int ready;
   private final Path settings;
   private final Path log;
   private final Record record;
@@ -33,6 +39,8 @@
     this.name = name;
     this.ip = ip;
     this.record = record;
+    front = freePort(ip);
+    ready = freePort(ip);
     log = folder.resolve(name + ".log");
     settings = folder.resolve(name + ".json");
     Files.writeString(
@@ -45,7 +53,7 @@
          "retryWindowSeconds": 10, "memoryMegabytes": 280, "graceSeconds": 8}
         """
             .formatted(
-                name, zone, ip, front, ip, ready, ip, freePort(), ip, freePort(), storePort));
+                name, zone, ip, front, ip, ready, ip, freePort(ip), ip, freePort(ip), storePort));
   }
 
   void start() throws IOException {
@@ -88,18 +96,6 @@
     }
   }
 
-  /** Sends SIGTERM. */
-  void terminate() {
-    record.line("SIGTERM to %s", name);
-    process.destroy();
-  }
-
-  boolean awaitExit(long millis) throws InterruptedException {
-    boolean ended = process.waitFor(millis, TimeUnit.MILLISECONDS);
-    record.line("%s has %s", name, ended ? "ended" : "not ended");
-    return ended;
-  }
-
   /** Sends SIGKILL and waits for the end. */
   void kill() {
     if (process != null && process.isAlive()) {
@@ -112,11 +108,17 @@
     return Files.readString(log);
   }
 
-  static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+  /** Returns a free port below those that the kernel gives to outgoing channels. */
+  private static int freePort(String ip) {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(ip))) {
+        if (PORTS.add(port)) {
+          return port;
+        }
+      } catch (IOException e) {
+        // The port is in use; another one is tried.
+      }
     }
   }
 }
