ORDER: what may begin streams is declared before, and read after a caller resumes

Cause: StreamContinuity.findLocally took the only version that an instance knew for the only one that could have begun the stream, as long as its last read of the registry was at most 2 s old. A read says nothing of what came after it, and a listing nothing of what came and went before it.

Ruled out: a stale listing of the origins (the log of the resuming instance shows source=ONLY_POSSIBLE, no read), a replica entry with a wrong version (the events name the version of the entry), another service (one service only).

Why this works: an instance begins streams that callers can resume only at a service and version whose declaration the store holds. The declarations are listed after the caller has resumed its stream, so that the listing has whatever began it; an origin ceases to count only once this instance has not seen it for 60 s, and is declared anew if it was not seen for 30 s. What cannot be told is refused with a time to come back, as before.

Tests that failed on: StreamContinuityTest #versionThatBeganTheStreamJustNowIsNotTakenForAnother (the instance answered v1) and #versionThatCameAndWentUnseenIsNotTakenForAnother, StreamVersionTest #streamOfVersionThatAnInstanceHasNotReadIsRefusedThere (200 in place of 503). onRegistryRead is gone, and with it the switch of the test that stood for it; findUnstated answers later, its test waits for the answer.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -58,6 +58,7 @@
   private static final String LEDGER_TOPIC = "ledger";
   private static final String USAGE_TOPIC = "usage";
   private static final String ORIGIN_TOPIC = "streams";
+  private static final String ORIGIN_DECLARATION_TOPIC = "versions";
   private static final String CRASH_TOPIC = "crashes";
 
   /** Length of a store outage that the tokens claimed ahead are meant to cover, in seconds. */
@@ -75,8 +76,11 @@
   /** How long a read of the rarely written topic of crashes waits for new records. */
   private static final long CRASH_READ_WAIT_MILLIS = 2_000;
 
-  /** How long an instance that starts waits for the convictions before it reports ready. */
-  private static final long CONVICTIONS_TIMEOUT_NANOS = 1_500_000_000L;
+  /**
+   * How long an instance that starts waits for the convictions, and for the declaration of the
+   * versions at which streams may begin, before it reports ready.
+   */
+  private static final long INITIAL_CALLS_TIMEOUT_NANOS = 1_500_000_000L;
 
   private static final long TICK_INTERVAL_MILLIS = 50;
 
@@ -275,7 +279,7 @@
             REPLICA_READ_PAUSE_MILLIS,
             TopicWatch.Backlog.READ_NEWEST,
             timer,
-            new ReplicaFeed(fleet, log, this::onRegistryOutcome))
+            new ReplicaFeed(fleet, log, this::onStoreOutcome))
         .start();
     new TopicWatch(
             store,
@@ -383,7 +387,12 @@
   private StreamContinuity newStreamContinuity() {
     OriginEventLogger events = new OriginEventLogger(log, metrics);
     return new StreamContinuity(
-        new KeyedOrigins(store, ORIGIN_TOPIC, settings.instance(), events::onMalformed),
+        new KeyedOrigins(
+            store,
+            ORIGIN_TOPIC,
+            ORIGIN_DECLARATION_TOPIC,
+            settings.instance(),
+            events::onMalformed),
         System::currentTimeMillis,
         () -> fleetSize,
         events);
@@ -441,11 +450,12 @@
   }
 
   private OperationsServer.TextResponse readiness() {
-    boolean convictionsKnown =
-        convictionFeed.isListed() || System.nanoTime() - startNanos > CONVICTIONS_TIMEOUT_NANOS;
+    boolean initialized =
+        (convictionFeed.isListed() && fleet.streams().isDeclared())
+            || System.nanoTime() - startNanos > INITIAL_CALLS_TIMEOUT_NANOS;
     boolean ready =
         !draining
-            && convictionsKnown
+            && initialized
             && fleet.configuration().isPresent()
             && fleet.directory().size() > 0;
     return new OperationsServer.TextResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
@@ -455,13 +465,6 @@
     return new OperationsServer.TextResponse(200, MetricsText.of(metrics.registry()));
   }
 
-  private void onRegistryOutcome(StoreOutcome outcome) {
-    if (outcome == StoreOutcome.DONE) {
-      fleet.streams().onRegistryRead(System.nanoTime());
-    }
-    onStoreOutcome(outcome);
-  }
-
   private void onStoreReverted() {
     fleet.directory().onRegistryReverted(System.nanoTime());
     if (store.era() != era) {
--- a/src/main/java/io/snipeloom/edge/OriginEventLogger.java
+++ b/src/main/java/io/snipeloom/edge/OriginEventLogger.java
@@ -1,6 +1,7 @@
 package io.snipeloom.edge;
 
 import io.snipeloom.resumption.StreamContinuity;
+import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.telemetry.FleetMetrics;
 
@@ -32,8 +33,21 @@
     log.log("stream_origins_not_read");
   }
 
-  /** Logs a batch that another instance wrote and that cannot be decoded. */
-  void onMalformed(String instance) {
-    log.log("stream_origins_refused", "instance", instance);
+  @Override
+  public void onDeclaration(StreamOrigin origin, boolean declared) {
+    metrics.count(declared ? "stream_versions_declared" : "stream_versions_not_declared");
+    log.log(
+        "stream_version",
+        "service",
+        origin.service(),
+        "version",
+        origin.version(),
+        "declared",
+        declared);
+  }
+
+  /** Logs a record that another instance wrote and that cannot be decoded. */
+  void onMalformed(String key) {
+    log.log("stream_origins_refused", "key", key);
   }
 }
--- a/src/main/java/io/snipeloom/forwarding/RelayedStream.java
+++ b/src/main/java/io/snipeloom/forwarding/RelayedStream.java
@@ -50,6 +50,11 @@
     return origin;
   }
 
+  /** Returns whether it is known what began the stream. */
+  boolean hasOrigin() {
+    return origin.isPresent();
+  }
+
   /** Returns the replicas at which the stream may begin or go on. */
   List<ReplicaView> suitable(List<ReplicaView> replicas) {
     if (origin.isEmpty()) {
--- a/src/main/java/io/snipeloom/forwarding/ReplicaChoice.java
+++ b/src/main/java/io/snipeloom/forwarding/ReplicaChoice.java
@@ -26,6 +26,9 @@
   /** The reason if all replicas are cold and get as many requests as they tolerate. */
   static final String COLD = "the replicas are cold and take no more requests a second";
 
+  /** The reason if no other instance could tell the versions of the replicas from others. */
+  static final String UNDECLARED = "the versions of the replicas are not declared yet";
+
   /** The shortest time to come back when replicas are cold. */
   private static final long MIN_COLD_RETRY_MILLIS = 200;
 
@@ -51,7 +54,11 @@
     if (atHome.isEmpty()) {
       return nowhere(fleet, !available.isEmpty());
     }
-    List<ReplicaView> candidates = Fleet.untried(stream.suitable(atHome), history.tried());
+    List<ReplicaView> suitable = suitable(atHome, fleet, request, stream, nowNanos);
+    if (suitable.isEmpty() && !stream.hasOrigin()) {
+      return none(UNDECLARED, LocalResponse.STARTUP_RETRY_MILLIS);
+    }
+    List<ReplicaView> candidates = Fleet.untried(suitable, history.tried());
     List<ReplicaView> withRoom = fleet.buffers().bodies().withRoom(candidates, bodyBytes);
     if (withRoom.isEmpty() && !candidates.isEmpty()) {
       return none(
@@ -87,6 +94,21 @@
     return new ReplicaChoice(picked, uncachedTokens, "", 0);
   }
 
+  /** Returns the replicas at which the stream, if it is one, may begin or go on. */
+  private static List<ReplicaView> suitable(
+      List<ReplicaView> replicas,
+      Fleet fleet,
+      RoutedRequest request,
+      RelayedStream stream,
+      long nowNanos) {
+    if (stream.hasOrigin() || !request.route().isResumableStream()) {
+      return stream.suitable(replicas);
+    }
+    return replicas.stream()
+        .filter(view -> fleet.streams().mayBegin(view.replica(), nowNanos))
+        .toList();
+  }
+
   /** Returns whether a replica is where the request may be processed, as far as is known now. */
   static boolean isAtHome(ReplicaView view, Fleet fleet, RoutedRequest request) {
     FleetConfiguration current = fleet.configuration().orElse(request.configuration());
@@ -148,6 +170,7 @@
     return switch (reason) {
       case NO_HOME -> Optional.of("refused_for_homes");
       case COLD -> Optional.of("refused_for_cold");
+      case UNDECLARED -> Optional.of("refused_for_undeclared_version");
       case EVACUATED -> Optional.of("refused_for_evacuation");
       default -> Optional.empty();
     };
--- a/src/main/java/io/snipeloom/forwarding/ResumedStream.java
+++ b/src/main/java/io/snipeloom/forwarding/ResumedStream.java
@@ -46,7 +46,8 @@
     if (resumedAttempt.isPresent()) {
       streams.find(resumedAttempt.get(), nowNanos, lookup -> decide(lookup, onFound, onRefused));
     } else {
-      decide(streams.findUnstated(request.service(), nowNanos), onFound, onRefused);
+      streams.findUnstated(
+          request.service(), nowNanos, lookup -> decide(lookup, onFound, onRefused));
     }
   }
 
--- a/src/main/java/io/snipeloom/resumption/OriginStore.java
+++ b/src/main/java/io/snipeloom/resumption/OriginStore.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** Stores the origins of streams where all instances can read them. */
+/** Stores the origins of streams, and what may be one, where all instances can read them. */
 public interface OriginStore {
 
   /** Receives the outcome of a read. */
@@ -20,6 +20,42 @@
     void onFailed();
   }
 
+  /** Receives the outcome of a listing. */
+  interface ListingListener {
+
+    /**
+     * Called with all declared origins.
+     *
+     * @param declared the newest declaration of each origin
+     * @param complete false if a declaration could not be decoded
+     */
+    void onListed(List<DeclaredOrigin> declared, boolean complete);
+
+    /** Called when the declared origins could not be listed. */
+    void onFailed();
+  }
+
+  /**
+   * Returns the era of the store; it rises when the store may have lost what was written.
+   *
+   * @return the era, 0 before the first response
+   */
+  long era();
+
+  /**
+   * Declares that streams may begin at an origin from now on.
+   *
+   * @param listener called once with true if the declaration was stored; if false, it may have been
+   */
+  void declare(StreamOrigin origin, Consumer<Boolean> listener);
+
+  /**
+   * Lists the origins that any instance declared before this call.
+   *
+   * @param listener receives the outcome, once
+   */
+  void listDeclared(ListingListener listener);
+
   /**
    * Appends a batch.
    *
--- a/src/main/java/io/snipeloom/resumption/StreamContinuity.java
+++ b/src/main/java/io/snipeloom/resumption/StreamContinuity.java
@@ -1,7 +1,6 @@
 package io.snipeloom.resumption;
 
 import io.snipeloom.routing.Replica;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -13,10 +12,10 @@
 /**
  * Finds out what began a stream that a caller resumes, at this instance or another one.
  *
- * <p>While streams may be of several services or software versions, each instance records the
- * origins of its streams in the store, and an instance that does not know a stream reads them.
- * Otherwise the only possible origin is the answer, provided that the registry of replicas was read
- * recently. An origin that cannot be told is reported as unknown, never guessed.
+ * <p>Before streams begin at a service and software version, each instance declares them in the
+ * store. While there are several, it records the origins of its streams there, and an instance that
+ * does not know a stream reads them. An origin that cannot be told is reported as unknown, never
+ * guessed.
  *
  * <p>Confined to the event loop thread.
  */
@@ -29,17 +28,8 @@
 
   private static final int MAX_RECORDS_PER_CALL = 500;
 
-  /** The age up to which the known replicas count as all replicas of a service. */
-  private static final long MAX_REGISTRY_AGE_NANOS = 2_000_000_000L;
-
-  /**
-   * How long a caller waits for the origin of its stream; longer than the instance that passed the
-   * first event on takes to record it.
-   */
-  private static final long LOOKUP_TIMEOUT_NANOS = 300_000_000L;
-
-  /** The pause after a read at the start that failed. */
-  private static final long RETRY_DELAY_NANOS = 500_000_000L;
+  /** The pause after a declaration that failed. */
+  private static final long REDECLARE_DELAY_NANOS = 250_000_000L;
 
   /** The time between two looks at all replicas, of which most do not change. */
   private static final long OBSERVATION_INTERVAL_NANOS = 1_000_000_000L;
@@ -53,19 +43,15 @@
   private final Listener listener;
   private final OriginMemory memory = new OriginMemory();
   private final VersionHistory history = new VersionHistory();
+  private final OriginDeclarations declarations = new OriginDeclarations();
+  private final OriginSearch search;
   private Set<String> routedServices = Set.of();
-  private List<Waiter> waiters = new ArrayList<>();
-  private boolean historyLoaded;
-  private boolean reading;
   private boolean recording;
+  private boolean declaring;
   private long recordedStreams;
   private long lastRecordingNanos = Long.MIN_VALUE / 2;
   private long lastObservationNanos = Long.MIN_VALUE / 2;
-  private long lastReadNanos = Long.MIN_VALUE / 2;
-  private long registryReadNanos = Long.MIN_VALUE / 2;
-
-  /** A caller that waits for the origin of its stream. */
-  private record Waiter(String attempt, long sinceNanos, Consumer<OriginLookup> listener) {}
+  private long declarationFailedNanos = Long.MIN_VALUE / 2;
 
   /** Receives what happens to the recorded origins. */
   public interface Listener {
@@ -82,6 +68,14 @@
 
     /** Called when the recorded origins could not be read. */
     void onReadFailed();
+
+    /**
+     * Called when streams may begin at an origin, or still may not.
+     *
+     * @param declared whether the store holds a declaration of the origin; if false, it will be
+     *     tried again
+     */
+    void onDeclaration(StreamOrigin origin, boolean declared);
   }
 
   /**
@@ -98,22 +92,44 @@
     this.timeOfDayMillis = timeOfDayMillis;
     this.fleetSize = fleetSize;
     this.listener = listener;
+    this.search = new OriginSearch(store, memory, history, new SearchListener());
   }
 
   /** Records the entry of a replica, as soon as it is read. */
   public void onReplica(Replica replica, long nowNanos) {
-    history.observeVersion(StreamOrigin.of(replica), nowNanos);
+    observe(replica, nowNanos);
+    declare(nowNanos);
   }
 
   /** Replaces the services to which the routes of streams lead that callers can resume. */
   public void onRoutes(Set<String> services, long nowNanos) {
     routedServices = Set.copyOf(services);
     services.forEach(service -> history.observeRoute(service, nowNanos));
+    history.possibleOrigins(nowNanos).stream()
+        .filter(origin -> services.contains(origin.service()))
+        .forEach(origin -> declarations.observe(origin, nowNanos));
+    declare(nowNanos);
+  }
+
+  private void observe(Replica replica, long nowNanos) {
+    StreamOrigin origin = StreamOrigin.of(replica);
+    history.observeVersion(origin, nowNanos);
+    if (routedServices.contains(origin.service())) {
+      declarations.observe(origin, nowNanos);
+    }
+  }
+
+  /**
+   * Returns whether a stream that callers can resume may begin at a replica. Until its version is
+   * declared, other instances may take another version for the origin of the stream.
+   */
+  public boolean mayBegin(Replica replica, long nowNanos) {
+    return declarations.contains(StreamOrigin.of(replica), nowNanos);
   }
 
-  /** Records that the registry of replicas was read up to its end. */
-  public void onRegistryRead(long nowNanos) {
-    registryReadNanos = nowNanos;
+  /** Returns whether the versions of all known replicas are declared. */
+  public boolean isDeclared() {
+    return declarations.dueCount() == 0;
   }
 
   /**
@@ -130,48 +146,21 @@
    * Looks for the origin of a stream.
    *
    * @param attempt the caller's attempt that received its first event
-   * @param receiver receives the result, once, at the latest after the time limit of a lookup
+   * @param receiver receives the result, once, at the latest after the time limit of a search
    */
   public void find(String attempt, long nowNanos, Consumer<OriginLookup> receiver) {
-    Optional<OriginLookup> known = findLocally(attempt, nowNanos);
-    if (known.isPresent()) {
-      receiver.accept(known.get());
-      return;
-    }
-    waiters.add(new Waiter(attempt, nowNanos, receiver));
-    readNew(nowNanos);
+    search.find(attempt, nowNanos, receiver);
   }
 
   /**
    * Looks for the origin of a stream whose caller does not state the attempt that began it.
    *
    * @param service the service to which the request would go
-   * @return the only version of that service, unknown if it had several recently
+   * @param receiver receives the only version of that service, unknown if it had several recently,
+   *     once, at the latest after the time limit of a search
    */
-  public OriginLookup findUnstated(String service, long nowNanos) {
-    List<StreamOrigin> possible =
-        history.possibleOrigins(nowNanos).stream()
-            .filter(origin -> origin.service().equals(service))
-            .toList();
-    return onlyOne(possible).orElse(OriginLookup.unknown());
-  }
-
-  private Optional<OriginLookup> findLocally(String attempt, long nowNanos) {
-    Optional<StreamOrigin> remembered = memory.find(attempt);
-    if (remembered.isPresent()) {
-      return remembered.map(found -> OriginLookup.found(found, OriginLookup.Source.MEMORY));
-    }
-    boolean registryKnown = nowNanos - registryReadNanos <= MAX_REGISTRY_AGE_NANOS;
-    if (!historyLoaded || !registryKnown) {
-      return Optional.empty();
-    }
-    return onlyOne(history.possibleOrigins(nowNanos));
-  }
-
-  private static Optional<OriginLookup> onlyOne(List<StreamOrigin> possible) {
-    return possible.size() == 1
-        ? Optional.of(OriginLookup.found(possible.get(0), OriginLookup.Source.ONLY_POSSIBLE))
-        : Optional.empty();
+  public void findUnstated(String service, long nowNanos, Consumer<OriginLookup> receiver) {
+    search.findOnly(service, nowNanos, receiver);
   }
 
   /**
@@ -183,21 +172,38 @@
   public void tick(Collection<Replica> replicas, long nowNanos) {
     if (nowNanos - lastObservationNanos >= OBSERVATION_INTERVAL_NANOS) {
       lastObservationNanos = nowNanos;
-      history.observeReplicas(replicas, nowNanos);
+      replicas.forEach(replica -> observe(replica, nowNanos));
       routedServices.forEach(service -> history.observeRoute(service, nowNanos));
       history.expire(nowNanos);
     }
     memory.expire(nowNanos);
-    giveUpLateLookups(nowNanos);
-    boolean loadDue = !historyLoaded && nowNanos - lastReadNanos >= RETRY_DELAY_NANOS;
-    if (loadDue || !waiters.isEmpty()) {
-      readNew(nowNanos);
-    }
+    search.tick(nowNanos);
+    declare(nowNanos);
     if (!recording && nowNanos - lastRecordingNanos >= recordingIntervalNanos()) {
       record(nowNanos);
     }
   }
 
+  private void declare(long nowNanos) {
+    Optional<StreamOrigin> due = declarations.nextDue();
+    if (declaring || due.isEmpty() || nowNanos - declarationFailedNanos < REDECLARE_DELAY_NANOS) {
+      return;
+    }
+    declaring = true;
+    store.declare(due.get(), stored -> onDeclared(due.get(), stored, nowNanos));
+  }
+
+  private void onDeclared(StreamOrigin origin, boolean stored, long sentNanos) {
+    declaring = false;
+    listener.onDeclaration(origin, stored);
+    if (stored) {
+      declarations.onDeclared(origin);
+      declare(sentNanos);
+    } else {
+      declarationFailedNanos = sentNanos;
+    }
+  }
+
   private long recordingIntervalNanos() {
     long fairShare = fleetSize.getAsInt() * NANOS_PER_SECOND / MAX_FLEET_RECORDINGS_PER_SECOND;
     return Math.max(MIN_RECORDING_INTERVAL_NANOS, fairShare);
@@ -226,75 +232,27 @@
     listener.onRecorded(recordedStreams);
   }
 
-  private void readNew(long nowNanos) {
-    if (reading) {
-      return;
+  /** Applies what a search reads. */
+  private final class SearchListener implements OriginSearch.Listener {
+    @Override
+    public void onBatch(OriginBatch batch, long nowNanos) {
+      long ageMillis = Math.max(0, timeOfDayMillis.getAsLong() - batch.recordedAtMillis());
+      for (OriginRecord record : batch.records()) {
+        memory.putRecorded(record, nowNanos);
+        long seenNanos = nowNanos - ageMillis * NANOS_PER_MILLI;
+        history.observeVersion(record.origin(), seenNanos);
+        history.observeRoute(record.origin().service(), seenNanos);
+      }
     }
-    reading = true;
-    lastReadNanos = nowNanos;
-    store.readNew(
-        new OriginStore.ReadListener() {
-          @Override
-          public void onRead(List<OriginBatch> batches) {
-            reading = false;
-            historyLoaded = true;
-            batches.forEach(batch -> learn(batch, nowNanos));
-            answerWaiters(nowNanos);
-          }
-
-          @Override
-          public void onFailed() {
-            reading = false;
-            listener.onReadFailed();
-            refuseWaiters();
-          }
-        });
-  }
 
-  private void learn(OriginBatch batch, long nowNanos) {
-    long ageMillis = Math.max(0, timeOfDayMillis.getAsLong() - batch.recordedAtMillis());
-    for (OriginRecord record : batch.records()) {
-      memory.putRecorded(record, nowNanos);
-      long seenNanos = nowNanos - ageMillis * NANOS_PER_MILLI;
-      history.observeVersion(record.origin(), seenNanos);
-      history.observeRoute(record.origin().service(), seenNanos);
+    @Override
+    public void onReverted(long nowNanos) {
+      declarations.redeclareAll(nowNanos);
     }
-  }
 
-  /** Answers those whose origin is known now; the next tick reads again for the others. */
-  private void answerWaiters(long nowNanos) {
-    List<Waiter> open = waiters;
-    waiters = new ArrayList<>();
-    for (Waiter waiter : open) {
-      Optional<OriginLookup> found = resolve(waiter, nowNanos);
-      if (found.isPresent()) {
-        waiter.listener().accept(found.get());
-      } else {
-        waiters.add(waiter);
-      }
+    @Override
+    public void onReadFailed() {
+      listener.onReadFailed();
     }
   }
-
-  private Optional<OriginLookup> resolve(Waiter waiter, long nowNanos) {
-    Optional<OriginLookup> recorded =
-        memory
-            .find(waiter.attempt())
-            .map(found -> OriginLookup.found(found, OriginLookup.Source.STORE));
-    return recorded.or(() -> findLocally(waiter.attempt(), nowNanos));
-  }
-
-  private void refuseWaiters() {
-    List<Waiter> refused = waiters;
-    waiters = new ArrayList<>();
-    refused.forEach(waiter -> waiter.listener().accept(OriginLookup.unknown()));
-  }
-
-  private void giveUpLateLookups(long nowNanos) {
-    List<Waiter> late =
-        waiters.stream()
-            .filter(waiter -> nowNanos - waiter.sinceNanos() > LOOKUP_TIMEOUT_NANOS)
-            .toList();
-    waiters.removeAll(late);
-    late.forEach(waiter -> waiter.listener().accept(OriginLookup.unknown()));
-  }
 }
--- a/src/main/java/io/snipeloom/resumption/StreamOrigin.java
+++ b/src/main/java/io/snipeloom/resumption/StreamOrigin.java
@@ -17,6 +17,11 @@
     return new StreamOrigin(replica.service(), replica.version());
   }
 
+  /** Returns a text that no other origin has. */
+  public String text() {
+    return service.length() + ":" + service + version.value();
+  }
+
   /** Returns whether a stream of this origin may go on at the given replica. */
   public boolean isOriginOf(Replica replica) {
     return equals(of(replica));
--- a/src/main/java/io/snipeloom/resumption/VersionHistory.java
+++ b/src/main/java/io/snipeloom/resumption/VersionHistory.java
@@ -7,14 +7,15 @@
 import java.util.Map;
 
 /**
- * What may have begun the streams that callers resume: the services to which routes of such streams
- * led recently, with their recent software versions. A stream may outlive its route and the last
- * replica of its version. Not thread-safe.
+ * What may have begun the streams that callers resume: the declared origins, and the services to
+ * which routes of such streams led recently with their recent software versions. A stream may
+ * outlive its route and the last replica of its version. Not thread-safe.
  */
 final class VersionHistory {
   /** How long a version or a route counts after it was last seen; longer than callers retry. */
-  private static final long RETENTION_NANOS = 60_000_000_000L;
+  static final long RETENTION_NANOS = 60_000_000_000L;
 
+  private final Map<StreamOrigin, String> declarations = new HashMap<>();
   private final Map<StreamOrigin, Long> versionSeenNanos = new HashMap<>();
   private final Map<String, Long> routeSeenNanos = new HashMap<>();
 
@@ -33,6 +34,17 @@
     routeSeenNanos.merge(service, seenNanos, Math::max);
   }
 
+  /** Records all declared origins; one that is new or declared anew counts as just seen. */
+  void observeDeclared(List<DeclaredOrigin> declared, long nowNanos) {
+    for (DeclaredOrigin one : declared) {
+      String previous = declarations.put(one.origin(), one.declaration());
+      if (!one.declaration().equals(previous)) {
+        observeVersion(one.origin(), nowNanos);
+        observeRoute(one.origin().service(), nowNanos);
+      }
+    }
+  }
+
   /** Returns what may have begun a stream that a caller resumes now. */
   List<StreamOrigin> possibleOrigins(long nowNanos) {
     return versionSeenNanos.entrySet().stream()
--- a/src/main/java/io/snipeloom/store/KeyedOrigins.java
+++ b/src/main/java/io/snipeloom/store/KeyedOrigins.java
@@ -1,15 +1,20 @@
 package io.snipeloom.store;
 
+import io.snipeloom.resumption.DeclaredOrigin;
 import io.snipeloom.resumption.OriginBatch;
 import io.snipeloom.resumption.OriginStore;
+import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.state.SnipeloomException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.UUID;
 import java.util.function.Consumer;
 
 /**
  * Stores the origins of streams in a keyed topic, with one key per instance. The batches of all
- * instances are read in the order of their offsets, as long as the store retains them.
+ * instances are read in the order of their offsets, as long as the store retains them. Declared
+ * origins are in another topic, with one key each, of which the newest record is kept.
  *
  * <p>Confined to the event loop thread.
  */
@@ -18,6 +23,7 @@
 
   private final KeyedLog log;
   private final String topic;
+  private final String declarationTopic;
   private final String instance;
   private final Consumer<String> onMalformed;
   private long next;
@@ -28,16 +34,82 @@
    *
    * @param log the log that contains the topic
    * @param topic the topic, which must hold nothing but origins
+   * @param declarationTopic the topic of what may be an origin
    * @param instance the name of the instance, used as key
-   * @param onMalformed receives the key of each batch that cannot be decoded
+   * @param onMalformed receives the key of each record that cannot be decoded
    */
-  public KeyedOrigins(KeyedLog log, String topic, String instance, Consumer<String> onMalformed) {
+  public KeyedOrigins(
+      KeyedLog log,
+      String topic,
+      String declarationTopic,
+      String instance,
+      Consumer<String> onMalformed) {
     this.log = log;
     this.topic = topic;
+    this.declarationTopic = declarationTopic;
     this.instance = instance;
     this.onMalformed = onMalformed;
   }
 
+  @Override
+  public long era() {
+    return log.era();
+  }
+
+  @Override
+  public void declare(StreamOrigin origin, Consumer<Boolean> listener) {
+    DeclaredOrigin declared = new DeclaredOrigin(origin, UUID.randomUUID().toString());
+    log.append(
+        declarationTopic,
+        ONLY_PARTITION,
+        new KeyedRecord(keyOf(origin), declared.toBytes()),
+        outcome -> listener.accept(outcome == StoreOutcome.DONE));
+  }
+
+  /** Returns a key of bounded length. */
+  private static String keyOf(StreamOrigin origin) {
+    return UUID.nameUUIDFromBytes(origin.text().getBytes(StandardCharsets.UTF_8)).toString();
+  }
+
+  @Override
+  public void listDeclared(ListingListener listener) {
+    list("", new ArrayList<>(), true, listener);
+  }
+
+  private void list(
+      String afterKey, List<DeclaredOrigin> declared, boolean complete, ListingListener listener) {
+    log.newest(
+        declarationTopic,
+        ONLY_PARTITION,
+        afterKey,
+        (outcome, page) -> {
+          if (outcome != StoreOutcome.DONE) {
+            listener.onFailed();
+            return;
+          }
+          boolean decoded = decodeDeclared(page.records(), declared) && complete;
+          if (page.hasMore()) {
+            list(page.lastKey(), declared, decoded, listener);
+          } else {
+            listener.onListed(declared, decoded);
+          }
+        });
+  }
+
+  /** Decodes declarations; returns whether all of them could be decoded. */
+  private boolean decodeDeclared(List<KeyedRecord> records, List<DeclaredOrigin> declared) {
+    boolean complete = true;
+    for (KeyedRecord record : records) {
+      try {
+        declared.add(DeclaredOrigin.parse(record.value()));
+      } catch (SnipeloomException e) {
+        complete = false;
+        onMalformed.accept(record.key());
+      }
+    }
+    return complete;
+  }
+
   @Override
   public void append(OriginBatch batch, Consumer<Boolean> listener) {
     log.append(
--- a/src/test/java/io/snipeloom/edge/StreamVersionTest.java
+++ b/src/test/java/io/snipeloom/edge/StreamVersionTest.java
@@ -11,6 +11,7 @@
 
 import io.snipeloom.platform.FakeReplica;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -99,6 +100,28 @@
     }
   }
 
+  /** Guards against a guess by an instance that has not read of the version that began a stream. */
+  @Test
+  void streamOfVersionThatAnInstanceHasNotReadIsRefusedThere() throws Exception {
+    edge.configureWithoutTotal(1);
+    startReplicas(StreamVersionTest::breakUnlessCallerResumes, "v1");
+    InetSocketAddress endpoint = edge.store.addEndpoint();
+    try (EdgeFixture second = new EdgeFixture("edge-2", edge.store, endpoint)) {
+      second.awaitReady();
+      second.awaitLog("replica=e-0 ");
+      while (!resume(second, "unknown").contains("data: v1")) {
+        Thread.sleep(50);
+      }
+      edge.store.disableEndpoint(endpoint);
+      edge.register("e-0", "llm", replicas.get(0), "draining", "v1");
+      startReplicas(StreamVersionTest::breakUnlessCallerResumes, "v2");
+      edge.awaitLog("version=v1 state=DRAINING");
+      assertThat(versionOfFirstEvent(edge.send("/draft/1", "a", PROMPT_HEADERS)), is("v2"));
+      String response = resume(second, "a");
+      assertThat(response, allOf(startsWith("HTTP/1.1 503"), containsString("retry-after")));
+    }
+  }
+
   /** Guards against the loss of what began a stream with the instance that passed it on. */
   @Test
   void streamResumedAfterCrashOfItsInstanceGoesOnAtVersionThatBeganIt() throws Exception {
--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -17,7 +17,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -35,7 +37,6 @@
   private final StreamContinuity first = start(2);
   private final StreamContinuity second = start(2);
   private List<Replica> replicas = replicas("v1", "v2");
-  private boolean registryReadable = true;
   private long nowNanos = 5 * SECOND_NANOS;
 
   @Test
@@ -125,11 +126,94 @@
     replicas = replicas("v1");
     run(SECOND_NANOS);
     store.down = true;
-    registryReadable = false;
     run(3 * SECOND_NANOS);
     assertThat(find(second, "a"), contains(OriginLookup.unknown()));
   }
 
+  /** Guards against a stream that goes on at v1 since its version, v2, was not read yet. */
+  @Test
+  void versionThatBeganTheStreamJustNowIsNotTakenForAnother() {
+    replicas = replicas("v1");
+    run(SECOND_NANOS);
+    first.onReplica(replica("llm", "e-9", "v2"), nowNanos);
+    first.onBegun("a", SECOND, nowNanos);
+    List<OriginLookup> found = find(second, "a");
+    assertThat(found, is(empty()));
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.found(SECOND, Source.STORE)));
+  }
+
+  /** Guards against a guess by an instance that starts after a version has come and gone. */
+  @Test
+  void versionThatCameAndWentUnseenIsNotTakenForAnother() {
+    run(TICK_NANOS);
+    replicas = replicas("v1");
+    run(SECOND_NANOS);
+    StreamContinuity started = start(2);
+    run(SECOND_NANOS);
+    List<OriginLookup> found = find(started, "unrecorded");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against a stream that begins at a version of which the others cannot know. */
+  @Test
+  void streamDoesNotBeginAtVersionThatIsNotDeclared() {
+    replicas = replicas("v1");
+    run(SECOND_NANOS);
+    store.down = true;
+    Replica fresh = replica("llm", "e-9", "v2");
+    first.onReplica(fresh, nowNanos);
+    assertThat(first.mayBegin(replicas.get(0), nowNanos), is(true));
+    assertThat(first.mayBegin(fresh, nowNanos), is(false));
+    store.down = false;
+    run(SECOND_NANOS);
+    assertThat(first.mayBegin(fresh, nowNanos), is(true));
+  }
+
+  /** Guards against a version that others no longer count, and that begins streams again. */
+  @Test
+  void versionThatIsBackAfterLongAbsenceIsDeclaredAnew() {
+    run(TICK_NANOS);
+    replicas = replicas("v1");
+    run(61 * SECOND_NANOS);
+    Replica back = replica("llm", "e-9", "v2");
+    store.down = true;
+    first.onReplica(back, nowNanos);
+    assertThat(first.mayBegin(back, nowNanos), is(false));
+    store.down = false;
+    run(SECOND_NANOS);
+    first.onBegun("a", SECOND, nowNanos);
+    assertThat(find(second, "other"), is(empty()));
+  }
+
+  /** Guards against a guess while a store that lost declarations has yet to be told them again. */
+  @Test
+  void onlyVersionIsNotTakenForTheOriginRightAfterTheStoreReverted() {
+    replicas = replicas("v1");
+    run(SECOND_NANOS);
+    first.onReplica(replica("llm", "e-9", "v2"), nowNanos);
+    first.onBegun("a", SECOND, nowNanos);
+    store.revert();
+    List<OriginLookup> found = find(second, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.found(SECOND, Source.STORE)));
+    List<OriginLookup> unknown = find(second, "unknown");
+    run(SECOND_NANOS);
+    assertThat(unknown, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against a guess from a declaration that this version of the software cannot read. */
+  @Test
+  void onlyVersionIsNotTakenForTheOriginIfOneDeclarationCannotBeRead() {
+    replicas = replicas("v1");
+    run(SECOND_NANOS);
+    store.unreadable = true;
+    List<OriginLookup> found = find(second, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
   @Test
   void recordingThatFailedIsRepeated() {
     run(TICK_NANOS);
@@ -148,10 +232,15 @@
     instances.forEach(instance -> instance.onRoutes(Set.of("llm", "other"), nowNanos));
     run(SECOND_NANOS);
     OriginLookup only = OriginLookup.found(FIRST, Source.ONLY_POSSIBLE);
-    assertThat(second.findUnstated("llm", nowNanos), is(only));
+    List<OriginLookup> found = new ArrayList<>();
+    second.findUnstated("llm", nowNanos, found::add);
+    assertThat(found, contains(only));
     replicas = replicas("v1", "v2");
     run(SECOND_NANOS);
-    assertThat(second.findUnstated("llm", nowNanos), is(OriginLookup.unknown()));
+    found.clear();
+    second.findUnstated("llm", nowNanos, found::add);
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
   }
 
   /** Guards against a stream that goes on at the service to which its route leads now. */
@@ -190,6 +279,9 @@
   void batchIsDecodedAsItWasEncoded() {
     OriginBatch batch = new OriginBatch(7, List.of(new OriginRecord("a", FIRST)));
     assertThat(OriginBatch.parse(batch.toBytes()), is(batch));
+    DeclaredOrigin declared = new DeclaredOrigin(FIRST, "once");
+    assertThat(DeclaredOrigin.parse(declared.toBytes()), is(declared));
+    assertThrows(SnipeloomException.class, () -> DeclaredOrigin.parse(new byte[] {1, 2}));
     assertThrows(SnipeloomException.class, () -> OriginBatch.parse(new byte[] {1, 2}));
   }
 
@@ -214,9 +306,6 @@
   private void run(long nanos) {
     for (long end = nowNanos + nanos; nowNanos < end; nowNanos += TICK_NANOS) {
       for (StreamContinuity instance : instances) {
-        if (registryReadable) {
-          instance.onRegistryRead(nowNanos);
-        }
         replicas.forEach(replica -> instance.onReplica(replica, nowNanos));
         instance.tick(replicas, nowNanos);
       }
@@ -256,13 +345,46 @@
   /** A store whose calls end at once. */
   private static final class SharedStore {
     private final List<OriginBatch> batches = new ArrayList<>();
+    private final Map<StreamOrigin, DeclaredOrigin> declared = new HashMap<>();
+    private long era = 1;
+    private int declarations;
     private boolean down;
+    private boolean unreadable;
+
+    /** Loses all declarations. */
+    void revert() {
+      era++;
+      declared.clear();
+    }
 
     /** Returns the view of one instance. */
     OriginStore reader() {
       return new OriginStore() {
         private int next;
 
+        @Override
+        public long era() {
+          return era;
+        }
+
+        @Override
+        public void declare(StreamOrigin origin, Consumer<Boolean> listener) {
+          if (!down) {
+            declarations++;
+            declared.put(origin, new DeclaredOrigin(origin, "d" + declarations));
+          }
+          listener.accept(!down);
+        }
+
+        @Override
+        public void listDeclared(ListingListener listener) {
+          if (down) {
+            listener.onFailed();
+          } else {
+            listener.onListed(List.copyOf(declared.values()), !unreadable);
+          }
+        }
+
         @Override
         public void append(OriginBatch batch, Consumer<Boolean> listener) {
           if (!down) {
@@ -294,5 +416,8 @@
 
     @Override
     public void onReadFailed() {}
+
+    @Override
+    public void onDeclaration(StreamOrigin origin, boolean declared) {}
   }
 }
