CONFIG: no loop reads a connection until nothing is left, and bytes that bring no answer are bounded

Cause: ArrivalReader.readArrived read until nothing was left, in the middle of a decision, while the replica sent faster than the event loop decodes. Bytes of a foreign answer, interim heads, empty lines and bytes on an idle connection were counted nowhere, so that the connection stayed open.

Ruled out: memory (the bodies are dropped), the replica's share of the network (a body without chunks at the same speed held nobody).

Short answers that have arrived before a decision are still read.

--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -25,7 +25,9 @@
  * An HTTP/1.1 connection to a peer that carries one request at a time.
  *
  * <p>A connection is reused only if the last response was complete, had an explicit length or
- * chunked encoding and was followed by no further bytes. Confined to the event loop thread.
+ * chunked encoding and was followed by no further bytes. It is closed when the peer sends bytes
+ * without a request, or more than a {@link ReceiveAllowance} in place of a response. Confined to
+ * the event loop thread.
  */
 // A failed write or close also closes the channel, which the channel handlers detect.
 @SuppressWarnings("FutureReturnValueIgnored")
@@ -33,9 +35,10 @@
   private static final int PART_BYTES = 65_536;
 
   private final Runnable onIdle;
-  private final ArrivalReader reader = new ArrivalReader(() -> {});
+  private final ArrivalReader reader = new ArrivalReader(this::onBytes);
   private Channel channel;
   private ResponseListener listener;
+  private ReceiveAllowance allowance = new ReceiveAllowance();
   private boolean written;
   private boolean skippingResponse;
   private boolean outOfSync;
@@ -62,6 +65,7 @@
   void send(
       HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, ResponseListener receiver) {
     listener = receiver;
+    allowance = new ReceiveAllowance();
     written = false;
     skippingResponse = false;
     reusable = false;
@@ -147,6 +151,20 @@
     return idleSinceNanos;
   }
 
+  /** Returns whether bytes may be decoded: a peer has nothing to send without a request. */
+  private boolean onBytes(int bytes) {
+    allowance.onRead(bytes);
+    return listener != null && isWithinAllowance();
+  }
+
+  private boolean isWithinAllowance() {
+    if (!allowance.isExceeded()) {
+      return true;
+    }
+    fail("more bytes than a response takes");
+    return false;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
@@ -157,10 +175,14 @@
   }
 
   private void onMessage(HttpObject message) {
+    allowance.onPiece();
     if (listener == null) {
       channel.close();
       return;
     }
+    if (!isWithinAllowance()) {
+      return;
+    }
     if (message.decoderResult().isFailure()) {
       fail("malformed response");
       return;
@@ -189,6 +211,7 @@
       return;
     }
     if (!skippingResponse && content.content().isReadable()) {
+      allowance.onUseful(content.content().readableBytes());
       listener.onContent(content.content());
     }
     if (content instanceof LastHttpContent && listener != null) {
--- a/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
+++ b/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
@@ -196,6 +196,7 @@
         .channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, ReceiveBuffers.oneReadPerTurn())
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_PROBE_SECONDS)
         .option(
--- a/src/main/java/io/snipeloom/forwarding/EventStream.java
+++ b/src/main/java/io/snipeloom/forwarding/EventStream.java
@@ -13,14 +13,22 @@
  * lost or duplicated parts. Not thread-safe.
  */
 final class EventStream {
-  private static final String ID_FIELD = "id:";
-  private static final String COMMENT_PREFIX = ":";
+  private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+  private static final char COMMENT_PREFIX = ':';
   private static final Pattern NUMBER = Pattern.compile("[0-9]{1,18}");
 
   private final ByteBuf pending = Unpooled.buffer();
   private String lastEventId = "";
   private String previousId = "";
   private boolean outOfOrder;
+
+  /** The bytes of the next event in which its end was looked for already. */
+  private int scannedBytes;
+
+  /** Whether the line at which the scan stopped is empty so far. */
+  private boolean lineEmpty = true;
+
+  private int commentBytes;
   private int eventCount;
   private int eventsBeforeAttempt;
 
@@ -33,8 +41,9 @@
     int start = pending.readerIndex();
     int end = endOfEvent(start);
     while (end >= 0 && !outOfOrder) {
-      outOfOrder = !accept(pending.toString(start, end - start, StandardCharsets.UTF_8));
+      outOfOrder = !accept(start, end);
       start = outOfOrder ? start : end;
+      restartScan();
       end = endOfEvent(start);
     }
     ByteBuf complete = Unpooled.copiedBuffer(pending.readSlice(start - pending.readerIndex()));
@@ -42,6 +51,11 @@
     return complete;
   }
 
+  private void restartScan() {
+    scannedBytes = 0;
+    lineEmpty = true;
+  }
+
   /** Sets the last event that came before the stream, after which its events go on. */
   void startAfter(String eventId) {
     previousId = eventId;
@@ -68,12 +82,15 @@
   ByteBuf takeRemainder() {
     ByteBuf remainder = Unpooled.copiedBuffer(pending);
     pending.clear();
+    restartScan();
     return remainder;
   }
 
   /** Discards the bytes after the last complete event, before the next attempt. */
   void beginAttempt() {
     pending.clear();
+    restartScan();
+    commentBytes = 0;
     outOfOrder = false;
     eventsBeforeAttempt = eventCount;
   }
@@ -92,14 +109,21 @@
     return pending.readableBytes();
   }
 
+  /** Returns the number of bytes after the last complete event that is not a comment. */
+  int bytesSinceEvent() {
+    return commentBytes + partialBytes();
+  }
+
   int eventCount() {
     return eventCount;
   }
 
-  /** Returns the index after the blank line that ends the next event; -1 if there is none yet. */
+  /**
+   * Returns the index after the blank line that ends the next event; -1 if there is none yet. Goes
+   * on where it stopped, so that an event that arrives byte by byte is looked through once.
+   */
   private int endOfEvent(int from) {
-    boolean lineEmpty = true;
-    for (int i = from; i < pending.writerIndex(); i++) {
+    for (int i = from + scannedBytes; i < pending.writerIndex(); i++) {
       byte b = pending.getByte(i);
       if (b == '\n') {
         if (lineEmpty) {
@@ -110,20 +134,26 @@
         lineEmpty = false;
       }
     }
+    scannedBytes = pending.writerIndex() - from;
     return -1;
   }
 
-  /** Records an event; returns false if it does not go on with the stream. */
-  private boolean accept(String event) {
+  /** Records the event between two indexes; returns false if it does not go on with the stream. */
+  private boolean accept(int start, int end) {
     String id = "";
     boolean empty = true;
     boolean comment = true;
-    for (String line : event.split("\r?\n", -1)) {
-      empty &= line.isEmpty();
-      comment &= line.isEmpty() || line.startsWith(COMMENT_PREFIX);
-      if (line.startsWith(ID_FIELD)) {
-        id = line.substring(ID_FIELD.length()).trim();
+    int lineStart = start;
+    while (lineStart < end) {
+      int lineBreak = pending.indexOf(lineStart, end, (byte) '\n');
+      int lineEnd = endOfLine(lineStart, lineBreak);
+      boolean lineHasText = lineEnd > lineStart;
+      empty &= !lineHasText;
+      comment &= !lineHasText || pending.getByte(lineStart) == COMMENT_PREFIX;
+      if (isId(lineStart, lineEnd)) {
+        id = textOf(lineStart + ID_FIELD.length, lineEnd).trim();
       }
+      lineStart = lineBreak + 1;
     }
     if (!comment && !follows(id)) {
       return false;
@@ -135,9 +165,32 @@
     if (!empty) {
       eventCount++;
     }
+    commentBytes = comment ? commentBytes + end - start : 0;
+    return true;
+  }
+
+  /** Returns the end of the text of a line, before its line break. */
+  private int endOfLine(int lineStart, int lineBreak) {
+    boolean carriageReturn = lineBreak > lineStart && pending.getByte(lineBreak - 1) == '\r';
+    return carriageReturn ? lineBreak - 1 : lineBreak;
+  }
+
+  private boolean isId(int lineStart, int lineEnd) {
+    if (lineEnd - lineStart < ID_FIELD.length) {
+      return false;
+    }
+    for (int i = 0; i < ID_FIELD.length; i++) {
+      if (pending.getByte(lineStart + i) != ID_FIELD[i]) {
+        return false;
+      }
+    }
     return true;
   }
 
+  private String textOf(int start, int end) {
+    return pending.toString(start, end - start, StandardCharsets.UTF_8);
+  }
+
   /** Returns whether an event may follow the one before: once events have IDs, the IDs rise. */
   private boolean follows(String id) {
     if (previousId.isEmpty()) {
--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -57,6 +57,9 @@
    */
   private static final long UNREAD_TIMEOUT_MILLIS = 60_000;
 
+  /** The most bytes beside a head without a request, a part of its body or an error among them. */
+  private static final int MAX_UNDECODED_BYTES = 262_144;
+
   private final ProxyServer server;
   private final EventLoop loop;
   private final Fleet fleet;
@@ -73,6 +76,7 @@
   private long loopDelayMillis;
   private long headerStartNanos;
   private boolean inHeader;
+  private int undecodedBytes;
   private long idleSinceNanos;
   private Exchange exchange;
   private boolean keepAlive;
@@ -103,6 +107,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
+    undecodedBytes = 0;
     if (exchange != null || !pendingMessages.isEmpty() || !writer.takesNextResponse()) {
       pendingMessages.add((HttpObject) message);
       if (pendingMessages.size() >= MAX_PENDING_MESSAGES) {
@@ -118,11 +123,14 @@
     return reader;
   }
 
-  private void onBytes() {
+  /** Returns whether bytes may be decoded: empty lines in place of a request have an end. */
+  private boolean onBytes(int bytes) {
+    undecodedBytes += bytes;
     if (exchange == null && head == null && !inHeader) {
       inHeader = true;
       headerStartNanos = System.nanoTime();
     }
+    return undecodedBytes <= MAX_UNDECODED_BYTES + server.limits().maxHeaderBytes();
   }
 
   private void process(HttpObject message) {
--- a/src/main/java/io/snipeloom/forwarding/RelayedStream.java
+++ b/src/main/java/io/snipeloom/forwarding/RelayedStream.java
@@ -82,9 +82,9 @@
     return !events.isInsideEvent() && (framing.isExplicit() || events.eventsOfAttempt() > 0);
   }
 
-  /** Returns the number of bytes after the last complete event. */
+  /** Returns the number of bytes after the last complete event that is not a comment. */
   int pendingEventBytes() {
-    return events.partialBytes();
+    return events.bytesSinceEvent();
   }
 
   /** Returns and removes the bytes after the last complete event. */
--- a/src/test/java/io/snipeloom/forwarding/EventStreamTest.java
+++ b/src/test/java/io/snipeloom/forwarding/EventStreamTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class EventStreamTest {
   private final EventStream stream = new EventStream();
@@ -22,6 +23,28 @@
     assertThat(stream.eventCount(), is(2));
   }
 
+  /** Guards against an event that is looked through again from its start for each byte of it. */
+  @Test
+  @Timeout(5)
+  void longEventIsReadByteByByte() {
+    append("data: ");
+    for (int i = 0; i < 1_000_000; i++) {
+      append("a");
+    }
+    assertThat(append("\n\n").length(), is(1_000_008));
+    assertThat(stream.eventCount(), is(1));
+  }
+
+  /** Guards against comments without end, which pass for progress. */
+  @Test
+  void commentsCountAsBytesSinceTheLastEvent() {
+    append("id: 1\ndata: a\n\n: one\n\n\n");
+    assertThat(stream.bytesSinceEvent(), is(8));
+    append("id: 2\r\ndata: b\r\n\r\n:");
+    assertThat(stream.lastEventId(), is(Optional.of("2")));
+    assertThat(stream.bytesSinceEvent(), is(1));
+  }
+
   @Test
   void partialEventIsDiscardedBeforeResuming() {
     append("id: 1\ndata: a\n\nid: 2\nda");
