Requests late in the grace: refused before they are sent on, or answered before the end

Cause: a request that became whole after SIGTERM was sent on however little of the grace was left, and what was open at the end was cut.

Why this works: from SIGTERM on, a request is sent only if its time limit ends before the last answers are sent; a stream that its caller can resume need only begin. That is decided where it enters and again before each send, so that it holds for what waited for tokens, an origin, or a retry. Others are refused as not run. What is open at the end gets a coded answer if none has begun; an idle connection is read before it is closed.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -139,6 +139,7 @@
   private boolean listenerClosing;
   private boolean listenerClosed;
   private boolean drainCompleted;
+  private boolean lastAnswersSent;
   private long drainStartNanos;
   private long lastOpenRequestNanos;
 
@@ -349,9 +350,16 @@
     draining = true;
     drainStartNanos = System.nanoTime();
     log.log("drain", "open_requests", proxyServer.openRequests());
+    fleet.beginShutdown(drainStartNanos + servingNanos());
     proxyServer.drain();
   }
 
+  /** Returns the time from the start of a shutdown until the last answers are sent. */
+  private long servingNanos() {
+    double seconds = settings.graceSeconds() - SHUTDOWN_MARGIN_SECONDS;
+    return (long) (Math.max(0, seconds) * NANOS_PER_SECOND);
+  }
+
   private void continueDrain(long nowNanos) {
     long elapsedNanos = nowNanos - drainStartNanos;
     if (drainCompleted || elapsedNanos < ACCEPT_WHILE_DRAINING_NANOS) {
@@ -374,10 +382,14 @@
     boolean tokensReturned =
         fleet.spend().isSettled() || nowNanos - lastOpenRequestNanos > TOKEN_RETURN_TIMEOUT_NANOS;
     boolean idle = proxyServer.openRequests() == 0 && tokensReturned;
-    double limitNanos = (settings.graceSeconds() - SHUTDOWN_MARGIN_SECONDS) * NANOS_PER_SECOND;
-    if (idle || elapsedNanos > limitNanos) {
+    if (idle || lastAnswersSent) {
       drainCompleted = true;
       drained.countDown();
+    } else if (elapsedNanos > servingNanos()) {
+      // The next tick ends the process, once the event loop has written the answers.
+      lastAnswersSent = true;
+      log.log("last_answers", "open_requests", proxyServer.openRequests());
+      proxyServer.answerBeforeShutdown();
     }
   }
 
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -108,6 +108,19 @@
     }
   }
 
+  /** Answers the request before the process ends, unless its answer has begun. */
+  void answerBeforeShutdown() {
+    if (attempt != null) {
+      attempt.readArrived();
+    }
+    if (done || response.isBegun() || !entry.isRouted()) {
+      return;
+    }
+    metrics.count("answered_for_shutdown");
+    stopAttempt("shutdown");
+    fail(ErrorCode.NO_UPSTREAM, RequestEntry.SHUTDOWN_REASON);
+  }
+
   /** Resumes reading the response, for which there is room again. */
   void resumeReading() {
     if (attempt != null) {
@@ -175,6 +188,11 @@
   }
 
   private void dispatch() {
+    if (!fleet.maySend(routed(), System.nanoTime())) {
+      metrics.count("refused_for_shutdown");
+      fail(ErrorCode.NO_UPSTREAM, RequestEntry.SHUTDOWN_REASON);
+      return;
+    }
     Optional<Conviction> conviction = findConviction(entry.isTrial() && history.sends() == 0);
     if (conviction.isPresent()) {
       onConvicted(conviction.get());
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -76,6 +76,7 @@
   private final Map<AskedRequests, Integer> asked = new HashMap<>();
   private FleetConfiguration configuration;
   private boolean storeAvailable = true;
+  private ShutdownDeadline shutdown = ShutdownDeadline.NONE;
 
   /**
    * Creates a fleet without configuration and replicas.
@@ -220,6 +221,20 @@
     return storeAvailable;
   }
 
+  /**
+   * Records that this instance shuts down.
+   *
+   * @param endNanos the last moment at which an answer can be sent
+   */
+  public void beginShutdown(long endNanos) {
+    shutdown = ShutdownDeadline.at(endNanos);
+  }
+
+  /** Returns whether this instance runs for as long as a request may take that is sent now. */
+  boolean maySend(RoutedRequest request, long nowNanos) {
+    return shutdown.allows(request.route(), request.deadlineNanos(), nowNanos);
+  }
+
   /** Records a prompt that was sent to a replica, of which the other instances are told. */
   void onPromptSent(ReplicaView view, Prompt prompt) {
     view.prefixCache().recordPrompt(prompt.parts());
--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -410,11 +410,22 @@
     }
   }
 
+  void answerBeforeShutdown() {
+    if (exchange != null) {
+      exchange.answerBeforeShutdown();
+    }
+  }
+
   boolean isBusy() {
     return exchange != null || head != null || !pendingMessages.isEmpty() || !writer.isIdle();
   }
 
+  /** Closes the connection unless a request is in progress, or has arrived and was not read. */
   void closeIfIdle() {
+    if (isBusy()) {
+      return;
+    }
+    reader.readArrived();
     if (!isBusy()) {
       channel.close();
     }
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -140,6 +140,11 @@
     new ArrayList<>(connections).forEach(ProxyConnection::refuseIfConvicted);
   }
 
+  /** Answers the open requests whose answers have not begun, since the process ends. */
+  public void answerBeforeShutdown() {
+    new ArrayList<>(connections).forEach(ProxyConnection::answerBeforeShutdown);
+  }
+
   /** Closes the connections that have no request in progress. */
   public void closeIdle() {
     new ArrayList<>(connections).forEach(ProxyConnection::closeIfIdle);
--- a/src/main/java/io/snipeloom/forwarding/RequestEntry.java
+++ b/src/main/java/io/snipeloom/forwarding/RequestEntry.java
@@ -22,6 +22,9 @@
  * reserve tokens. Confined to the event loop thread.
  */
 final class RequestEntry {
+  /** The reason if the instance shuts down before the request could end. */
+  static final String SHUTDOWN_REASON = "the instance shuts down before the request could end";
+
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final Fleet fleet;
@@ -110,6 +113,11 @@
       listener.onRefused(LocalResponse.of(ErrorCode.UNAUTHENTICATED, "unknown API key"));
       return;
     }
+    if (!fleet.maySend(routed, System.nanoTime())) {
+      metrics.count("refused_for_shutdown");
+      refuse(ErrorCode.NOT_READY, SHUTDOWN_REASON, LocalResponse.STARTUP_RETRY_MILLIS);
+      return;
+    }
     log.setRequest(routed.traits().request().value());
     fleet.crashes().admit(routed.traits(), System.nanoTime(), this::onAdmission);
   }
