--- a/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
+++ b/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
@@ -92,6 +92,26 @@
     }
   }
 
+  /** Guards against an answer of the store that breaks off and is taken for an empty topic. */
+  @Test
+  void listingThatBreaksOffHasNoOutcome() throws Exception {
+    String body = "{\"items\":[],\"hasMore\":false,\"end\":3}";
+    String answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nStore-Era: 3\r\n\r\n%s"
+            .formatted(body.length(), body);
+    for (int bytes = 0; bytes <= answer.length(); bytes++) {
+      String begun = answer.substring(0, bytes);
+      StoreOutcome outcome =
+          list(
+              (request, socket) -> {
+                FakeReplica.write(socket, begun);
+                return false;
+              });
+      boolean whole = bytes == answer.length();
+      assertThat("after " + bytes, outcome, is(whole ? StoreOutcome.DONE : StoreOutcome.UNKNOWN));
+    }
+  }
+
   /** Guards against a body that fills the memory until the call times out. */
   @Test
   void endlessListingIsCutOff() throws Exception {
