Origins are recorded once there were several, since declarations of versions that are gone stay

What callers would see: long after a release, when all instances start at once, each would count the version that is gone for 60 s, and nobody had recorded which of the two began the streams: all refused. Found by reading the change before landing it. Now recording goes on after the first release. StreamContinuityTest#streamIsResumedAtAnInstanceThatStartsLongAfterTheLastRelease.

--- a/src/main/java/io/snipeloom/resumption/OriginDeclarations.java
+++ b/src/main/java/io/snipeloom/resumption/OriginDeclarations.java
@@ -39,6 +39,13 @@
     return seen != null && nowNanos - seen <= VALIDITY_NANOS;
   }
 
+  /** Returns whether streams may ever have begun at several origins. */
+  boolean hasSeveral(Set<StreamOrigin> declaredByOthers) {
+    Set<StreamOrigin> known = new HashSet<>(declaredByOthers);
+    known.addAll(seenNanos.keySet());
+    return known.size() > 1;
+  }
+
   /** Returns the origin that was due first, empty if none has to be declared. */
   Optional<StreamOrigin> nextDue() {
     return due.stream().findFirst();
--- a/src/main/java/io/snipeloom/resumption/StreamContinuity.java
+++ b/src/main/java/io/snipeloom/resumption/StreamContinuity.java
@@ -13,7 +13,7 @@
  * Finds out what began a stream that a caller resumes, at this instance or another one.
  *
  * <p>Before streams begin at a service and software version, each instance declares them in the
- * store. While there are several, it records the origins of its streams there, and an instance that
+ * store. Once there were several, it records the origins of its streams there, and an instance that
  * does not know a stream reads them. An origin that cannot be told is reported as unknown, never
  * guessed.
  *
@@ -212,7 +212,7 @@
   private void record(long nowNanos) {
     lastRecordingNanos = nowNanos;
     List<OriginRecord> records = memory.unrecorded(MAX_RECORDS_PER_CALL);
-    if (records.isEmpty() || history.possibleOrigins(nowNanos).size() <= 1) {
+    if (records.isEmpty() || !mayBeUnclear()) {
       return;
     }
     recording = true;
@@ -221,6 +221,14 @@
         stored -> onAppended(records, stored));
   }
 
+  /**
+   * Returns whether an instance that starts may not know which of several origins began a stream:
+   * the store keeps the declarations of versions that are gone.
+   */
+  private boolean mayBeUnclear() {
+    return declarations.hasSeveral(history.declared());
+  }
+
   private void onAppended(List<OriginRecord> records, boolean stored) {
     recording = false;
     if (!stored) {
--- a/src/main/java/io/snipeloom/resumption/VersionHistory.java
+++ b/src/main/java/io/snipeloom/resumption/VersionHistory.java
@@ -2,9 +2,11 @@
 
 import io.snipeloom.routing.Replica;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What may have begun the streams that callers resume: the declared origins, and the services to
@@ -45,6 +47,11 @@
     }
   }
 
+  /** Returns the origins that were ever declared, as far as this instance has listed them. */
+  Set<StreamOrigin> declared() {
+    return Collections.unmodifiableSet(declarations.keySet());
+  }
+
   /** Returns what may have begun a stream that a caller resumes now. */
   List<StreamOrigin> possibleOrigins(long nowNanos) {
     return versionSeenNanos.entrySet().stream()
--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -171,6 +171,22 @@
     assertThat(first.mayBegin(fresh, nowNanos), is(true));
   }
 
+  /**
+   * Guards against streams that nobody can resume when all instances start long after a release.
+   */
+  @Test
+  void streamIsResumedAtAnInstanceThatStartsLongAfterTheLastRelease() {
+    run(TICK_NANOS);
+    replicas = replicas("v2");
+    run(120 * SECOND_NANOS);
+    first.onBegun("a", SECOND, nowNanos);
+    run(SECOND_NANOS);
+    StreamContinuity started = start(2);
+    List<OriginLookup> found = find(started, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.found(SECOND, Source.STORE)));
+  }
+
   /** Guards against a version that others no longer count, and that begins streams again. */
   @Test
   void versionThatIsBackAfterLongAbsenceIsDeclaredAnew() {
