MIXED: a response is never read from parts of two, and a connection carries no request twice

Callers got a success where their replica had answered with a failure. Cause: a second response to an earlier request was cut inside its head; the rest of the line that it left in the decoder was the status line of the next response, so that the status was the old one's (200) while ID, signature and body were the new one's. Neither a message nor a foreign ID shows it. Class: an answer is matched by the order of bytes on a connection, and one that nobody asked for leaves something behind.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -7,6 +7,7 @@
 import io.snipeloom.buffering.Buffers;
 import io.snipeloom.crashes.CrashControl;
 import io.snipeloom.forwarding.AsyncHttpClient;
+import io.snipeloom.forwarding.ConnectionEvents;
 import io.snipeloom.forwarding.Fleet;
 import io.snipeloom.forwarding.ProxyServer;
 import io.snipeloom.peer.DemandSender;
@@ -180,7 +181,8 @@
             this::newRetryAllowance,
             new PlacementRules(settings.places()),
             settings.coldStart(),
-            newBuffers());
+            newBuffers(),
+            new ConnectionEvents(log, metrics));
     metrics.registry().gauge("cold_replicas", () -> fleet::coldReplicas);
     this.configurationFeed = new ConfigurationFeed(fleet, log, this::onStoreOutcome);
     this.convictionFeed = new ConvictionFeed(fleet.crashes(), settings.instance(), log);
--- a/src/main/java/io/snipeloom/forwarding/AsyncHttpClient.java
+++ b/src/main/java/io/snipeloom/forwarding/AsyncHttpClient.java
@@ -69,7 +69,9 @@
     this.loop = loop;
     this.onDeadConnection = onDeadConnection;
     this.host = address.getHostString() + ":" + address.getPort();
-    this.pool = new ConnectionPool(loop, address, connection -> OptionalLong.empty());
+    this.pool =
+        new ConnectionPool(
+            loop, address, connection -> OptionalLong.empty(), (connection, moment) -> {});
   }
 
   /**
@@ -136,7 +138,7 @@
     if (onNew) {
       pool.acquireNew(onConnection, onFailure);
     } else {
-      pool.acquire(onConnection, onFailure);
+      pool.acquire("", onConnection, onFailure);
     }
   }
 
--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.snipeloom.buffering.BodyTransfer;
@@ -98,6 +99,11 @@
     return view;
   }
 
+  /** Returns the connection that carries the request; there is none before it is sent. */
+  ClientConnection connection() {
+    return connection;
+  }
+
   /** Returns whether the replica may have received the request. */
   boolean isSent() {
     return sent;
@@ -134,11 +140,11 @@
   void connect() {
     transfer = fleet.buffers().bodies().begin(view.replica().id(), request.body().readableBytes());
     ConnectionPool pool = fleet.connectionPool(view.replica());
-    if (owner.wasSentTo(view)) {
-      // A second copy of the first response, which has the same ID, must not be taken for this one.
+    if (request.method().equals(HttpMethod.HEAD)) {
+      // A second copy of an earlier response has a body, which could not be told from a response.
       pool.acquireNew(this::onConnection, this::onConnectFailed);
     } else {
-      pool.acquire(this::onConnection, this::onConnectFailed);
+      pool.acquire(id, this::onConnection, this::onConnectFailed);
     }
   }
 
@@ -230,6 +236,11 @@
     owner.onFailed(this, AttemptFailure.NOT_CONNECTED, reason);
   }
 
+  @Override
+  public String requestId() {
+    return id;
+  }
+
   @Override
   public void onSent() {
     sent = true;
@@ -279,22 +290,27 @@
   @Override
   public boolean onHead(HttpResponse head) {
     lastReceivedNanos = System.nanoTime();
-    status = head.status().code();
-    framing = ResponseFraming.of(head);
-    responseHeaders = head.headers();
-    ResponseMetadata metadata = fleet.codec().responseMetadata(status, responseHeaders);
+    int headStatus = head.status().code();
+    ResponseMetadata metadata = fleet.codec().responseMetadata(headStatus, head.headers());
     ReplicaStatements statements = new ReplicaStatements(view, log, sentNanos, lastReceivedNanos);
-    statements.recordWillingness(status, metadata);
+    statements.recordWillingness(headStatus, metadata);
     if (ended) {
       connection.close();
       return false;
     }
-    boolean hasAttemptId = !metadata.attemptId().isEmpty();
-    if (hasAttemptId ? !metadata.attemptId().equals(id) : !metadata.notExecuted()) {
-      log.foreignResponse(view.replica().id(), metadata.attemptId(), status);
+    if (metadata.isAmbiguous()) {
+      log.foreignResponse(view.replica().id(), connection, metadata.attemptIds(), headStatus);
+      breakOff("the response names several requests");
       return false;
     }
-    if (!hasAttemptId) {
+    if (!isOwn(metadata)) {
+      log.foreignResponse(view.replica().id(), connection, metadata.attemptIds(), headStatus);
+      return false;
+    }
+    status = headStatus;
+    framing = ResponseFraming.of(head);
+    responseHeaders = head.headers();
+    if (metadata.isUnnamed()) {
       // A second copy of this refusal could not be told from one of the next request.
       connection.closeAfterResponse();
       log.unnamedRefusal(view.replica().id(), status);
@@ -310,6 +326,11 @@
     return true;
   }
 
+  /** Returns whether a response belongs to this attempt; only a refusal need not name it. */
+  private boolean isOwn(ResponseMetadata metadata) {
+    return metadata.isUnnamed() ? metadata.notExecuted() : metadata.isOf(id);
+  }
+
   /**
    * Returns whether the caller takes what the replica sends for the rest of its stream. One that
    * resumes its stream itself sees the status of an error.
--- a/src/main/java/io/snipeloom/forwarding/AttemptHistory.java
+++ b/src/main/java/io/snipeloom/forwarding/AttemptHistory.java
@@ -63,11 +63,6 @@
     return Collections.unmodifiableList(tried);
   }
 
-  /** Returns whether an attempt at a replica completed or failed. */
-  boolean wasTried(ReplicaId replica) {
-    return tried.contains(replica);
-  }
-
   /** Returns how often the request was sent to a replica. */
   int sends() {
     return sends;
--- a/src/main/java/io/snipeloom/forwarding/AttemptOwner.java
+++ b/src/main/java/io/snipeloom/forwarding/AttemptOwner.java
@@ -32,9 +32,6 @@
   /** Returns the request by which its cost is estimated. */
   RoutedRequest routed();
 
-  /** Returns whether the replica has received the request before, in an earlier attempt. */
-  boolean wasSentTo(ReplicaView view);
-
   /** Returns whether the caller has received events of the stream, which this attempt goes on. */
   boolean isStreamBegun();
 
--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -20,21 +20,29 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
 
 /**
  * An HTTP/1.1 connection to a peer that carries one request at a time.
  *
  * <p>A connection is reused only if the last response was complete, had an explicit length or
  * chunked encoding and was followed by no further bytes. It is closed when the peer sends bytes
- * without a request, or more than a {@link ReceiveAllowance} in place of a response. Confined to
+ * without a request, or more than a {@link ReceiveAllowance} in place of a response. It carries no
+ * request twice, since a second response to the first would name the second as well. Confined to
  * the event loop thread.
  */
 // A failed write or close also closes the channel, which the channel handlers detect.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ClientConnection extends ChannelInboundHandlerAdapter {
   private static final int PART_BYTES = 65_536;
+  private static final AtomicLong LAST_NUMBER = new AtomicLong();
 
+  private final long number = LAST_NUMBER.incrementAndGet();
   private final Runnable onIdle;
+  private final BiConsumer<ClientConnection, SurplusMoment> onSurplus;
+  private final CarriedRequests carried = new CarriedRequests();
+  private final ResponseDecoder decoder = new ResponseDecoder();
   private final ArrivalReader reader = new ArrivalReader(this::onBytes);
   private Channel channel;
   private ResponseListener listener;
@@ -44,16 +52,20 @@
   private boolean outOfSync;
   private boolean reusable;
   private boolean reset;
+  private boolean carriesHead;
   private HttpHeaders lastHeaders = new DefaultHttpHeaders();
+  private String lastRequestId = "";
   private long idleSinceNanos;
 
   /**
    * Creates the handler of a connection.
    *
    * @param onIdle called when the connection can carry the next request
+   * @param onSurplus called with the connection when bytes came that belong to no request
    */
-  ClientConnection(Runnable onIdle) {
+  ClientConnection(Runnable onIdle, BiConsumer<ClientConnection, SurplusMoment> onSurplus) {
     this.onIdle = onIdle;
+    this.onSurplus = onSurplus;
   }
 
   @Override
@@ -65,6 +77,10 @@
   void send(
       HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, ResponseListener receiver) {
     listener = receiver;
+    lastRequestId = receiver.requestId();
+    carried.add(lastRequestId);
+    carriesHead = method.equals(HttpMethod.HEAD);
+    decoder.expectResponseTo(method);
     allowance = new ReceiveAllowance();
     written = false;
     skippingResponse = false;
@@ -117,6 +133,26 @@
     reusable = false;
   }
 
+  /** Returns the number of the connection, which no other of this process has. */
+  long number() {
+    return number;
+  }
+
+  /** Returns the requests that the connection has carried, the current one included. */
+  CarriedRequests carried() {
+    return carried;
+  }
+
+  /** Returns the ID of the last request, empty if it has none. */
+  String lastRequestId() {
+    return lastRequestId;
+  }
+
+  /** Returns the decoder of responses, which goes before this handler. */
+  ResponseDecoder decoder() {
+    return decoder;
+  }
+
   /** Returns the handler that reads the connection, which goes before the codec. */
   ArrivalReader reader() {
     return reader;
@@ -154,7 +190,11 @@
   /** Returns whether bytes may be decoded: a peer has nothing to send without a request. */
   private boolean onBytes(int bytes) {
     allowance.onRead(bytes);
-    return listener != null && isWithinAllowance();
+    if (listener == null) {
+      onSurplus.accept(this, SurplusMoment.WHILE_IDLE);
+      return false;
+    }
+    return isWithinAllowance();
   }
 
   private boolean isWithinAllowance() {
@@ -196,12 +236,21 @@
   }
 
   private void onHead(HttpResponse head) {
+    if (!ResponseHead.isSingle(head)) {
+      onSurplus.accept(this, SurplusMoment.BEFORE_RESPONSE);
+      fail("the head of the response holds another one");
+      return;
+    }
     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       skippingResponse = true;
       return;
     }
     lastHeaders = head.headers();
-    reusable = ResponseFraming.of(head).isExplicit() && HttpUtil.isKeepAlive(head);
+    reusable =
+        ResponseFraming.of(head).isExplicit()
+            && HttpUtil.isKeepAlive(head)
+            && !carriesHead
+            && !carried.isFull();
     skippingResponse = !listener.onHead(head);
     outOfSync |= skippingResponse;
   }
@@ -225,6 +274,10 @@
     }
     ResponseListener receiver = listener;
     listener = null;
+    if (decoder.hasSurplus()) {
+      outOfSync = true;
+      onSurplus.accept(this, SurplusMoment.AFTER_RESPONSE);
+    }
     if (reusable && written && !outOfSync) {
       channel.config().setAutoRead(true);
       receiver.onEnd();
--- a/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
+++ b/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
@@ -9,14 +9,15 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import jdk.net.ExtendedSocketOptions;
@@ -49,22 +50,33 @@
 
   private static final int KEEPALIVE_PROBE_SECONDS = 1;
   private static final int KEEPALIVE_PROBE_COUNT = 2;
-  private static final int MAX_HEADER_BYTES = 65_536;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   private final EventLoop loop;
   private final InetSocketAddress address;
   private final Function<ClientConnection, OptionalLong> announcedKeepAliveMillis;
+  private final BiConsumer<ClientConnection, SurplusMoment> onSurplus;
   private final Deque<ClientConnection> idle = new ArrayDeque<>();
   private boolean closed;
 
+  /**
+   * Creates a pool without connections.
+   *
+   * @param loop the event loop that the connections use
+   * @param address the address of the peer
+   * @param announcedKeepAliveMillis returns how long the peer keeps an idle connection open, in
+   *     milliseconds, if it has said so on that connection
+   * @param onSurplus called when bytes came on a connection that belong to no request
+   */
   ConnectionPool(
       EventLoop loop,
       InetSocketAddress address,
-      Function<ClientConnection, OptionalLong> announcedKeepAliveMillis) {
+      Function<ClientConnection, OptionalLong> announcedKeepAliveMillis,
+      BiConsumer<ClientConnection, SurplusMoment> onSurplus) {
     this.loop = loop;
     this.address = address;
     this.announcedKeepAliveMillis = announcedKeepAliveMillis;
+    this.onSurplus = onSurplus;
   }
 
   /** What a new connection shows of a peer. */
@@ -115,11 +127,17 @@
   }
 
   /**
-   * Provides an idle connection or establishes a new one. An idle connection that its peer has
-   * closed, or on which it sent something since, is not reused, even if that was not read yet.
+   * Provides an idle connection that has not carried a request, or establishes a new one. An idle
+   * connection that its peer has closed, or on which it sent something since, is not reused, even
+   * if that was not read yet.
+   *
+   * @param requestId names the request in its response; empty if nothing does
+   * @param onConnection receives the connection
+   * @param onFailure called with the reason if there is none
    */
-  void acquire(Consumer<ClientConnection> onConnection, Consumer<String> onFailure) {
-    ClientConnection connection = pollIdle();
+  void acquire(
+      String requestId, Consumer<ClientConnection> onConnection, Consumer<String> onFailure) {
+    ClientConnection connection = pollIdle(requestId);
     if (connection != null) {
       onConnection.accept(connection);
       return;
@@ -153,9 +171,14 @@
     }
   }
 
-  private ClientConnection pollIdle() {
-    while (!idle.isEmpty()) {
-      ClientConnection connection = idle.pollLast();
+  private ClientConnection pollIdle(String requestId) {
+    Iterator<ClientConnection> mostRecentFirst = idle.descendingIterator();
+    while (mostRecentFirst.hasNext()) {
+      ClientConnection connection = mostRecentFirst.next();
+      if (connection.carried().mayContain(requestId)) {
+        continue;
+      }
+      mostRecentFirst.remove();
       if (isFresh(connection) && connection.readArrived() && connection.isUsable()) {
         return connection;
       }
@@ -173,7 +196,7 @@
 
   private void connect(Consumer<ClientConnection> onConnection, Consumer<Throwable> onFailure) {
     ClientConnection[] self = new ClientConnection[1];
-    ClientConnection connection = new ClientConnection(() -> offer(self[0]));
+    ClientConnection connection = new ClientConnection(() -> offer(self[0]), onSurplus);
     self[0] = connection;
     ChannelFuture connected = bootstrap(connection).connect(address);
     connected.addListener(
@@ -211,10 +234,8 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                HttpDecoderConfig config =
-                    new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
                 channel.pipeline().addLast(connection.reader());
-                channel.pipeline().addLast(new HttpClientCodec(config, false, false));
+                channel.pipeline().addLast(connection.decoder(), new HttpRequestEncoder());
                 channel.pipeline().addLast(connection);
               }
             });
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -292,6 +292,7 @@
             });
     log.sent(
         sent.view(),
+        sent.connection(),
         stream.position(entry.metadata()),
         routed().sharedParts(),
         sent.uncachedTokens(),
@@ -302,11 +303,6 @@
     metrics.waitBeforeSend(request.ageMillis(now));
   }
 
-  @Override
-  public boolean wasSentTo(ReplicaView view) {
-    return history.wasTried(view.replica().id());
-  }
-
   @Override
   public boolean isStreamBegun() {
     return response.isBegun();
--- a/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
+++ b/src/main/java/io/snipeloom/forwarding/ExchangeLog.java
@@ -18,6 +18,7 @@
 import io.snipeloom.state.CustomerId;
 import io.snipeloom.telemetry.EventLog;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
@@ -148,6 +149,7 @@
   /** Logs that a request is sent to a replica, with the estimated state of the replica. */
   void sent(
       ReplicaView view,
+      ClientConnection connection,
       ResumePosition position,
       List<PromptPart> sharedParts,
       long uncachedTokens,
@@ -165,6 +167,10 @@
         view.replica().id(),
         "version",
         view.replica().version(),
+        "connection",
+        connection.number(),
+        "connection_requests",
+        connection.carried().count(),
         "resumes",
         position.attempt(),
         "after_event",
@@ -226,15 +232,20 @@
   }
 
   /** Logs that a response to another request was skipped. */
-  void foreignResponse(ReplicaId replica, String responseAttemptId, int status) {
+  void foreignResponse(
+      ReplicaId replica, ClientConnection connection, Set<String> attemptIds, int status) {
     log.log(
         "foreign_answer",
         "id",
         id,
         "replica",
         replica,
+        "connection",
+        connection.number(),
+        "connection_requests",
+        connection.carried().count(),
         "answer_id",
-        responseAttemptId,
+        String.join(",", attemptIds),
         "status",
         status);
   }
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -67,6 +67,7 @@
   private final PlacementRules placement;
   private final Optional<ColdStartBounds> coldStartBounds;
   private final Buffers buffers;
+  private final ConnectionEvents connectionEvents;
   private final Map<ReplicaId, ReplicaView> views = new HashMap<>();
   private final DepartedReplicas departed = new DepartedReplicas();
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
@@ -91,6 +92,7 @@
    * @param placement where requests may be processed
    * @param coldStartBounds the bounds on requests to cold replicas, if any are in force
    * @param buffers counts the bytes held for callers and replicas
+   * @param connectionEvents records what happens on connections to replicas
    */
   public Fleet(
       EventLoop loop,
@@ -102,7 +104,8 @@
       Supplier<RetryAllowance> newRetryAllowance,
       PlacementRules placement,
       Optional<ColdStartBounds> coldStartBounds,
-      Buffers buffers) {
+      Buffers buffers,
+      ConnectionEvents connectionEvents) {
     this.loop = loop;
     this.codec = codec;
     this.picker = picker;
@@ -113,6 +116,7 @@
     this.placement = placement;
     this.coldStartBounds = coldStartBounds;
     this.buffers = buffers;
+    this.connectionEvents = connectionEvents;
   }
 
   /**
@@ -394,7 +398,10 @@
         replica.address(),
         address ->
             new ConnectionPool(
-                loop, address, connection -> codec.keepAliveMillis(connection.lastHeaders())));
+                loop,
+                address,
+                connection -> codec.keepAliveMillis(connection.lastHeaders()),
+                (connection, moment) -> connectionEvents.surplus(address, connection, moment)));
   }
 
   RetryAllowance retryAllowanceOf(String service) {
--- a/src/main/java/io/snipeloom/forwarding/ResponseListener.java
+++ b/src/main/java/io/snipeloom/forwarding/ResponseListener.java
@@ -9,6 +9,11 @@
  */
 interface ResponseListener {
 
+  /** Returns the ID by which the peer names the request in its response, empty if it has none. */
+  default String requestId() {
+    return "";
+  }
+
   /** Called just before the request is written; from now on the peer may execute it. */
   default void onSent() {}
 
--- a/src/main/java/io/snipeloom/platform/PlatformHeaders.java
+++ b/src/main/java/io/snipeloom/platform/PlatformHeaders.java
@@ -23,6 +23,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Reads and writes the headers of the platform's requests and responses.
@@ -133,7 +134,7 @@
   @Override
   public ResponseMetadata responseMetadata(int status, HttpHeaders headers) {
     return new ResponseMetadata(
-        headers.get(ATTEMPT_ID, ""),
+        attemptIds(headers),
         headers.contains(SIGNATURE),
         headers.contains(NOT_EXECUTED) || status == MISDIRECTED_REQUEST,
         load(headers.get(REPLICA_LOAD)),
@@ -143,6 +144,12 @@
         ColdReport.parse(headers.getAll(COLD_MS)));
   }
 
+  private static Set<String> attemptIds(HttpHeaders headers) {
+    return headers.getAll(ATTEMPT_ID).stream()
+        .filter(id -> !id.isBlank())
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   private static StatedPause pause(int status, HttpHeaders headers) {
     return status == SERVICE_UNAVAILABLE
         ? StatedPause.parse(headers.getAll(HttpHeaderNames.RETRY_AFTER))
--- a/src/main/java/io/snipeloom/routing/ResponseMetadata.java
+++ b/src/main/java/io/snipeloom/routing/ResponseMetadata.java
@@ -2,11 +2,13 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 
 /**
  * The metadata in the headers of a response from a replica.
  *
- * @param attemptId the attempt that the response belongs to; empty if the replica did not state it
+ * @param attemptIds the attempts that the response names: one, unless the replica did not state it
+ *     or the head is not that of one response
  * @param signed whether the response carries a signature that proves it comes from a replica
  * @param notExecuted whether the replica states that it did not execute the request
  * @param load the load of the replica, if stated
@@ -16,7 +18,7 @@
  * @param cold how long the replica stays cold, if stated
  */
 public record ResponseMetadata(
-    String attemptId,
+    Set<String> attemptIds,
     boolean signed,
     boolean notExecuted,
     Optional<Load> load,
@@ -25,6 +27,26 @@
     StatedPause pause,
     ColdReport cold) {
 
+  /** Creates the metadata with a copy of the attempts. */
+  public ResponseMetadata {
+    attemptIds = Set.copyOf(attemptIds);
+  }
+
+  /** Returns whether the response does not say which attempt it belongs to. */
+  public boolean isUnnamed() {
+    return attemptIds.isEmpty();
+  }
+
+  /** Returns whether the response names more than one attempt. */
+  public boolean isAmbiguous() {
+    return attemptIds.size() > 1;
+  }
+
+  /** Returns whether the response names an attempt and no other. */
+  public boolean isOf(String attemptId) {
+    return attemptIds.equals(Set.of(attemptId));
+  }
+
   /**
    * The load of a replica.
    *
--- a/src/test/java/io/snipeloom/forwarding/ClientConnectionTest.java
+++ b/src/test/java/io/snipeloom/forwarding/ClientConnectionTest.java
@@ -23,7 +23,8 @@
 
   private final PendingWrites writes = new PendingWrites();
   private final RecordingListener listener = new RecordingListener();
-  private final ClientConnection connection = new ClientConnection(() -> {});
+  private final ClientConnection connection =
+      new ClientConnection(() -> {}, (connection, moment) -> {});
   private final EmbeddedChannel channel =
       new EmbeddedChannel(writes, new HttpClientCodec(), connection);
 
--- a/src/test/java/io/snipeloom/forwarding/ConnectionPoolTest.java
+++ b/src/test/java/io/snipeloom/forwarding/ConnectionPoolTest.java
@@ -46,7 +46,9 @@
   void listen() throws IOException {
     peer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     InetSocketAddress address = (InetSocketAddress) peer.getLocalSocketAddress();
-    pool = new ConnectionPool(loop, address, connection -> OptionalLong.empty());
+    pool =
+        new ConnectionPool(
+            loop, address, connection -> OptionalLong.empty(), (connection, moment) -> {});
   }
 
   @AfterEach
@@ -62,6 +64,15 @@
     assertThat(acquireAfter(socket -> {}), sameInstance(first));
   }
 
+  /** Guards against a second response to a request that is taken for the one to its next send. */
+  @Test
+  void connectionCarriesNoRequestTwice() throws Exception {
+    ClientConnection first = acquireAndGiveBack();
+    first.carried().add("a1");
+    assertThat(acquire("a1"), not(sameInstance(first)));
+    assertThat(acquire("a2"), sameInstance(first));
+  }
+
   /** Guards against a request that is lost on a connection whose close lies unread. */
   @Test
   void connectionWhoseCloseLiesUnreadIsNotReused() throws Exception {
@@ -94,14 +105,18 @@
   }
 
   private ClientConnection acquireAndGiveBack() throws Exception {
+    ClientConnection connection = acquire("");
+    loop.submit(() -> pool.giveBack(connection)).sync();
+    return connection;
+  }
+
+  private ClientConnection acquire(String requestId) throws Exception {
     CompletableFuture<ClientConnection> acquired = new CompletableFuture<>();
     loop.execute(
         () ->
             pool.acquire(
-                connection -> {
-                  pool.giveBack(connection);
-                  acquired.complete(connection);
-                },
+                requestId,
+                acquired::complete,
                 reason -> acquired.completeExceptionally(new IOException(reason))));
     return acquired.get();
   }
@@ -118,6 +133,7 @@
             acquired.completeExceptionally(e);
           }
           pool.acquire(
+              "",
               acquired::complete,
               reason -> acquired.completeExceptionally(new IOException(reason)));
         });
