Slow callers of one customer: its oldest responses come to their ends, not none of them

What callers saw: of a hundred streams of 1 MB to slow callers of one customer, none came whole once the process was warm; all were cut off by their replicas after 2 s or at their deadlines of 3 s (SlowCallerTest, nothing held where 1,000,000 bytes are wanted).

Cause: since each connection is read once a turn, responses that arrive together are read alike. Together they fill the room of the customer when each has about a hundredth of it, reading stops for all, and none can be read to its end. Each reading one brought one more read, or two, of up to 64 KiB after the bound.

Ruled out: the joined flushes (fails without them).

Why this works: at the bound of a customer all its responses whose callers are behind stop at once, and the oldest are read on to their ends beyond it, as long as what they may yet bring stays within three bounds of a caller. Reading 16 times or 64 times a turn was tried and is not enough: which response came to its end was chance.

The test of it, without network, failed on the code before: the oldest of a hundred responses was not complete.

--- a/src/main/java/io/snipeloom/buffering/BufferBounds.java
+++ b/src/main/java/io/snipeloom/buffering/BufferBounds.java
@@ -72,6 +72,11 @@
     return responseBytes < NO_BOUND;
   }
 
+  /** Returns the bytes beyond its bound with which a customer's oldest responses come to an end. */
+  long finishBytes() {
+    return 3 * callerBytes;
+  }
+
   /** Returns the bytes of all responses from which on slow callers yield to those who read well. */
   long yieldBytes() {
     return responseBytes - responseBytes / 8;
--- a/src/main/java/io/snipeloom/buffering/ResponseBuffer.java
+++ b/src/main/java/io/snipeloom/buffering/ResponseBuffer.java
@@ -18,6 +18,7 @@
   private Optional<StopReason> stopped = Optional.empty();
   private long stopNumber;
   private long lastProgress;
+  private long beginNumber;
   private boolean complete;
   private boolean cutOff;
 
@@ -32,6 +33,7 @@
     buffers.add(this, -held);
     customer = next;
     buffers.add(this, held);
+    beginNumber = buffers.nextBegin();
     complete = false;
     cutOff = false;
   }
@@ -56,12 +58,14 @@
     }
     assemblingBytes -= bytes;
     queuedBytes += bytes;
+    buffers.onQueued(this);
   }
 
   /** Records that the whole response was passed on. */
   public void onComplete() {
     complete = true;
     resume();
+    buffers.onComplete(this);
   }
 
   /** Releases bytes that were written to the connection, or can never be. */
@@ -143,6 +147,10 @@
     return lastProgress;
   }
 
+  long beginNumber() {
+    return beginNumber;
+  }
+
   void stop(StopReason reason, long number) {
     stopped = Optional.of(reason);
     stopNumber = number;
@@ -154,6 +162,10 @@
     buffers.onResumed(this);
   }
 
+  void tellStop() {
+    reader.onStop();
+  }
+
   void tellRoom() {
     reader.onRoom();
   }
--- a/src/main/java/io/snipeloom/buffering/ResponseBuffers.java
+++ b/src/main/java/io/snipeloom/buffering/ResponseBuffers.java
@@ -17,9 +17,11 @@
  * <p>A caller reads well while it is no more than {@link BufferBounds#smallBytes} behind. Reading
  * of a larger response stops at the bound of its caller, its customer or the process, whichever
  * comes first, and resumes in the order in which it stopped, those first that nobody has received a
- * byte of. A response is cut off in two cases only: a slow caller's if those who read well need the
- * room, an incomplete one before a complete one and of the customer that holds most; and the
- * youngest of those that are assembled, if they alone fill a bound, since none of them could end.
+ * byte of. At the bound of a customer all its responses stop at once, and its oldest ones alone are
+ * read on to their ends; read on alike, none would come to its end. A response is cut off in two
+ * cases only: a slow caller's if those who read well need the room, an incomplete one before a
+ * complete one and of the customer that holds most; and the youngest of those that are assembled,
+ * if they alone fill a bound, since none of them could end.
  *
  * <p>Confined to the event loop thread.
  */
@@ -30,9 +32,14 @@
   private final BufferBounds bounds;
   private final Set<ResponseBuffer> open = new HashSet<>();
   private final Set<ResponseBuffer> stopped = new LinkedHashSet<>();
+
+  /** The responses that are read to their ends although their customers have no room. */
+  private final Set<ResponseBuffer> finishing = new HashSet<>();
+
   private final Map<CustomerId, Long> heldByCustomer = new HashMap<>();
   private long heldBytes;
   private long stops;
+  private long begins;
   private long progress;
 
   /** Creates buffers that hold nothing. */
@@ -74,6 +81,10 @@
     return ++progress;
   }
 
+  long nextBegin() {
+    return ++begins;
+  }
+
   void add(ResponseBuffer buffer, long bytes) {
     heldBytes += bytes;
     buffer
@@ -91,6 +102,18 @@
 
   void remove(ResponseBuffer buffer) {
     open.remove(buffer);
+    onEnded(buffer);
+  }
+
+  void onComplete(ResponseBuffer buffer) {
+    onEnded(buffer);
+  }
+
+  /** Lets the next responses of a customer come to their ends, if this one was read to its end. */
+  private void onEnded(ResponseBuffer buffer) {
+    if (finishing.remove(buffer)) {
+      buffer.customer().ifPresent(this::finishOldest);
+    }
   }
 
   void onResumed(ResponseBuffer buffer) {
@@ -129,8 +152,8 @@
       return BufferDecision.HOLD;
     }
     if (buffer.stopReason().isEmpty()) {
-      buffer.stop(reason.get(), ++stops);
-      stopped.add(buffer);
+      stop(buffer, reason.get());
+      shareEndOfRoom(buffer, reason.get());
     }
     breakDeadlocks();
     if (buffer.isCutOff()) {
@@ -139,6 +162,82 @@
     return buffer.stopReason().isPresent() ? BufferDecision.STOP_READING : BufferDecision.HOLD;
   }
 
+  /** Stops a response whose caller is behind by what was just passed on, if no room is left. */
+  void onQueued(ResponseBuffer buffer) {
+    boolean reading = buffer.stopReason().isEmpty() && !buffer.isComplete();
+    if (reading && stopReason(buffer, 0).equals(Optional.of(StopReason.CUSTOMER))) {
+      stop(buffer, StopReason.CUSTOMER);
+      buffer.tellStop();
+      shareEndOfRoom(buffer, StopReason.CUSTOMER);
+    }
+  }
+
+  private void stop(ResponseBuffer buffer, StopReason reason) {
+    buffer.stop(reason, ++stops);
+    stopped.add(buffer);
+  }
+
+  private void shareEndOfRoom(ResponseBuffer buffer, StopReason reason) {
+    if (reason == StopReason.CUSTOMER) {
+      buffer.customer().ifPresent(this::stopOthers);
+      buffer.customer().ifPresent(this::finishOldest);
+    }
+  }
+
+  /** Stops the other responses of a customer without room, before each is read once more. */
+  private void stopOthers(CustomerId customer) {
+    Optional<CustomerId> owner = Optional.of(customer);
+    Optional<StopReason> reason = Optional.of(StopReason.CUSTOMER);
+    List<ResponseBuffer> others =
+        open.stream()
+            .filter(buffer -> buffer.customer().equals(owner) && !buffer.isComplete())
+            .filter(buffer -> buffer.stopReason().isEmpty())
+            .filter(buffer -> stopReason(buffer, 0).equals(reason))
+            .sorted(Comparator.comparing(ResponseBuffer::beginNumber))
+            .toList();
+    for (ResponseBuffer other : others) {
+      stop(other, StopReason.CUSTOMER);
+      other.tellStop();
+    }
+  }
+
+  /** Resumes the oldest responses of a customer whose longest rests have room beyond its bound. */
+  private void finishOldest(CustomerId customer) {
+    Optional<CustomerId> owner = Optional.of(customer);
+    List<ResponseBuffer> oldest =
+        stopped.stream()
+            .filter(buffer -> buffer.customer().equals(owner) && !finishing.contains(buffer))
+            .filter(buffer -> buffer.stopReason().equals(Optional.of(StopReason.CUSTOMER)))
+            .sorted(Comparator.comparing(ResponseBuffer::beginNumber))
+            .toList();
+    long limit = bounds.customerBytes() + bounds.finishBytes();
+    for (ResponseBuffer buffer : oldest) {
+      if (promisedBytes(owner) + restBytes(buffer) > limit) {
+        return;
+      }
+      finishing.add(buffer);
+      if (stopReason(buffer, 0).isEmpty()) {
+        buffer.resume();
+        buffer.tellRoom();
+      }
+    }
+  }
+
+  /** Returns the bytes that a customer holds once what is read to its end has come to it. */
+  private long promisedBytes(Optional<CustomerId> customer) {
+    long rests =
+        finishing.stream()
+            .filter(buffer -> buffer.customer().equals(customer))
+            .mapToLong(this::restBytes)
+            .sum();
+    return heldBytes(customer.orElseThrow()) + rests;
+  }
+
+  /** Returns the most bytes that are yet read ahead of a caller. */
+  private long restBytes(ResponseBuffer buffer) {
+    return Math.max(0, bounds.callerBytes() - buffer.heldBytes());
+  }
+
   /** Resumes the stopped responses for which there is room. */
   void resumeStopped() {
     if (stopped.isEmpty()) {
@@ -174,7 +273,9 @@
     if (buffer.queuedBytes() >= bounds.callerBytes()) {
       return Optional.of(StopReason.CALLER);
     }
-    boolean customerHasRoom = heldOfCustomer(buffer) + expectedBytes < bounds.customerBytes();
+    boolean customerHasRoom =
+        finishing.contains(buffer)
+            || heldOfCustomer(buffer) + expectedBytes < bounds.customerBytes();
     if (!customerHasRoom && buffer.queuedBytes() > bounds.smallBytes() / 4) {
       return Optional.of(StopReason.CUSTOMER);
     }
@@ -194,7 +295,10 @@
   }
 
   private long processBound(ResponseBuffer buffer) {
-    return buffer.isSlow() ? bounds.slowBytes() : bounds.yieldBytes();
+    if (!buffer.isSlow()) {
+      return bounds.yieldBytes();
+    }
+    return finishing.contains(buffer) ? bounds.slowLimitBytes() : bounds.slowBytes();
   }
 
   private Optional<ResponseBuffer> slowest() {
--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -158,6 +158,11 @@
     }
   }
 
+  /** Returns whether the head of the response was received and the response has not ended. */
+  boolean isAnswering() {
+    return status != 0 && !ended;
+  }
+
   /** Stops reading the response, until it is resumed or the attempt ends. */
   void stopReading() {
     readingStopped = true;
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -347,15 +347,26 @@
     ResponseBuffer buffer = caller.buffer();
     BufferDecision decision = buffer.onReceived(bytes);
     if (decision == BufferDecision.STOP_READING) {
-      source.stopReading();
-      log.readingStopped(buffer, fleet.buffers());
-      metrics.count("response_reading_stopped");
+      stopReading(source);
     } else if (decision == BufferDecision.CUT_OFF && !done) {
       caller.cutOff("the bytes of the response cannot be held");
     }
     return !done;
   }
 
+  /** Stops reading the response, for which there is no room. */
+  void stopReading() {
+    if (attempt != null && attempt.isAnswering()) {
+      stopReading(attempt);
+    }
+  }
+
+  private void stopReading(Attempt source) {
+    source.stopReading();
+    log.readingStopped(caller.buffer(), fleet.buffers());
+    metrics.count("response_reading_stopped");
+  }
+
   private void recordOrigin(Attempt source) {
     Optional<StreamOrigin> begun = stream.onEvents(source.view().replica());
     if (begun.isPresent() && routed().route().isResumableStream()) {
--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -341,6 +341,13 @@
     continueWithPending();
   }
 
+  @Override
+  public void onStop() {
+    if (exchange != null) {
+      exchange.stopReading();
+    }
+  }
+
   @Override
   public void onRoom() {
     if (exchange != null) {
--- a/src/test/java/io/snipeloom/buffering/ResponseBuffersTest.java
+++ b/src/test/java/io/snipeloom/buffering/ResponseBuffersTest.java
@@ -68,6 +68,28 @@
     assertThat(slow.stream().filter(one -> one.buffer.queuedBytes() >= 100_000).count(), is(100L));
   }
 
+  // Guards against answers of one customer that are read alike until its room is used, so that the
+  // replicas give up on each of them and no caller gets a whole one.
+  @Test
+  void oldestOfHundredAnswersThatArriveTogetherComeToTheirEnds() {
+    for (int readBytes : new int[] {READ_BYTES, 65_536}) {
+      ResponseBuffers shared = new ResponseBuffers(BOUNDS);
+      List<SimulatedCaller> slow = new ArrayList<>();
+      for (int i = 0; i < 100; i++) {
+        SimulatedCaller one = new SimulatedCaller(shared);
+        one.buffer.begin(Optional.of(CustomerId.of("hot")));
+        slow.add(one);
+      }
+      readInTurn(slow, readBytes, 1_000_000);
+      assertThat(slow.stream().filter(one -> one.closed).count(), is(0L));
+      assertThat(slow.get(0).complete, is(true));
+      assertThat(slow.get(1).complete, is(true));
+      assertThat(
+          shared.heldBytes(),
+          lessThanOrEqualTo(BOUNDS.customerBytes() + 3 * BOUNDS.callerBytes() + readBytes));
+    }
+  }
+
   /** Answers the failure that those who read well find no room, since slow callers took it. */
   @Test
   void slowCallerYieldsToThoseWhoReadWell() {
@@ -152,6 +174,25 @@
     return callers;
   }
 
+  /** Reads each response once in each turn, until all are whole or none is read any more. */
+  private static void readInTurn(List<SimulatedCaller> callers, int readBytes, int bytes) {
+    boolean progress = true;
+    while (progress) {
+      progress = false;
+      for (SimulatedCaller caller : callers) {
+        if (!caller.reading || caller.closed) {
+          continue;
+        }
+        caller.receive(readBytes);
+        caller.passOn();
+        if (caller.buffer.queuedBytes() >= bytes) {
+          caller.complete();
+        }
+        progress = true;
+      }
+    }
+  }
+
   /** Reads a stream that the caller does not read, until all of it is held or reading stops. */
   private static void fill(SimulatedCaller caller, int bytes) {
     for (int held = 0; held < bytes && caller.reading; held += READ_BYTES) {
--- a/src/test/java/io/snipeloom/buffering/SimulatedCaller.java
+++ b/src/test/java/io/snipeloom/buffering/SimulatedCaller.java
@@ -54,6 +54,11 @@
     }
   }
 
+  @Override
+  public void onStop() {
+    reading = false;
+  }
+
   @Override
   public void onRoom() {
     reading = true;
