Pieces of an answer that one read brought are passed on together, in place of joined flushes

Cause: each piece was counted, looked at, wrapped, encoded and written by itself, and up to 8,192 of them come with one read. The flushes were joined for it, which spares the calls to the kernel only.

So FlushConsolidationHandler is gone.

Why this works: pieces shorter than 4 KiB are copied together until the read is complete, the body ends, the connection fails or 64 KiB are full; longer ones go on alone. Nothing waits for a later read. ClientConnectionTest shows it without network; on the code before, 8,192 pieces came instead of one.

--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -29,13 +29,17 @@
  * <p>A connection is reused only if the last response was complete, had an explicit length or
  * chunked encoding and was followed by no further bytes. It is closed when the peer sends bytes
  * without a request, or more than a {@link ReceiveAllowance} in place of a response. It carries no
- * request twice, since a second response to the first would name the second as well. Confined to
- * the event loop thread.
+ * request twice, since a second response to the first would name the second as well. Short pieces
+ * of a body that are read together are passed on together. Confined to the event loop thread.
  */
 // A failed write or close also closes the channel, which the channel handlers detect.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ClientConnection extends ChannelInboundHandlerAdapter {
   private static final int PART_BYTES = 65_536;
+
+  /** The shortest piece of a body that is passed on by itself. */
+  private static final int LONG_PIECE_BYTES = 4_096;
+
   private static final AtomicLong LAST_NUMBER = new AtomicLong();
 
   private final long number = LAST_NUMBER.incrementAndGet();
@@ -55,6 +59,10 @@
   private boolean carriesHead;
   private HttpHeaders lastHeaders = new DefaultHttpHeaders();
   private String lastRequestId = "";
+
+  /** Short pieces of a body that were read together and are not passed on yet; null if none. */
+  private ByteBuf gathered;
+
   private long idleSinceNanos;
 
   /**
@@ -125,6 +133,7 @@
   /** Closes the connection without notifying the listener of a pending request. */
   void close() {
     listener = null;
+    passOnGathered();
     channel.close();
   }
 
@@ -261,13 +270,53 @@
     }
     if (!skippingResponse && content.content().isReadable()) {
       allowance.onUseful(content.content().readableBytes());
-      listener.onContent(content.content());
+      onPiece(content.content());
+    }
+    if (content instanceof LastHttpContent) {
+      passOnGathered();
+      if (listener != null) {
+        onResponseEnd();
+      }
+    }
+  }
+
+  private void onPiece(ByteBuf piece) {
+    if (piece.readableBytes() >= LONG_PIECE_BYTES) {
+      passOnGathered();
+      passOn(piece);
+      return;
+    }
+    if (gathered == null) {
+      gathered = channel.alloc().buffer(LONG_PIECE_BYTES);
     }
-    if (content instanceof LastHttpContent && listener != null) {
-      onResponseEnd();
+    gathered.writeBytes(piece);
+    if (gathered.readableBytes() >= PART_BYTES) {
+      passOnGathered();
     }
   }
 
+  /** Passes on the short pieces so far; they are dropped if nobody receives them any more. */
+  private void passOnGathered() {
+    ByteBuf pieces = gathered;
+    gathered = null;
+    if (pieces != null) {
+      passOn(pieces);
+      pieces.release();
+    }
+  }
+
+  private void passOn(ByteBuf content) {
+    if (listener != null) {
+      listener.onContent(content);
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    passOnGathered();
+    context.fireChannelReadComplete();
+  }
+
   private void onResponseEnd() {
     if (skippingResponse) {
       return;
@@ -310,6 +359,7 @@
   }
 
   private void fail(String reason) {
+    passOnGathered();
     ResponseListener receiver = listener;
     listener = null;
     channel.close();
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.flush.FlushConsolidationHandler;
 import io.snipeloom.routing.FleetConfiguration;
 import io.snipeloom.routing.RequestLimits;
 import io.snipeloom.telemetry.EventLog;
@@ -35,9 +34,6 @@
   private static final int SEND_BUFFER_BYTES = 65_536;
   private static final int WRITE_BUFFER_LOW_BYTES = 32_768;
 
-  /** The most parts of answers that one call to the kernel passes on; they may be a few bytes. */
-  private static final int MAX_JOINED_FLUSHES = 256;
-
   private final EventLoop loop;
   private final Fleet fleet;
   private final EventLog log;
@@ -123,7 +119,6 @@
             .setMaxHeaderSize(limits().maxHeaderBytes());
     ProxyConnection connection = new ProxyConnection(this, loop, fleet, log, metrics);
     channel.pipeline().addLast(connection.reader());
-    channel.pipeline().addLast(new FlushConsolidationHandler(MAX_JOINED_FLUSHES, true));
     channel.pipeline().addLast(new HttpRequestDecoder(config));
     channel.pipeline().addLast(new HttpResponseEncoder());
     channel.pipeline().addLast(connection);
--- a/src/test/java/io/snipeloom/buffering/ResponseBuffersTest.java
+++ b/src/test/java/io/snipeloom/buffering/ResponseBuffersTest.java
@@ -68,8 +68,7 @@
     assertThat(slow.stream().filter(one -> one.buffer.queuedBytes() >= 100_000).count(), is(100L));
   }
 
-  // Guards against answers of one customer that are read alike until its room is used, so that the
-  // replicas give up on each of them and no caller gets a whole one.
+  /** Guards against answers that use up the room of their customer, and none of which is whole. */
   @Test
   void oldestOfHundredAnswersThatArriveTogetherComeToTheirEnds() {
     for (int readBytes : new int[] {READ_BYTES, 65_536}) {
--- a/src/test/java/io/snipeloom/forwarding/ClientConnectionTest.java
+++ b/src/test/java/io/snipeloom/forwarding/ClientConnectionTest.java
@@ -16,9 +16,13 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class ClientConnectionTest {
+  private static final String CHUNKED_HEAD =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   private static final String UNFRAMED_RESPONSE = "HTTP/1.1 200 OK\r\n\r\nfirst part";
 
   private final PendingWrites writes = new PendingWrites();
@@ -46,6 +50,27 @@
     assertThat(listener.outcome, is("ended"));
   }
 
+  /** Guards against an answer in pieces of a few bytes, each of which is written by itself. */
+  @Test
+  void piecesThatWereReadTogetherArePassedOnTogether() {
+    send();
+    writes.succeed();
+    receive(CHUNKED_HEAD + "3\r\nabc\r\n".repeat(8_192));
+    assertThat(listener.parts, is(List.of("abc".repeat(8_192))));
+    receive("1\r\ny\r\n2\r\nzz\r\n0\r\n\r\n");
+    assertThat(listener.parts, is(List.of("abc".repeat(8_192), "yzz")));
+    assertThat(listener.outcome, is("ended"));
+  }
+
+  @Test
+  void piecesBeforeFailureArePassedOn() {
+    send();
+    writes.succeed();
+    receive(CHUNKED_HEAD + "1\r\nx\r\nno length\r\n");
+    assertThat(listener.parts, is(List.of("x")));
+    assertThat(listener.outcome, is("failed"));
+  }
+
   private void send() {
     connection.send(
         HttpMethod.POST,
@@ -81,6 +106,7 @@
   }
 
   private static final class RecordingListener implements ResponseListener {
+    private final List<String> parts = new ArrayList<>();
     private String outcome = "pending";
 
     @Override
@@ -89,7 +115,9 @@
     }
 
     @Override
-    public void onContent(ByteBuf content) {}
+    public void onContent(ByteBuf content) {
+      parts.add(content.toString(StandardCharsets.UTF_8));
+    }
 
     @Override
     public void onEnd() {
