DRAIN: one read without an answer is no outage while others are answered

Cause: each failed read of the configuration or the replicas counted as an outage of the store, after which removed entries are kept for the grace.

The test failed before: readWithoutAnswerIsNoOutageWhileOthersAreAnswered (store_lost, out_of_use=false).

Why it works: an answer on another connection within the last second shows that the store is there. A read whose answer was due when an outage began fails 1.2 s after it at the earliest, so the last answers before an outage don't hide it; a refusal counts at once, as before.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -35,6 +35,7 @@
 import io.snipeloom.store.KeyedLog;
 import io.snipeloom.store.KeyedOrigins;
 import io.snipeloom.store.KeyedUsage;
+import io.snipeloom.store.StoreAvailability;
 import io.snipeloom.store.StoreOutcome;
 import io.snipeloom.store.TopicWatch;
 import io.snipeloom.telemetry.EventLog;
@@ -130,8 +131,8 @@
   private final ConvictionFeed convictionFeed;
   private final ProxyServer proxyServer;
   private final CountDownLatch drained = new CountDownLatch(1);
+  private final StoreAvailability availability = new StoreAvailability();
   private int fleetSize = FleetMembers.ASSUMED_SIZE;
-  private boolean storeAvailable = true;
   private long era;
   private long startNanos;
   private boolean peerDemandKnown;
@@ -481,7 +482,7 @@
   }
 
   private void onDeadStoreConnection() {
-    log.log("store_connection_dead", "store_available", storeAvailable);
+    log.log("store_connection_dead", "store_available", availability.isAvailable());
     metrics.count("store_connection_dead");
   }
 
@@ -498,14 +499,15 @@
       onStoreReverted();
     }
     era = store.era();
-    boolean available = outcome.isStoreAvailable();
+    long nowNanos = System.nanoTime();
+    boolean availableBefore = availability.isAvailable();
+    boolean available = availability.onOutcome(outcome, nowNanos);
     if (available) {
-      fleet.directory().onRegistryAvailable(System.nanoTime());
+      fleet.directory().onRegistryAvailable(nowNanos);
     } else {
       fleet.directory().onRegistryUnavailable();
     }
-    if (available != storeAvailable) {
-      storeAvailable = available;
+    if (available != availableBefore) {
       fleet.setStoreAvailable(available);
       log.log(available ? "store_regained" : "store_lost", "answer", outcome);
     }
--- a/src/test/java/io/snipeloom/edge/SilentStoreConnectionTest.java
+++ b/src/test/java/io/snipeloom/edge/SilentStoreConnectionTest.java
@@ -29,6 +29,9 @@
   /** How long a live replica whose entry lapsed in an outage may take to be back, by the pages. */
   private static final long REGISTRATION_MILLIS = 2_000;
 
+  /** When both tries of a read that began before a silence have failed. */
+  private static final long FAILED_READ_MILLIS = 2_000;
+
   private FakeStore store;
   private ByteDroppingProxy proxy;
   private FakeReplica replica;
@@ -79,6 +82,19 @@
     assertThat(edge.hasLogged(line -> line.contains("event=store_lost")), is(false));
   }
 
+  /** Guards against one read without an answer that counts as an outage while others get one. */
+  @Test
+  void readWithoutAnswerIsNoOutageWhileOthersAreAnswered() throws Exception {
+    silentNanos = System.nanoTime();
+    proxy.cutRequestsWith("keyed.servers");
+    TimeUnit.MILLISECONDS.sleep(FAILED_READ_MILLIS);
+    proxy.heal();
+    edge.unregister("i-1");
+    edge.awaitLog("event=replica_entry_removed replica=i-1 out_of_use=true");
+    assertThat(sinceSilenceMillis(), is(lessThan(STABLE_MILLIS)));
+    assertThat(edge.hasLogged(line -> line.contains("event=store_lost")), is(false));
+  }
+
   /** Guards against the next connection of the pool, which is as dead, for the next read. */
   @Test
   void configurationIsInForceInTime() throws Exception {
--- a/src/test/java/io/snipeloom/transport/ByteDroppingProxy.java
+++ b/src/test/java/io/snipeloom/transport/ByteDroppingProxy.java
@@ -56,6 +56,14 @@
     connections.forEach(connection -> connection.droppingAfterHead = true);
   }
 
+  /** Drops the bytes of new connections, and of open ones whose last request holds a text. */
+  public void cutRequestsWith(String text) {
+    cut = true;
+    for (Connection connection : connections) {
+      connection.dropping |= connection.lastRequest.contains(text);
+    }
+  }
+
   /** Drops the bytes of open and of new connections. */
   public void cut() {
     cut = true;
@@ -106,6 +114,7 @@
     private final Socket targetSocket;
     private volatile boolean dropping;
     private volatile boolean droppingAfterHead;
+    private volatile String lastRequest = "";
 
     Connection(Socket clientSocket, Socket targetSocket) {
       this.clientSocket = clientSocket;
@@ -118,6 +127,9 @@
         InputStream in = from.getInputStream();
         OutputStream out = to.getOutputStream();
         for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+          if (from == clientSocket) {
+            lastRequest = new String(buffer, 0, count, StandardCharsets.ISO_8859_1);
+          }
           if (!dropping) {
             out.write(buffer, 0, droppingAfterHead ? lastBytes(from, buffer, count) : count);
           }
