--- a/src/test/java/io/snipeloom/buffering/ResponseBuffersTest.java
+++ b/src/test/java/io/snipeloom/buffering/ResponseBuffersTest.java
@@ -89,6 +89,21 @@
     }
   }
 
+  // Guards against room for the oldest answers that stays promised to callers who left.
+  @Test
+  void nextAnswersComeToTheirEndsOnceTheOldestCallersLeft() {
+    List<SimulatedCaller> slow = callers("hot", 100);
+    readInTurn(slow, READ_BYTES, Integer.MAX_VALUE);
+    List<SimulatedCaller> oldest = slow.subList(0, 3);
+    oldest.forEach(
+        one -> assertThat(one.buffer.queuedBytes(), greaterThanOrEqualTo(BOUNDS.callerBytes())));
+    oldest.forEach(SimulatedCaller::leave);
+    readInTurn(slow, READ_BYTES, 1_000_000);
+    assertThat(slow.get(3).complete, is(true));
+    assertThat(slow.get(4).complete, is(true));
+    assertThat(slow.get(99).complete, is(false));
+  }
+
   /** Answers the failure that those who read well find no room, since slow callers took it. */
   @Test
   void slowCallerYieldsToThoseWhoReadWell() {
