MIXED: a copy of an answer of the store is not taken for the next one

A copy of an accepted append that came when the next one was refused made that one count as accepted: tokens that the ledger does not hold, origins and convictions that are not stored. A copy of a read made an instance pass over records.

Cause: answers were matched by order alone, on connections that all calls shared.

Ruled out: copies on the idle connection, which close it unread.

Why it works: an answer on a connection that has carried others must agree with the offset or the known end of the partition, partitions share no connections, and answers that state nothing (refusals, listings, pages that are not the last) leave no connection. A foreign answer closes its connection; reads are made again on a new one, appends have no known outcome.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -152,7 +152,9 @@
     this.log = log;
     this.timer = new LoopTimer(loop, log);
     this.store =
-        new PlatformStore(new AsyncHttpClient(loop, settings.store(), this::onDeadStoreConnection));
+        new PlatformStore(
+            new AsyncHttpClient(loop, settings.store(), this::onDeadStoreConnection),
+            this::onForeignStoreAnswer);
     this.loanClient = new LoanClient(loop, new Random());
     FleetClock fleetClock = new FleetClock(settings.instance(), EdgeDaemon::wallOffsetMillis);
     this.demandSender = new DemandSender(loop, settings.instance(), fleetClock::onResponse);
@@ -486,6 +488,11 @@
     metrics.count("store_connection_dead");
   }
 
+  private void onForeignStoreAnswer(String partition) {
+    log.log("store_answer_foreign", "partition", partition);
+    metrics.count("store_answer_foreign");
+  }
+
   private void onStoreReverted() {
     fleet.directory().onRegistryReverted(System.nanoTime());
     if (store.era() != era) {
--- a/src/main/java/io/snipeloom/forwarding/AsyncHttpClient.java
+++ b/src/main/java/io/snipeloom/forwarding/AsyncHttpClient.java
@@ -10,6 +10,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -21,7 +23,12 @@
  * received, while one that stalls or arrives a few bytes at a time is not waited for. The
  * connection of a request that timed out is closed, because the peer may never respond on it. A
  * request that may be repeated is sent again on a new connection when its response is overdue, so
- * that a dead connection is told from a peer that is away. Confined to the event loop thread.
+ * that a dead connection is told from a peer that is away.
+ *
+ * <p>HTTP names no request in a response, and a peer may send one twice. Requests are therefore
+ * kept apart by lanes, which share no connections, and their listeners judge what comes. A
+ * connection on which a response belongs to another request is closed. Confined to the event loop
+ * thread.
  */
 public final class AsyncHttpClient {
   /** The longest body; a peer that sends more does not send a response. */
@@ -32,22 +39,43 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
+  /** The lane of requests whose connections carry no others. */
+  private static final String NEW_CONNECTIONS = "";
+
   private final EventLoop loop;
   private final String host;
-  private final ConnectionPool pool;
+  private final InetSocketAddress address;
+  private final Map<String, ConnectionPool> lanes = new HashMap<>();
   private final Runnable onDeadConnection;
 
-  /** Receives the outcome of a request. */
+  /**
+   * A complete response.
+   *
+   * @param status the HTTP status code
+   * @param headers the response headers
+   * @param body the response body, which must not be used after the call that passes it
+   * @param first whether it is the first one on its connection, so that it belongs to the request
+   */
+  public record Response(int status, HttpHeaders headers, ByteBuf body, boolean first) {}
+
+  /** What a response is to the request that awaits one. */
+  public enum Verdict {
+    /** The response belongs to the request; the connection may carry the next one. */
+    ANSWER,
+    /** The response belongs to the request; a copy of it could not be told from a later one. */
+    LAST_ANSWER,
+    /** The response belongs to another request, and nothing is known of that of this one. */
+    FOREIGN
+  }
+
+  /** Judges the responses to a request and receives its outcome. */
   public interface Listener {
 
-    /**
-     * Called when the peer responded.
-     *
-     * @param status the HTTP status code
-     * @param headers the response headers
-     * @param body the response body, which must not be used after this call
-     */
-    void onResponse(int status, HttpHeaders headers, ByteBuf body);
+    /** Returns what a response is to the request, before it is passed on. */
+    Verdict judge(Response response);
+
+    /** Called when the peer responded. */
+    void onResponse(Response response);
 
     /**
      * Called when the request failed or timed out before the response was complete.
@@ -69,14 +97,13 @@
     this.loop = loop;
     this.onDeadConnection = onDeadConnection;
     this.host = address.getHostString() + ":" + address.getPort();
-    this.pool =
-        new ConnectionPool(
-            loop, address, connection -> OptionalLong.empty(), (connection, moment) -> {});
+    this.address = address;
   }
 
   /**
    * Sends a request.
    *
+   * @param lane names the requests that share connections with this one
    * @param method the HTTP method
    * @param uri the path and query
    * @param body the request body, which this method releases
@@ -85,14 +112,21 @@
    * @param listener receives the outcome, once
    */
   public void call(
-      HttpMethod method, String uri, ByteBuf body, long timeoutMillis, Listener listener) {
-    start(new Call(loop, timeoutMillis, listener), method, uri, body, false);
+      String lane,
+      HttpMethod method,
+      String uri,
+      ByteBuf body,
+      long timeoutMillis,
+      Listener listener) {
+    start(lane, new Call(timeoutMillis, listener), method, uri, body, false);
   }
 
   /**
    * Sends a GET request that may be repeated. If its response is overdue, because it has not begun
-   * or has stopped, a second one is sent on a new connection, and the first response counts.
+   * or has stopped, or is that of another request, a second one is sent on a new connection, and
+   * the first response counts.
    *
+   * @param lane names the requests that share connections with this one
    * @param uri the path and query
    * @param repeatUri the path and query of the second request, which the peer answers at once
    * @param overdueMillis the time until the response is overdue, in milliseconds
@@ -102,33 +136,74 @@
    * @param listener receives the outcome, once
    */
   public void callRepeatable(
-      String uri, String repeatUri, long overdueMillis, long timeoutMillis, Listener listener) {
+      String lane,
+      String uri,
+      String repeatUri,
+      long overdueMillis,
+      long timeoutMillis,
+      Listener listener) {
+    startRepeatable(lane, uri, repeatUri, overdueMillis, timeoutMillis, listener, false);
+  }
+
+  /**
+   * Sends a GET request that may be repeated, as {@link #callRepeatable} does, on a connection that
+   * has carried none before.
+   *
+   * @param uri the path and query
+   * @param overdueMillis the time until the response is overdue, in milliseconds
+   * @param timeoutMillis the time until a request fails, in milliseconds
+   * @param listener receives the outcome, once
+   */
+  public void callOnNewConnection(
+      String uri, long overdueMillis, long timeoutMillis, Listener listener) {
+    startRepeatable(NEW_CONNECTIONS, uri, uri, overdueMillis, timeoutMillis, listener, true);
+  }
+
+  private void startRepeatable(
+      String lane,
+      String uri,
+      String repeatUri,
+      long overdueMillis,
+      long timeoutMillis,
+      Listener listener,
+      boolean onNew) {
     RepeatedCall outcome = new RepeatedCall();
     long repeatMillis = timeoutMillis - overdueMillis;
-    Call[] tries = new Call[2];
-    tries[0] = new Call(loop, timeoutMillis, new TryListener(outcome, listener, () -> {}));
-    Runnable repeat =
-        () -> {
+    Call[] tries = new Call[1];
+    Consumer<Runnable> repeat =
+        onResponse -> {
           if (outcome.onOverdue()) {
-            Runnable onResponse = () -> replaceDead(tries[0]);
-            TryListener second = new TryListener(outcome, listener, onResponse);
-            tries[1] = new Call(loop, repeatMillis, second);
-            start(tries[1], HttpMethod.GET, repeatUri, Unpooled.EMPTY_BUFFER, true);
+            TryListener second = new TryListener(outcome, listener, onResponse, () -> {});
+            Call call = new Call(repeatMillis, second);
+            start(lane, call, HttpMethod.GET, repeatUri, Unpooled.EMPTY_BUFFER, true);
           }
         };
-    start(tries[0], HttpMethod.GET, uri, Unpooled.EMPTY_BUFFER, false);
+    Runnable onForeign = () -> repeat.accept(() -> {});
+    Runnable onOverdue = () -> repeat.accept(() -> replaceDead(tries[0]));
+    tries[0] = new Call(timeoutMillis, new TryListener(outcome, listener, () -> {}, onForeign));
+    start(lane, tries[0], HttpMethod.GET, uri, Unpooled.EMPTY_BUFFER, onNew);
     tries[0].scheduleOverdue(
-        new SilenceLimits(overdueMillis * NANOS_PER_MILLI, repeatMillis * NANOS_PER_MILLI), repeat);
+        new SilenceLimits(overdueMillis * NANOS_PER_MILLI, repeatMillis * NANOS_PER_MILLI),
+        onOverdue);
   }
 
   /** Closes a connection on which no response came, and those that may be as dead. */
   private void replaceDead(Call call) {
     call.cancel();
-    pool.closeIdle();
+    lanes.values().forEach(ConnectionPool::closeIdle);
     onDeadConnection.run();
   }
 
-  private void start(Call call, HttpMethod method, String uri, ByteBuf body, boolean onNew) {
+  private ConnectionPool pool(String lane) {
+    return lanes.computeIfAbsent(
+        lane,
+        name ->
+            new ConnectionPool(
+                loop, address, connection -> OptionalLong.empty(), (connection, moment) -> {}));
+  }
+
+  private void start(
+      String lane, Call call, HttpMethod method, String uri, ByteBuf body, boolean onNew) {
     call.scheduleTimeout(call.timeoutMillis * NANOS_PER_MILLI);
     Consumer<ClientConnection> onConnection =
         connection -> send(call, connection, method, uri, body);
@@ -138,9 +213,9 @@
           call.onFailure(reason);
         };
     if (onNew) {
-      pool.acquireNew(onConnection, onFailure);
+      pool(lane).acquireNew(onConnection, onFailure);
     } else {
-      pool.acquire("", onConnection, onFailure);
+      pool(lane).acquire("", onConnection, onFailure);
     }
   }
 
@@ -152,6 +227,7 @@
       return;
     }
     call.connection = connection;
+    call.first = connection.requests() == 0;
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.HOST, host);
     headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
@@ -159,13 +235,23 @@
   }
 
   /** Passes on the outcome of one of two tries. */
-  private record TryListener(RepeatedCall outcome, Listener listener, Runnable onFirstResponse)
+  private record TryListener(
+      RepeatedCall outcome, Listener listener, Runnable onFirstResponse, Runnable onForeign)
       implements Listener {
     @Override
-    public void onResponse(int status, HttpHeaders headers, ByteBuf body) {
+    public Verdict judge(Response response) {
+      Verdict verdict = listener.judge(response);
+      if (verdict == Verdict.FOREIGN) {
+        onForeign.run();
+      }
+      return verdict;
+    }
+
+    @Override
+    public void onResponse(Response response) {
       if (outcome.onResponse()) {
         onFirstResponse.run();
-        listener.onResponse(status, headers, body);
+        listener.onResponse(response);
       }
     }
 
@@ -177,8 +263,7 @@
     }
   }
 
-  private static final class Call implements ResponseListener {
-    private final EventLoop loop;
+  private final class Call implements ResponseListener {
     private final long timeoutMillis;
     private final Listener listener;
     private final ByteBuf body = Unpooled.buffer();
@@ -191,10 +276,10 @@
     private ClientConnection connection;
     private int status;
     private HttpHeaders headers;
+    private boolean first;
     private boolean done;
 
-    Call(EventLoop loop, long timeoutMillis, Listener listener) {
-      this.loop = loop;
+    Call(long timeoutMillis, Listener listener) {
       this.timeoutMillis = timeoutMillis;
       this.listener = listener;
     }
@@ -264,8 +349,18 @@
 
     @Override
     public void onEnd() {
-      if (finish()) {
-        listener.onResponse(status, headers, body);
+      if (!finish()) {
+        return;
+      }
+      Response response = new Response(status, headers, body, first);
+      Verdict verdict = listener.judge(response);
+      if (verdict != Verdict.ANSWER) {
+        connection.close();
+      }
+      if (verdict == Verdict.FOREIGN) {
+        listener.onFailed(true);
+      } else {
+        listener.onResponse(response);
       }
     }
 
--- a/src/main/java/io/snipeloom/forwarding/CarriedRequests.java
+++ b/src/main/java/io/snipeloom/forwarding/CarriedRequests.java
@@ -46,8 +46,4 @@
   boolean isFull() {
     return count >= MAX_REQUESTS;
   }
-
-  int count() {
-    return count;
-  }
 }
--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -59,6 +59,7 @@
   private boolean carriesHead;
   private HttpHeaders lastHeaders = new DefaultHttpHeaders();
   private String lastRequestId = "";
+  private int requests;
 
   /** Short pieces of a body that were read together and are not passed on yet; null if none. */
   private ByteBuf gathered;
@@ -86,6 +87,7 @@
       HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, ResponseListener receiver) {
     listener = receiver;
     lastRequestId = receiver.requestId();
+    requests++;
     carried.add(lastRequestId);
     carriesHead = method.equals(HttpMethod.HEAD);
     decoder.expectResponseTo(method);
@@ -147,7 +149,12 @@
     return number;
   }
 
-  /** Returns the requests that the connection has carried, the current one included. */
+  /** Returns how many requests the connection has carried, the current one included. */
+  int requests() {
+    return requests;
+  }
+
+  /** Returns the requests with an ID that the connection has carried, the current one included. */
   CarriedRequests carried() {
     return carried;
   }
--- a/src/main/java/io/snipeloom/forwarding/ConnectionEvents.java
+++ b/src/main/java/io/snipeloom/forwarding/ConnectionEvents.java
@@ -33,7 +33,7 @@
         "connection",
         connection.number(),
         "connection_requests",
-        connection.carried().count(),
+        connection.requests(),
         "peer",
         peer.getHostString() + ":" + peer.getPort(),
         "last_id",
--- a/src/main/java/io/snipeloom/platform/PlatformStore.java
+++ b/src/main/java/io/snipeloom/platform/PlatformStore.java
@@ -2,11 +2,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.snipeloom.forwarding.AsyncHttpClient;
+import io.snipeloom.forwarding.AsyncHttpClient.Verdict;
 import io.snipeloom.state.SnipeloomException;
 import io.snipeloom.store.KeyedLog;
 import io.snipeloom.store.KeyedRecord;
@@ -17,13 +19,20 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
- * A client of the platform's metadata store, which is called over HTTP. Confined to the event loop
- * thread.
+ * A client of the platform's metadata store, which is called over HTTP.
+ *
+ * <p>The store names no call in its answers and may send one twice. An answer on a connection that
+ * has carried others counts only if it agrees with what was asked and with what is known of the
+ * partition: where it ends, which only rises within an era. Confined to the event loop thread.
  */
 public final class PlatformStore implements KeyedLog {
   private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -61,6 +70,8 @@
   private static final String ERA_HEADER = "Store-Era";
 
   private final AsyncHttpClient client;
+  private final Consumer<String> onForeignAnswer;
+  private final Map<String, Long> knownEnds = new HashMap<>();
   private boolean eraKnown;
   private long era;
 
@@ -68,9 +79,12 @@
    * Creates a client.
    *
    * @param client sends the HTTP requests to the store
+   * @param onForeignAnswer called with a topic and partition when a call for it received an answer
+   *     that belongs to another call
    */
-  public PlatformStore(AsyncHttpClient client) {
+  public PlatformStore(AsyncHttpClient client, Consumer<String> onForeignAnswer) {
     this.client = client;
+    this.onForeignAnswer = onForeignAnswer;
   }
 
   @Override
@@ -93,6 +107,7 @@
     if (!eraKnown || stated > era) {
       eraKnown = true;
       era = stated;
+      knownEnds.clear();
     }
     return stated == era && (!sent.known() || sent.era() == era);
   }
@@ -109,6 +124,50 @@
   /** The era of the store that was known when a call was sent. */
   private record SentEra(boolean known, long era) {}
 
+  /** Judges and receives the answers to one call. */
+  private abstract class AnswerListener implements AsyncHttpClient.Listener {
+    private final String partition;
+    private final SentEra sent = new SentEra(eraKnown, era);
+    private boolean current;
+
+    AnswerListener(String partition) {
+      this.partition = partition;
+    }
+
+    /** Returns what an answer of the era in which the call was sent is to the call. */
+    abstract Verdict judgeCurrent(int status, ByteBuf body, boolean first);
+
+    @Override
+    public final Verdict judge(AsyncHttpClient.Response response) {
+      current = isOfCurrentEra(response.headers(), sent);
+      if (!current) {
+        return Verdict.LAST_ANSWER;
+      }
+      Verdict verdict = judgeCurrent(response.status(), response.body(), response.first());
+      if (verdict == Verdict.FOREIGN) {
+        onForeignAnswer.accept(partition);
+      }
+      return verdict;
+    }
+
+    final boolean isCurrent() {
+      return current;
+    }
+
+    final void onEnd(long end) {
+      knownEnds.merge(partition, end, Math::max);
+    }
+  }
+
+  private long knownEnd(String partition) {
+    return knownEnds.getOrDefault(partition, 0L);
+  }
+
+  /** Names a partition, whose calls share no connections with those of others. */
+  private static String nameOf(String topic, int partition) {
+    return topic + "/" + partition;
+  }
+
   @Override
   public void newest(
       String topic, int partition, String afterKey, BiConsumer<StoreOutcome, RecordPage> listener) {
@@ -117,12 +176,16 @@
     String uri =
         "/api/log-newest?topic=%s&part=%d%s"
             .formatted(KEYED_TOPIC_PREFIX + topic, partition, after);
-    client.callRepeatable(
-        uri,
+    // A copy of a listing, or of another page of it, could not be told from the answer.
+    client.callOnNewConnection(
         uri,
         OVERDUE_MILLIS,
         CALL_TIMEOUT_MILLIS,
-        pageListener(listener, PlatformStore::decodeListing));
+        new PageListener(
+            nameOf(topic, partition),
+            listener,
+            PlatformStore::decodeListing,
+            page -> Verdict.LAST_ANSWER));
   }
 
   @Override
@@ -132,12 +195,15 @@
       long from,
       long waitMillis,
       BiConsumer<StoreOutcome, RecordPage> listener) {
+    String name = nameOf(topic, partition);
+    ReadCheck check = new ReadCheck(from, knownEnd(name));
     client.callRepeatable(
+        name,
         readUri(topic, partition, from, waitMillis),
         readUri(topic, partition, from, 0),
         OVERDUE_MILLIS + waitMillis,
         CALL_TIMEOUT_MILLIS + waitMillis,
-        pageListener(listener, PlatformStore::decodeRecords));
+        new PageListener(name, listener, PlatformStore::decodeRecords, check::judge));
   }
 
   private static String readUri(String topic, int partition, long from, long waitMillis) {
@@ -153,8 +219,10 @@
       List<KeyedRecord> records,
       Consumer<StoreOutcome> listener) {
     append(
+        nameOf(topic, partition),
         "/api/log-append?topic=%s&part=%d&at=%d"
             .formatted(KEYED_TOPIC_PREFIX + topic, partition, at),
+        OptionalLong.of(at),
         records,
         listener);
   }
@@ -163,30 +231,64 @@
   public void append(
       String topic, int partition, KeyedRecord record, Consumer<StoreOutcome> listener) {
     append(
+        nameOf(topic, partition),
         "/api/log-append?topic=%s&part=%d".formatted(KEYED_TOPIC_PREFIX + topic, partition),
+        OptionalLong.empty(),
         List.of(record),
         listener);
   }
 
-  private void append(String uri, List<KeyedRecord> records, Consumer<StoreOutcome> listener) {
-    SentEra sent = new SentEra(eraKnown, era);
+  private void append(
+      String name,
+      String uri,
+      OptionalLong at,
+      List<KeyedRecord> records,
+      Consumer<StoreOutcome> listener) {
+    AppendCheck check = new AppendCheck(at, records.size(), knownEnd(name));
     client.call(
+        name,
         HttpMethod.POST,
         uri,
         RecordFraming.encode(records),
         CALL_TIMEOUT_MILLIS,
-        new AsyncHttpClient.Listener() {
-          @Override
-          public void onResponse(int status, HttpHeaders headers, ByteBuf body) {
-            boolean current = isOfCurrentEra(headers, sent);
-            listener.accept(current ? toOutcome(status) : StoreOutcome.REVERTED);
-          }
-
-          @Override
-          public void onFailed(boolean sent) {
-            listener.accept(sent ? StoreOutcome.UNKNOWN : StoreOutcome.REFUSED);
-          }
-        });
+        new AppendListener(name, listener, check));
+  }
+
+  /** Judges and receives the answers to an append. */
+  private final class AppendListener extends AnswerListener {
+    private final Consumer<StoreOutcome> listener;
+    private final AppendCheck check;
+
+    AppendListener(String partition, Consumer<StoreOutcome> listener, AppendCheck check) {
+      super(partition);
+      this.listener = listener;
+      this.check = check;
+    }
+
+    @Override
+    Verdict judgeCurrent(int status, ByteBuf body, boolean first) {
+      JsonNode stated = decodeAppended(body);
+      Verdict verdict =
+          switch (status) {
+            case OK -> check.judgeAccepted(stated);
+            case PRECONDITION_FAILED -> check.judgeConflict(stated);
+            default -> Verdict.LAST_ANSWER;
+          };
+      if (verdict == Verdict.ANSWER) {
+        onEnd(stated.path("end").asLong());
+      }
+      return first && verdict == Verdict.FOREIGN ? Verdict.LAST_ANSWER : verdict;
+    }
+
+    @Override
+    public void onResponse(AsyncHttpClient.Response response) {
+      listener.accept(isCurrent() ? toOutcome(response.status()) : StoreOutcome.REVERTED);
+    }
+
+    @Override
+    public void onFailed(boolean sent) {
+      listener.accept(sent ? StoreOutcome.UNKNOWN : StoreOutcome.REFUSED);
+    }
   }
 
   /** Decodes the body of a successful response. */
@@ -194,40 +296,69 @@
     RecordPage decode(ByteBuf body) throws IOException;
   }
 
-  /** Returns a listener that decodes a page; a topic that does not exist is read as empty. */
-  private AsyncHttpClient.Listener pageListener(
-      BiConsumer<StoreOutcome, RecordPage> listener, PageDecoder decoder) {
-    SentEra sent = new SentEra(eraKnown, era);
-    return new AsyncHttpClient.Listener() {
-      @Override
-      public void onResponse(int status, HttpHeaders headers, ByteBuf body) {
-        if (!isOfCurrentEra(headers, sent)) {
-          listener.accept(StoreOutcome.REVERTED, null);
-          return;
-        }
-        if (status == NOT_FOUND) {
-          listener.accept(StoreOutcome.DONE, new RecordPage(List.of(), 0, ""));
-          return;
-        }
-        if (status != OK && status != GONE) {
-          listener.accept(toOutcome(status), null);
-          return;
-        }
-        RecordPage page;
-        try {
-          page = status == GONE ? decodeExpired(body) : decoder.decode(body);
-        } catch (IOException | SnipeloomException | IllegalArgumentException e) {
-          listener.accept(StoreOutcome.UNKNOWN, null);
-          return;
-        }
-        listener.accept(toOutcome(status), page);
+  /** Judges and receives pages; a topic that does not exist is read as empty. */
+  private final class PageListener extends AnswerListener {
+    private final BiConsumer<StoreOutcome, RecordPage> listener;
+    private final PageDecoder decoder;
+    private final Function<RecordPage, Verdict> check;
+    private RecordPage page;
+
+    PageListener(
+        String partition,
+        BiConsumer<StoreOutcome, RecordPage> listener,
+        PageDecoder decoder,
+        Function<RecordPage, Verdict> check) {
+      super(partition);
+      this.listener = listener;
+      this.decoder = decoder;
+      this.check = check;
+    }
+
+    @Override
+    Verdict judgeCurrent(int status, ByteBuf body, boolean first) {
+      page = decode(status, body);
+      if (status != OK && status != NOT_FOUND) {
+        return Verdict.LAST_ANSWER;
+      }
+      Verdict verdict = page == null ? Verdict.FOREIGN : check.apply(page);
+      if (verdict != Verdict.FOREIGN) {
+        onEnd(page.end());
       }
+      return first && verdict == Verdict.FOREIGN ? Verdict.LAST_ANSWER : verdict;
+    }
 
-      @Override
-      public void onFailed(boolean sent) {
-        listener.accept(sent ? StoreOutcome.UNKNOWN : StoreOutcome.REFUSED, null);
+    /** Returns the page in a body, null if there is none that can be read. */
+    private RecordPage decode(int status, ByteBuf body) {
+      try {
+        return switch (status) {
+          case OK -> decoder.decode(body);
+          case NOT_FOUND -> new RecordPage(List.of(), 0, "");
+          case GONE -> decodeExpired(body);
+          default -> null;
+        };
+      } catch (IOException | SnipeloomException | IllegalArgumentException e) {
+        return null;
       }
-    };
+    }
+
+    @Override
+    public void onResponse(AsyncHttpClient.Response response) {
+      int status = response.status();
+      if (!isCurrent()) {
+        listener.accept(StoreOutcome.REVERTED, null);
+      } else if (status == NOT_FOUND) {
+        listener.accept(StoreOutcome.DONE, page);
+      } else if (page == null && (status == OK || status == GONE)) {
+        listener.accept(StoreOutcome.UNKNOWN, null);
+      } else {
+        listener.accept(toOutcome(status), page);
+      }
+    }
+
+    @Override
+    public void onFailed(boolean sent) {
+      listener.accept(sent ? StoreOutcome.UNKNOWN : StoreOutcome.REFUSED, null);
+    }
   }
 
   private static StoreOutcome toOutcome(int status) {
@@ -240,6 +371,15 @@
     };
   }
 
+  /** Returns what the body of the response to an append states, nothing if it cannot be read. */
+  private static JsonNode decodeAppended(ByteBuf body) {
+    try {
+      return MAPPER.readTree(ByteBufUtil.getBytes(body));
+    } catch (IOException e) {
+      return MissingNode.getInstance();
+    }
+  }
+
   private static RecordPage decodeListing(ByteBuf body) throws IOException {
     JsonNode root = MAPPER.readTree(ByteBufUtil.getBytes(body));
     if (!root.path("items").isArray() || !root.path("end").canConvertToLong()) {
--- a/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
+++ b/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
@@ -217,7 +217,7 @@
   private PlatformStore connect(FakeReplica server) {
     InetSocketAddress address =
         new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
-    return new PlatformStore(new AsyncHttpClient(loops.next(), address, () -> {}));
+    return new PlatformStore(new AsyncHttpClient(loops.next(), address, () -> {}), foreign -> {});
   }
 
   private StoreOutcome listFrom(PlatformStore store) throws Exception {
