--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -80,6 +82,10 @@
   private long idleSinceNanos;
   private Exchange exchange;
   private boolean keepAlive;
+
+  /** Whether the request that is answered is a HEAD request, so that its answer has no body. */
+  private boolean answeringHead;
+
   private boolean rejected;
 
   /** Whether a request was refused whose body the caller still sends. */
@@ -123,6 +129,16 @@
     return reader;
   }
 
+  /** Returns the encoder of the responses, which writes no body behind the head for HEAD. */
+  HttpResponseEncoder encoder() {
+    return new HttpResponseEncoder() {
+      @Override
+      protected boolean isContentAlwaysEmpty(HttpResponse response) {
+        return answeringHead || super.isContentAlwaysEmpty(response);
+      }
+    };
+  }
+
   /** Returns whether bytes may be decoded: empty lines in place of a request have an end. */
   private boolean onBytes(int bytes) {
     undecodedBytes += bytes;
@@ -170,6 +186,7 @@
     headReceivedNanos = System.nanoTime();
     loopDelayMillis = server.loopDelayMillis(headReceivedNanos);
     keepAlive = HttpUtil.isKeepAlive(request);
+    answeringHead = request.method().equals(HttpMethod.HEAD);
     if (request.method().equals(HttpMethod.CONNECT) || !request.uri().startsWith("/")) {
       reject(HttpResponseStatus.BAD_REQUEST, "request target is not a path");
     } else if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestDecoder;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.snipeloom.routing.FleetConfiguration;
 import io.snipeloom.routing.RequestLimits;
 import io.snipeloom.telemetry.EventLog;
@@ -120,7 +119,7 @@
     ProxyConnection connection = new ProxyConnection(this, loop, fleet, log, metrics);
     channel.pipeline().addLast(connection.reader());
     channel.pipeline().addLast(new HttpRequestDecoder(config));
-    channel.pipeline().addLast(new HttpResponseEncoder());
+    channel.pipeline().addLast(connection.encoder());
     channel.pipeline().addLast(connection);
     connections.add(connection);
   }
