--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -303,9 +303,9 @@
       connection.close();
       return false;
     }
-    if (metadata.isAmbiguous()) {
+    if (isAmbiguous(metadata)) {
       log.foreignResponse(view.replica().id(), connection, metadata.attemptIds(), headStatus);
-      breakOff("the response names several requests");
+      breakOff("the response does not tell which request it belongs to");
       return false;
     }
     if (!isOwn(metadata)) {
@@ -336,6 +336,12 @@
     return metadata.isUnnamed() ? metadata.notExecuted() : metadata.isOf(id);
   }
 
+  /** Returns whether a response may belong to this attempt and to another one alike. */
+  private boolean isAmbiguous(ResponseMetadata metadata) {
+    boolean unnamedRefusal = metadata.isUnnamed() && metadata.notExecuted();
+    return metadata.isAmbiguous() || (unnamedRefusal && connection.requests() > 1);
+  }
+
   /**
    * Returns whether the caller takes what the replica sends for the rest of its stream. One that
    * resumes its stream itself sees the status of an error.
--- a/src/main/java/io/snipeloom/forwarding/ClientConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ClientConnection.java
@@ -51,6 +51,8 @@
   private Channel channel;
   private ResponseListener listener;
   private ReceiveAllowance allowance = new ReceiveAllowance();
+  private JoinedBody joinedBody = newBody();
+  private ResponseFraming framing = ResponseFraming.NONE;
   private boolean written;
   private boolean skippingResponse;
   private boolean outOfSync;
@@ -92,6 +94,7 @@
     carriesHead = method.equals(HttpMethod.HEAD);
     decoder.expectResponseTo(method);
     allowance = new ReceiveAllowance();
+    joinedBody = newBody();
     written = false;
     skippingResponse = false;
     reusable = false;
@@ -110,6 +113,10 @@
     channel.flush();
   }
 
+  private JoinedBody newBody() {
+    return new JoinedBody(carried::mayContain);
+  }
+
   /** Writes a long body in parts, since the transport copies each buffer anew for each write. */
   private ChannelFuture writeInParts(HttpRequest head, ByteBuf body) {
     channel.write(head);
@@ -262,11 +269,9 @@
       return;
     }
     lastHeaders = head.headers();
+    framing = ResponseFraming.of(head);
     reusable =
-        ResponseFraming.of(head).isExplicit()
-            && HttpUtil.isKeepAlive(head)
-            && !carriesHead
-            && !carried.isFull();
+        framing.isExplicit() && HttpUtil.isKeepAlive(head) && !carriesHead && !carried.isFull();
     skippingResponse = !listener.onHead(head);
     outOfSync |= skippingResponse;
   }
@@ -313,11 +318,21 @@
   }
 
   private void passOn(ByteBuf content) {
-    if (listener != null) {
+    if (listener == null) {
+      return;
+    }
+    if (!lastRequestId.isEmpty() && joinedBody.isJoinedBy(content)) {
+      failJoined();
+    } else {
       listener.onContent(content);
     }
   }
 
+  private void failJoined() {
+    onSurplus.accept(this, SurplusMoment.INSIDE_RESPONSE);
+    fail("the body of the response holds another one");
+  }
+
   @Override
   public void channelReadComplete(ChannelHandlerContext context) {
     passOnGathered();
@@ -328,6 +343,11 @@
     if (skippingResponse) {
       return;
     }
+    boolean followed = decoder.hasSurplus() || !framing.isExplicit();
+    if (followed && joinedBody.endsInsideHead()) {
+      failJoined();
+      return;
+    }
     ResponseListener receiver = listener;
     listener = null;
     if (decoder.hasSurplus()) {
--- a/src/main/java/io/snipeloom/forwarding/ResponseHead.java
+++ b/src/main/java/io/snipeloom/forwarding/ResponseHead.java
@@ -7,7 +7,7 @@
 
 /** Tells the head of one response from one that was decoded from parts of several. */
 final class ResponseHead {
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+  private static final Pattern STATUS_LINE = Pattern.compile("(?i)HTTP/\\d\\.\\d\\s+\\d{3}");
 
   private ResponseHead() {}
 
@@ -28,6 +28,6 @@
   }
 
   private static boolean holdsStatusLine(String text) {
-    return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
+    return STATUS_LINE.matcher(text).find();
   }
 }
--- a/src/main/java/io/snipeloom/forwarding/SurplusMoment.java
+++ b/src/main/java/io/snipeloom/forwarding/SurplusMoment.java
@@ -7,5 +7,7 @@
   /** While the connection was idle. */
   WHILE_IDLE,
   /** Before the head of a response, which they spoilt. */
-  BEFORE_RESPONSE
+  BEFORE_RESPONSE,
+  /** Inside the body of a response. */
+  INSIDE_RESPONSE
 }
