--- a/src/test/java/io/snipeloom/edge/StutterCase.java
+++ b/src/test/java/io/snipeloom/edge/StutterCase.java
@@ -70,7 +70,9 @@
   }
 
   String copy(String id, boolean streamed) {
-    String body = first == later ? body(first, id, streamed) : "copy for " + id + " in full";
+    boolean events = streamed && later == Answer.OK;
+    String copied = "copy for " + id + " in full";
+    String body = first == later ? body(first, id, streamed) : events ? events(copied) : copied;
     return cut.of(text(later, naming.lines(id), body, streamed, laterFraming));
   }
 
@@ -96,9 +98,10 @@
   /** Returns the body of an answer that counts. */
   static String body(Answer answer, String id, boolean streamed) {
     String text = answer + " for " + id;
-    if (!streamed || answer != Answer.OK) {
-      return text;
-    }
+    return streamed && answer == Answer.OK ? events(text) : text;
+  }
+
+  private static String events(String text) {
     return "id: 1\ndata: %s\n\nid: 2\ndata: %s\n\nid: 3\ndata: end\n\n".formatted(text, text);
   }
 
@@ -175,7 +178,12 @@
     IN_ID("id\r\n"),
     AFTER_ID_LINE("Snipeloom-Replica-Signature"),
     IN_SIGNATURE("s\r\nContent"),
-    BEFORE_END_OF_HEAD("\r\ncopy"),
+    BEFORE_END_OF_HEAD("\r\n\r\n") {
+      @Override
+      int endIn(String text) {
+        return super.endIn(text) + "\r\n".length();
+      }
+    },
     IN_BODY(" in full");
 
     private final String missing;
@@ -185,11 +193,15 @@
     }
 
     private String of(String text) {
+      return this == NONE ? text : text.substring(0, endIn(text));
+    }
+
+    int endIn(String text) {
       int end = text.indexOf(missing);
       if (end < 0) {
         throw new IllegalArgumentException(this + " does not apply to " + text);
       }
-      return this == NONE ? text : text.substring(0, end);
+      return end;
     }
   }
 
