--- a/src/test/java/io/snipeloom/edge/EdgeProcess.java
+++ b/src/test/java/io/snipeloom/edge/EdgeProcess.java
@@ -11,9 +11,12 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 
 /** Runs an edge instance as a process of its own, which signals can stop and resume. */
 final class EdgeProcess implements AutoCloseable {
+  private static final double DEFAULT_GRACE_SECONDS = 5;
+
   private final FakeStore store;
   private final int callersPort = FreePorts.next();
   private final int readinessPort = FreePorts.next();
@@ -27,23 +30,38 @@
    * @param store the store that it uses
    */
   EdgeProcess(Path directory, FakeStore store) throws IOException {
+    this(directory, store, "edge-1", DEFAULT_GRACE_SECONDS);
+  }
+
+  /**
+   * Starts the process.
+   *
+   * @param directory where its settings and its log are kept
+   * @param store the store that it uses; {@link #close} stops it
+   * @param instance the name of the instance
+   * @param graceSeconds the time between the signal to stop and the kill, in seconds
+   */
+  EdgeProcess(Path directory, FakeStore store, String instance, double graceSeconds)
+      throws IOException {
     this.store = store;
     log = directory.resolve("edge.log");
     Path settings = directory.resolve("edge.json");
     Files.writeString(
         settings,
         """
-        {"instance": "edge-1", "zone": "zone-a", "callers": "127.0.0.1:%d",
+        {"instance": "%s", "zone": "zone-a", "callers": "127.0.0.1:%d",
          "readiness": "127.0.0.1:%d", "metrics": "127.0.0.1:%d", "loans": "127.0.0.1:%d",
          "store": "127.0.0.1:%d", "storePartitions": 3, "retryRatio": 0.2, "retrySlack": 40,
-         "retryWindowSeconds": 10, "graceSeconds": 5}
+         "retryWindowSeconds": 10, "graceSeconds": %s}
         """
             .formatted(
+                instance,
                 callersPort,
                 readinessPort,
                 FreePorts.next(),
                 FreePorts.next(),
-                store.address().getPort()));
+                store.address().getPort(),
+                graceSeconds));
     process =
         new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -93,6 +111,26 @@
     signal("CONT");
   }
 
+  /** Tells the process to stop within its grace period. */
+  void terminate() throws IOException, InterruptedException {
+    signal("TERM");
+  }
+
+  /** Tells the process that its settings have changed. */
+  void hangUp() throws IOException, InterruptedException {
+    signal("HUP");
+  }
+
+  /** Ends the process as the platform does when the grace period is over. */
+  void kill() {
+    process.destroyForcibly();
+  }
+
+  /** Waits until the process has ended; returns whether it has. */
+  boolean awaitEnd(long millis) throws InterruptedException {
+    return process.waitFor(millis, TimeUnit.MILLISECONDS);
+  }
+
   private void signal(String name) throws IOException, InterruptedException {
     String command = "kill -%s %d".formatted(name, process.pid());
     Process shell = new ProcessBuilder("sh", "-c", command).inheritIO().start();
