LOST: a stopping instance sends only what ends before it does

What callers saw: streams that began 3 s and more after SIGTERM, on connections that they had kept, were cut when the process ended. Cause: ShutdownDeadline had two answers, one for requests that must end and one for streams that callers can resume; the second let them begin as long as their first event fitted, up to 6.6 s into a grace of 8 s, whatever their length. Ruled out: a close with unread bytes and a close that crosses a request. Now one decision for all kinds: a request may begin if it ends by its time limit, which the exchange enforces. The only exception is a resumable stream while new connections are still accepted (2.6 s, within the 3 s of the rule), since a caller that is refused then may be sent here again; and only if the longest stream of its route in the last 30 to 60 s would end in time. An estimate alone never lets a late one begin.

With it, where the same cause could act: idle, header and body time limits read what has arrived before they close; a draining instance answers requests that lie behind the one that it answers; what is open at the end is ended and logged (cut_for_shutdown) in place of vanishing with the process; the process waits for the records of its streams; SIGHUP is handled before the settings are read. A refusal for shutdown says 0.1 s (0.4 and 0.5 s before): another instance serves at once. Counters for each close of an idle connection, a line for a failed one.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -47,7 +47,6 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Random;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -98,23 +97,6 @@
 
   private static final long HEARTBEAT_INTERVAL_MILLIS = 5_000;
 
-  /**
-   * Time during which a draining instance still accepts connections. The load balancer stops
-   * sending new ones only after two failed readiness probes, one second apart. After this time the
-   * listener closes, so that the remaining requests can finish before the process is killed.
-   */
-  private static final long ACCEPT_WHILE_DRAINING_NANOS = 2_600_000_000L;
-
-  /**
-   * How long to wait, after the last request, for unused tokens to be returned to the ledger. If
-   * the store does not respond in this time, the next incarnation inherits the tokens; restarting
-   * at once makes the instance available sooner than waiting longer.
-   */
-  private static final long TOKEN_RETURN_TIMEOUT_NANOS = 800_000_000L;
-
-  /** Part of the grace period reserved for writing the last responses and log lines. */
-  private static final double SHUTDOWN_MARGIN_SECONDS = 0.4;
-
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final EdgeSettings settings;
@@ -137,20 +119,13 @@
   private final ConfigurationFeed configurationFeed;
   private final ConvictionFeed convictionFeed;
   private final ProxyServer proxyServer;
-  private final CountDownLatch drained = new CountDownLatch(1);
+  private final Drain drain;
   private final StoreAvailability availability = new StoreAvailability();
   private int fleetSize = FleetMembers.ASSUMED_SIZE;
   private long era;
   private long startNanos;
   private boolean peerDemandKnown;
   private boolean entitled;
-  private boolean draining;
-  private boolean listenerClosing;
-  private boolean listenerClosed;
-  private boolean drainCompleted;
-  private boolean lastAnswersSent;
-  private long drainStartNanos;
-  private long lastOpenRequestNanos;
 
   private EdgeDaemon(EdgeSettings settings, String incarnation, String boot, EventLog log) {
     this.settings = settings;
@@ -199,6 +174,7 @@
         new ConfigurationFeed(fleet, log, this::onStoreOutcome, this::onStoreOverdue);
     this.convictionFeed = new ConvictionFeed(fleet.crashes(), settings.instance(), log);
     this.proxyServer = new ProxyServer(loop, fleet, log, metrics, loopDelay);
+    this.drain = new Drain(settings.graceSeconds(), fleet, proxyServer, log);
   }
 
   /**
@@ -247,9 +223,9 @@
    * most the grace period of the settings.
    */
   public void stop() {
-    loop.execute(this::beginDrain);
+    loop.execute(() -> drain.begin(System.nanoTime()));
     try {
-      drained.await((long) (settings.graceSeconds() * 1_000), TimeUnit.MILLISECONDS);
+      drain.await();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -325,9 +301,7 @@
       fleet.forget(expired.id());
       log.log("replica_gone", "replica", expired.id(), "reason", "entry was not restored in time");
     }
-    if (draining) {
-      continueDrain(nowNanos);
-    }
+    drain.tick(nowNanos);
   }
 
   private void recordLoopDelay(long delayMillis) {
@@ -360,53 +334,6 @@
     fleet.onReportOfPeer(report);
   }
 
-  private void beginDrain() {
-    draining = true;
-    drainStartNanos = System.nanoTime();
-    log.log("drain", "open_requests", proxyServer.openRequests());
-    fleet.beginShutdown(drainStartNanos + servingNanos());
-    proxyServer.drain();
-  }
-
-  /** Returns the time from the start of a shutdown until the last answers are sent. */
-  private long servingNanos() {
-    double seconds = settings.graceSeconds() - SHUTDOWN_MARGIN_SECONDS;
-    return (long) (Math.max(0, seconds) * NANOS_PER_SECOND);
-  }
-
-  private void continueDrain(long nowNanos) {
-    long elapsedNanos = nowNanos - drainStartNanos;
-    if (drainCompleted || elapsedNanos < ACCEPT_WHILE_DRAINING_NANOS) {
-      return;
-    }
-    if (!listenerClosing) {
-      listenerClosing = true;
-      lastOpenRequestNanos = nowNanos;
-      proxyServer.stopAccepting();
-      fleet.spend().returnAll(nowNanos);
-    }
-    if (!listenerClosed && !proxyServer.isListening()) {
-      listenerClosed = true;
-      log.log("stopped_accepting", "open_requests", proxyServer.openRequests());
-    }
-    proxyServer.closeIdle();
-    if (proxyServer.openRequests() > 0) {
-      lastOpenRequestNanos = nowNanos;
-    }
-    boolean tokensReturned =
-        fleet.spend().isSettled() || nowNanos - lastOpenRequestNanos > TOKEN_RETURN_TIMEOUT_NANOS;
-    boolean idle = proxyServer.openRequests() == 0 && tokensReturned;
-    if (idle || lastAnswersSent) {
-      drainCompleted = true;
-      drained.countDown();
-    } else if (elapsedNanos > servingNanos()) {
-      // The next tick ends the process, once the event loop has written the answers.
-      lastAnswersSent = true;
-      log.log("last_answers", "open_requests", proxyServer.openRequests());
-      proxyServer.answerBeforeShutdown();
-    }
-  }
-
   private void onMalformedLedgerRecord(String key) {
     log.log("ledger_record_refused", "customer", key, "taken_for", "all tokens are claimed");
   }
@@ -469,7 +396,7 @@
     if (size != fleetSize) {
       log.log("fleet_size", "before", fleetSize, "now", size);
       fleetSize = size;
-      if (!draining) {
+      if (!drain.isBegun()) {
         fleet.spend().changePolicy(new ClaimPolicy(OUTAGE_COVERAGE_SECONDS, size));
       }
     }
@@ -481,7 +408,7 @@
         (convictionFeed.isListed() && fleet.streams().isDeclared())
             || System.nanoTime() - startNanos > INITIAL_CALLS_TIMEOUT_NANOS;
     boolean ready =
-        !draining
+        !drain.isBegun()
             && initialized
             && fleet.configuration().isPresent()
             && fleet.directory().size() > 0;
--- a/src/main/java/io/snipeloom/edge/EdgeMain.java
+++ b/src/main/java/io/snipeloom/edge/EdgeMain.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Main class of an edge instance. It bypasses the command-line framework, which would triple the
@@ -36,6 +37,9 @@
       System.exit(EXIT_USAGE);
     }
     EventLog log = EventLog.to(new PrintStream(new FileOutputStream(FileDescriptor.out)));
+    // Before anything that takes time: without a handler, SIGHUP ends the process.
+    AtomicReference<Runnable> onHangUp = new AtomicReference<>(() -> {});
+    handleSighup(() -> onHangUp.get().run(), log);
     Path file = Path.of(path);
     EdgeSettings settings;
     try {
@@ -46,7 +50,7 @@
       return;
     }
     EdgeDaemon daemon = EdgeDaemon.of(settings, UUID.randomUUID().toString(), readBootId(log), log);
-    reloadOnSighup(daemon, file, log);
+    onHangUp.set(() -> reload(daemon, file, log));
     Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "shutdown"));
     daemon.start();
   }
@@ -64,9 +68,9 @@
     }
   }
 
-  private static void reloadOnSighup(EdgeDaemon daemon, Path file, EventLog log) {
+  private static void handleSighup(Runnable task, EventLog log) {
     try {
-      SighupHandler.install(() -> reload(daemon, file, log));
+      SighupHandler.install(task);
     } catch (ReflectiveOperationException e) {
       log.log("hang_up_not_handled", "reason", e.toString());
     }
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -50,8 +50,8 @@
   private Attempt attempt;
   private ResponseProgress progress = ResponseProgress.NONE;
 
-  /** How long it takes until a replica accepts requests again; 0 unless all of them reject. */
-  private long lackMillis;
+  /** When the caller may come back; 0 if the attempts tell. */
+  private long comeBackMillis;
 
   private boolean done;
 
@@ -108,16 +108,17 @@
     }
   }
 
-  /** Answers the request before the process ends, unless its answer has begun. */
-  void answerBeforeShutdown() {
+  /** Ends the request before the process ends: answers it, or cuts off an answer that has begun. */
+  void endBeforeShutdown() {
     if (attempt != null) {
       attempt.readArrived();
     }
-    if (done || response.isBegun() || !entry.isRouted()) {
+    if (done || !entry.isRouted()) {
       return;
     }
-    metrics.count("answered_for_shutdown");
+    metrics.count(response.isBegun() ? "cut_for_shutdown" : "answered_for_shutdown");
     stopAttempt("shutdown");
+    comeBackMillis = LocalResponse.SHUTDOWN_RETRY_MILLIS;
     fail(ErrorCode.NO_UPSTREAM, RequestEntry.SHUTDOWN_REASON);
   }
 
@@ -188,8 +189,9 @@
   }
 
   private void dispatch() {
-    if (!fleet.maySend(routed(), System.nanoTime())) {
+    if (!response.isBegun() && !fleet.shutdown().maySend(routed(), System.nanoTime())) {
       metrics.count("refused_for_shutdown");
+      comeBackMillis = LocalResponse.SHUTDOWN_RETRY_MILLIS;
       fail(ErrorCode.NO_UPSTREAM, RequestEntry.SHUTDOWN_REASON);
       return;
     }
@@ -202,7 +204,7 @@
         ReplicaChoice.of(
             fleet, routed(), request.body().readableBytes(), stream, history, System.nanoTime());
     if (choice.picked().isEmpty()) {
-      lackMillis = choice.retryMillis();
+      comeBackMillis = choice.retryMillis();
       choice.counter().ifPresent(metrics::count);
       fail(ErrorCode.NO_UPSTREAM, choice.reason());
       return;
@@ -393,6 +395,8 @@
       caller.sendContent(remainder);
     }
     caller.sendEnd();
+    long nowNanos = System.nanoTime();
+    fleet.shutdown().onStreamCompleted(routed(), nowNanos - request.arrivedNanos(), nowNanos);
     finish("served", source.status(), "");
   }
 
@@ -483,8 +487,8 @@
   }
 
   private long retryMillis() {
-    if (lackMillis > 0) {
-      return lackMillis;
+    if (comeBackMillis > 0) {
+      return comeBackMillis;
     }
     return history.isRefusedByReplicas()
         ? LocalResponse.AT_CAPACITY_RETRY_MILLIS
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -77,7 +77,7 @@
   private final Map<AskedRequests, Integer> asked = new HashMap<>();
   private FleetConfiguration configuration;
   private boolean storeAvailable = true;
-  private ShutdownDeadline shutdown = ShutdownDeadline.NONE;
+  private final ShutdownAdmission shutdown = new ShutdownAdmission();
 
   /**
    * Creates a fleet without configuration and replicas.
@@ -230,15 +230,16 @@
   /**
    * Records that this instance shuts down.
    *
+   * @param newCallersEndNanos until when new connections are accepted
    * @param endNanos the last moment at which an answer can be sent
    */
-  public void beginShutdown(long endNanos) {
-    shutdown = ShutdownDeadline.at(endNanos);
+  public void beginShutdown(long newCallersEndNanos, long endNanos) {
+    shutdown.begin(ShutdownDeadline.at(newCallersEndNanos, endNanos));
   }
 
-  /** Returns whether this instance runs for as long as a request may take that is sent now. */
-  boolean maySend(RoutedRequest request, long nowNanos) {
-    return shutdown.allows(request.route(), request.deadlineNanos(), nowNanos);
+  /** Returns what decides which requests are sent once this instance shuts down. */
+  ShutdownAdmission shutdown() {
+    return shutdown;
   }
 
   /** Records a prompt that was sent to a replica, of which the other instances are told. */
--- a/src/main/java/io/snipeloom/forwarding/LocalResponse.java
+++ b/src/main/java/io/snipeloom/forwarding/LocalResponse.java
@@ -16,6 +16,9 @@
    */
   static final long STARTUP_RETRY_MILLIS = 400;
 
+  /** Retry delay while this instance shuts down; another one serves the request at once. */
+  static final long SHUTDOWN_RETRY_MILLIS = 100;
+
   /** Retry delay when replicas are at capacity; about the duration of one request. */
   static final long AT_CAPACITY_RETRY_MILLIS = 150;
 
--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -48,16 +48,6 @@
 final class ProxyConnection extends ChannelInboundHandlerAdapter
     implements CallerChannel, ResponseReader {
   private static final int MAX_PENDING_MESSAGES = 64;
-  private static final long NANOS_PER_MILLI = 1_000_000L;
-
-  /** The time limit for receiving a body after its header. */
-  private static final long BODY_TIMEOUT_MILLIS = 10_000;
-
-  /**
-   * The time without a byte written after which a caller counts as gone. A caller that reads a
-   * kilobyte a second makes room for the next part within half of it.
-   */
-  private static final long UNREAD_TIMEOUT_MILLIS = 60_000;
 
   /** The most bytes beside a head without a request, a part of its body or an error among them. */
   private static final int MAX_UNDECODED_BYTES = 262_144;
@@ -74,12 +64,9 @@
   private ResponseBuffer buffer;
   private CallerWriter writer;
   private IncomingBody body;
-  private long headReceivedNanos;
+  private final CallerTimeouts timeouts = new CallerTimeouts(System.nanoTime());
   private long loopDelayMillis;
-  private long headerStartNanos;
-  private boolean inHeader;
   private int undecodedBytes;
-  private long idleSinceNanos;
   private Exchange exchange;
   private boolean keepAlive;
 
@@ -101,7 +88,6 @@
     this.fleet = fleet;
     this.log = log;
     this.metrics = metrics;
-    this.idleSinceNanos = System.nanoTime();
   }
 
   @Override
@@ -142,9 +128,8 @@
   /** Returns whether bytes may be decoded: empty lines in place of a request have an end. */
   private boolean onBytes(int bytes) {
     undecodedBytes += bytes;
-    if (exchange == null && head == null && !inHeader) {
-      inHeader = true;
-      headerStartNanos = System.nanoTime();
+    if (exchange == null && head == null) {
+      timeouts.onHeaderBytes(System.nanoTime());
     }
     return undecodedBytes <= MAX_UNDECODED_BYTES + server.limits().maxHeaderBytes();
   }
@@ -182,9 +167,8 @@
 
   private void onHead(HttpRequest request) {
     head = request;
-    inHeader = false;
-    headReceivedNanos = System.nanoTime();
-    loopDelayMillis = server.loopDelayMillis(headReceivedNanos);
+    timeouts.onHeader(System.nanoTime());
+    loopDelayMillis = server.loopDelayMillis(timeouts.headerEndNanos());
     keepAlive = HttpUtil.isKeepAlive(request);
     answeringHead = request.method().equals(HttpMethod.HEAD);
     if (request.method().equals(HttpMethod.CONNECT) || !request.uri().startsWith("/")) {
@@ -238,7 +222,7 @@
             "the body of the request cannot be held now",
             LocalResponse.spread(LocalResponse.BODY_RETRY_MILLIS, Math.random()),
             Long.MAX_VALUE);
-    new CallerResponse(this, metrics, headReceivedNanos)
+    new CallerResponse(this, metrics, timeouts.headerEndNanos())
         .sendLocal(refusal, fleet.codec().localResponseHeaders(attemptId));
   }
 
@@ -287,7 +271,7 @@
             head.headers(),
             body.bytes(),
             body.buffer(),
-            headReceivedNanos,
+            timeouts.headerEndNanos(),
             loopDelayMillis);
     head = null;
     body = null;
@@ -314,8 +298,7 @@
   private void onExchangeEnded() {
     lastAttemptId = exchange.attemptId();
     exchange = null;
-    inHeader = false;
-    idleSinceNanos = System.nanoTime();
+    timeouts.onRequestEnded(System.nanoTime());
     loop.execute(this::processPending);
   }
 
@@ -351,7 +334,7 @@
 
   /** Begins the next request, if its caller has read the response before it. */
   private void onAllWritten() {
-    idleSinceNanos = System.nanoTime();
+    timeouts.onAllRead(System.nanoTime());
     if (closeOnceWritten) {
       channel.close();
     }
@@ -382,7 +365,7 @@
     log.log(
         "response_cut_off",
         "id",
-        exchange == null ? lastAttemptId : exchange.attemptId(),
+        currentAttemptId(),
         "customer",
         buffer.customer().map(CustomerId::value).orElse(""),
         "reason",
@@ -403,9 +386,18 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (isBusy()) {
+      log.log("caller_connection_failed", "id", currentAttemptId(), "reason", cause);
+    }
+    metrics.count("caller_connection_failed");
     channel.close();
   }
 
+  /** Returns the attempt ID of the request that is processed, or of the last one. */
+  private String currentAttemptId() {
+    return exchange == null ? lastAttemptId : exchange.attemptId();
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     server.onClosed(this);
@@ -434,9 +426,9 @@
     }
   }
 
-  void answerBeforeShutdown() {
+  void endBeforeShutdown() {
     if (exchange != null) {
-      exchange.answerBeforeShutdown();
+      exchange.endBeforeShutdown();
     }
   }
 
@@ -450,42 +442,37 @@
       return;
     }
     reader.readArrived();
-    if (!isBusy()) {
+    if (isBusy()) {
+      metrics.count("request_read_before_close");
+    } else if (channel.isActive()) {
+      metrics.count("closed_idle_for_shutdown");
       channel.close();
     }
   }
 
+  /** Closes the connection if a time limit has passed, and nothing that has arrived meets it. */
   void closeIfTimedOut(long nowNanos) {
-    if (exchange != null) {
+    if (expired(nowNanos) == CallerTimeouts.Expiry.NONE) {
       return;
     }
-    if (head != null) {
-      closeIfBodyTimedOut(nowNanos);
-      return;
-    }
-    if (!writer.takesNextResponse()) {
-      closeIfUnread(nowNanos);
-      return;
-    }
-    long headerNanos = server.limits().headerTimeoutMillis() * NANOS_PER_MILLI;
-    if (inHeader && nowNanos - headerStartNanos > headerNanos) {
-      reject(HttpResponseStatus.REQUEST_TIMEOUT, "header was not received in time");
-      return;
-    }
-    if (!writer.isIdle()) {
-      closeIfUnread(nowNanos);
-      return;
-    }
-    long idleNanos = server.limits().idleTimeoutMillis() * NANOS_PER_MILLI;
-    if (nowNanos - idleSinceNanos > idleNanos) {
-      channel.close();
+    reader.readArrived();
+    switch (expired(nowNanos)) {
+      case HEADER -> reject(HttpResponseStatus.REQUEST_TIMEOUT, "header was not received in time");
+      case BODY -> closeAfterBodyTimeout();
+      case UNREAD -> cutOff("the caller reads nothing");
+      case IDLE -> closeIdle();
+      default -> metrics.count("request_read_before_close");
     }
   }
 
-  private void closeIfBodyTimedOut(long nowNanos) {
-    if (nowNanos - headReceivedNanos <= BODY_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
-      return;
+  private CallerTimeouts.Expiry expired(long nowNanos) {
+    if (exchange != null || !channel.isActive()) {
+      return CallerTimeouts.Expiry.NONE;
     }
+    return timeouts.expired(head != null, writer, server.limits(), nowNanos);
+  }
+
+  private void closeAfterBodyTimeout() {
     if (rejected) {
       channel.close();
     } else {
@@ -493,11 +480,9 @@
     }
   }
 
-  /** Closes the connection if its caller has read nothing of a response for too long. */
-  private void closeIfUnread(long nowNanos) {
-    if (nowNanos - writer.lastProgressNanos() > UNREAD_TIMEOUT_MILLIS * NANOS_PER_MILLI) {
-      cutOff("the caller reads nothing");
-    }
+  private void closeIdle() {
+    metrics.count("closed_idle");
+    channel.close();
   }
 
   @Override
@@ -525,6 +510,9 @@
   @Override
   public void sendLocalResponse(int status, HttpHeaders headers, ByteBuf content) {
     if (buffer.onReceived(content.readableBytes()) == BufferDecision.CUT_OFF) {
+      log.log("response_not_held", "id", currentAttemptId(), "status", status);
+      metrics.count("response_not_held");
+      content.release();
       channel.close();
       return;
     }
@@ -558,10 +546,11 @@
 
   /**
    * Adds the {@code Connection: close} header if this is the last response on the connection, and
-   * returns whether it is.
+   * returns whether it is. Requests that have arrived behind it are answered before the connection
+   * of a draining instance is closed.
    */
   private boolean announceClose(HttpHeaders headers) {
-    if (server.isDraining()) {
+    if (server.isDraining() && pendingMessages.isEmpty()) {
       keepAlive = false;
     }
     if (!keepAlive) {
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -134,9 +134,9 @@
     new ArrayList<>(connections).forEach(ProxyConnection::refuseIfConvicted);
   }
 
-  /** Answers the open requests whose answers have not begun, since the process ends. */
-  public void answerBeforeShutdown() {
-    new ArrayList<>(connections).forEach(ProxyConnection::answerBeforeShutdown);
+  /** Ends the open requests, since the process ends. */
+  public void endBeforeShutdown() {
+    new ArrayList<>(connections).forEach(ProxyConnection::endBeforeShutdown);
   }
 
   /** Closes the connections that have no request in progress. */
--- a/src/main/java/io/snipeloom/forwarding/RequestEntry.java
+++ b/src/main/java/io/snipeloom/forwarding/RequestEntry.java
@@ -113,9 +113,9 @@
       listener.onRefused(LocalResponse.of(ErrorCode.UNAUTHENTICATED, "unknown API key"));
       return;
     }
-    if (!fleet.maySend(routed, System.nanoTime())) {
+    if (!fleet.shutdown().maySend(routed, System.nanoTime())) {
       metrics.count("refused_for_shutdown");
-      refuse(ErrorCode.NOT_READY, SHUTDOWN_REASON, LocalResponse.STARTUP_RETRY_MILLIS);
+      refuse(ErrorCode.NOT_READY, SHUTDOWN_REASON, LocalResponse.SHUTDOWN_RETRY_MILLIS);
       return;
     }
     log.setRequest(routed.traits().request().value());
--- a/src/main/java/io/snipeloom/resumption/StreamContinuity.java
+++ b/src/main/java/io/snipeloom/resumption/StreamContinuity.java
@@ -127,6 +127,11 @@
     return declarations.contains(StreamOrigin.of(replica), nowNanos);
   }
 
+  /** Returns whether nothing has to be recorded that another instance may have to read. */
+  public boolean isRecorded() {
+    return !mayBeUnclear() || memory.unrecorded(1).isEmpty();
+  }
+
   /** Returns whether the versions of all known replicas are declared. */
   public boolean isDeclared() {
     return declarations.dueCount() == 0;
--- a/src/test/java/io/snipeloom/edge/KeptConnectionShutdownTest.java
+++ b/src/test/java/io/snipeloom/edge/KeptConnectionShutdownTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
@@ -73,11 +74,14 @@
       throws Exception {
     try (EdgeProcess edge = start(graceSeconds)) {
       List<KeptCaller> kept = new ArrayList<>();
+      List<Future<Void>> running = new ArrayList<>();
       for (int i = 0; i < callers; i++) {
         long callerSeed = seed * 100_000 + i;
         kept.add(new KeptCaller("c" + i, edge.open(), callerSeed, longestStreamMillis, sent::add));
       }
-      kept.forEach(threads::submit);
+      for (KeptCaller caller : kept) {
+        running.add(threads.submit(caller));
+      }
       TimeUnit.MILLISECONDS.sleep(WARM_UP_MILLIS);
       edge.terminate();
       final long signalNanos = System.nanoTime();
@@ -86,8 +90,9 @@
       }
       long graceMillis = (long) (graceSeconds * 1_000);
       final boolean ended = edge.awaitEnd(graceMillis - millisSince(signalNanos));
-      threads.shutdown();
-      threads.awaitTermination(5, TimeUnit.SECONDS);
+      for (Future<Void> caller : running) {
+        caller.get(5, TimeUnit.SECONDS);
+      }
       report(signalNanos, graceSeconds);
       assertThat("the process ends within its grace period", ended, is(true));
       assertThat(lost(signalNanos, graceSeconds), is(empty()));
