--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -12,6 +12,7 @@
 import io.snipeloom.forwarding.ProxyServer;
 import io.snipeloom.peer.DemandSender;
 import io.snipeloom.peer.LoanClient;
+import io.snipeloom.peer.OriginClient;
 import io.snipeloom.peer.PeerServer;
 import io.snipeloom.platform.PlatformHeaders;
 import io.snipeloom.platform.PlatformStore;
@@ -112,6 +113,7 @@
   private final KeyedLog store;
   private final LoanClient loanClient;
   private final DemandSender demandSender;
+  private final OriginClient originClient;
   private final ShareRoster roster = new ShareRoster();
   private final LimitShares limitShares;
   private final PeerDemand peerDemand = new PeerDemand();
@@ -138,6 +140,7 @@
             new AsyncHttpClient(loop, settings.store(), this::onDeadStoreConnection),
             this::onForeignStoreAnswer);
     this.loanClient = new LoanClient(loop, new Random());
+    this.originClient = new OriginClient(loop);
     FleetClock fleetClock = new FleetClock(settings.instance(), EdgeDaemon::wallOffsetMillis);
     this.demandSender = new DemandSender(loop, settings.instance(), fleetClock::onResponse);
     long startNanos = System.nanoTime();
@@ -210,7 +213,8 @@
         System.currentTimeMillis());
     new OperationsServer(loop, this::readiness).start(settings.readiness());
     new OperationsServer(loop, this::metricsText).start(settings.metrics());
-    new PeerServer(loop, fleet.spend(), this::onPeerDemand, log).start(settings.loans());
+    new PeerServer(loop, fleet.spend(), fleet.streams(), this::onPeerDemand, log)
+        .start(settings.loans());
     registerGauges();
     proxyServer.start(settings.callers());
     loop.execute(this::startWatches);
@@ -346,7 +350,11 @@
             ORIGIN_TOPIC,
             ORIGIN_DECLARATION_TOPIC,
             settings.instance(),
+            incarnation,
             events::onMalformed),
+        originClient,
+        settings.instance(),
+        incarnation,
         System::currentTimeMillis,
         () -> fleetSize,
         events);
@@ -390,6 +398,7 @@
     CustomerHolders holders = new CustomerHolders(settings.instance(), others.keySet());
     loanClient.updatePeers(others, holders);
     demandSender.updatePeers(others);
+    originClient.updatePeers(others);
     peerDemand.changeOthers(others.size());
     limitShares.changeMembers(others.keySet());
     limitShares.refreshRoster();
--- a/src/main/java/io/snipeloom/edge/OriginEventLogger.java
+++ b/src/main/java/io/snipeloom/edge/OriginEventLogger.java
@@ -1,5 +1,6 @@
 package io.snipeloom.edge;
 
+import io.snipeloom.resumption.DeclaredOrigin;
 import io.snipeloom.resumption.StreamContinuity;
 import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.telemetry.EventLog;
@@ -46,6 +47,21 @@
         declared);
   }
 
+  @Override
+  public void onRetired(DeclaredOrigin declared, boolean removed) {
+    metrics.count(removed ? "stream_versions_retired" : "stream_versions_not_retired");
+    log.log(
+        "stream_version_retired",
+        "service",
+        declared.origin().service(),
+        "version",
+        declared.origin().version(),
+        "incarnation",
+        declared.incarnation(),
+        "removed",
+        removed);
+  }
+
   /** Logs a record that another instance wrote and that cannot be decoded. */
   void onMalformed(String key) {
     log.log("stream_origins_refused", "key", key);
--- a/src/main/java/io/snipeloom/peer/LoanConnection.java
+++ b/src/main/java/io/snipeloom/peer/LoanConnection.java
@@ -1,147 +1,47 @@
 package io.snipeloom.peer;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.snipeloom.spend.LoanRequest;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongConsumer;
 
 /**
- * The connection on which this instance borrows tokens from one other instance. It is opened by the
- * first request and reopened by the next request after it was closed.
+ * The connection on which this instance borrows tokens from one other instance.
  *
  * <p>Confined to the event loop thread.
  */
 final class LoanConnection {
-  /** Allows a few round trips between availability zones. */
-  private static final int CONNECT_TIMEOUT_MILLIS = 100;
-
-  /**
-   * Age of the oldest pending request from which the connection counts as dead: the peer is gone or
-   * packets are lost without a reset.
-   */
-  private static final long UNRESPONSIVE_NANOS = 1_000_000_000L;
-
-  private final EventLoop loop;
-  private final InetSocketAddress address;
-  private final Map<Long, PendingRequest> pending = new LinkedHashMap<>();
-  private Channel channel;
-  private long lastCorrelationId;
-
-  private record PendingRequest(
-      LoanMessage.Request message, long sentNanos, LongConsumer listener) {}
+  private final RequestConnection connection;
 
   LoanConnection(EventLoop loop, InetSocketAddress address) {
-    this.loop = loop;
-    this.address = address;
+    this.connection = new RequestConnection(loop, address);
   }
 
   InetSocketAddress address() {
-    return address;
+    return connection.address();
   }
 
   /**
-   * Requests a loan, opening the connection if needed. A connection that has become unresponsive is
-   * closed first.
+   * Requests a loan.
    *
    * @param listener called once with the number of tokens lent; 0 if there were none or if the
    *     connection failed
    */
   void request(LoanRequest request, LongConsumer listener) {
-    if (isUnresponsive()) {
-      close();
-    }
-    long id = ++lastCorrelationId;
-    LoanMessage.Request message = new LoanMessage.Request(id, request);
-    pending.put(id, new PendingRequest(message, System.nanoTime(), listener));
-    if (channel == null) {
-      connect();
-    } else if (channel.isActive()) {
-      send(message);
-    }
-  }
-
-  /** Closes the connection; the listeners of pending requests get 0 tokens. */
-  void close() {
-    Channel closing = channel;
-    channel = null;
-    if (closing != null) {
-      ChannelFuture unused = closing.close();
-    }
-    failPending();
-  }
-
-  private boolean isUnresponsive() {
-    return !pending.isEmpty()
-        && System.nanoTime() - pending.values().iterator().next().sentNanos() > UNRESPONSIVE_NANOS;
+    connection.request(
+        id -> new LoanMessage.Request(id, request),
+        response -> listener.accept(lentTokens(response)));
   }
 
-  private void connect() {
-    ChannelFuture connecting =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .handler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel connection) {
-                    PeerFrames.addTo(
-                        connection, LoanConnection.this::onMessage, () -> onClosed(connection));
-                  }
-                })
-            .connect(address);
-    channel = connecting.channel();
-    connecting.addListener(
-        done -> {
-          if (done.isSuccess()) {
-            sendPending(connecting.channel());
-          } else {
-            onClosed(connecting.channel());
-          }
-        });
+  private static long lentTokens(Optional<CorrelatedMessage> response) {
+    return response.isPresent() && response.get() instanceof LoanMessage.Response lent
+        ? lent.tokens()
+        : 0;
   }
 
-  /** Sends the requests that were made while the connection was opened. */
-  private void sendPending(Channel opened) {
-    if (opened == channel) {
-      pending.values().forEach(request -> send(request.message()));
-    }
-  }
-
-  private void send(LoanMessage.Request request) {
-    ChannelFuture unused = PeerFrames.send(channel, request);
-  }
-
-  private void onMessage(PeerMessage message) {
-    if (message instanceof LoanMessage.Response response) {
-      PendingRequest request = pending.remove(response.correlationId());
-      if (request != null) {
-        request.listener().accept(response.tokens());
-      }
-    }
-  }
-
-  private void onClosed(Channel closed) {
-    if (closed == channel) {
-      channel = null;
-      failPending();
-    }
-  }
-
-  private void failPending() {
-    List<PendingRequest> failed = new ArrayList<>(pending.values());
-    pending.clear();
-    failed.forEach(request -> request.listener().accept(0));
+  /** Closes the connection; the listeners of pending requests get 0 tokens. */
+  void close() {
+    connection.close();
   }
 }
--- a/src/main/java/io/snipeloom/peer/LoanMessage.java
+++ b/src/main/java/io/snipeloom/peer/LoanMessage.java
@@ -10,17 +10,10 @@
 import org.msgpack.core.MessageUnpacker;
 
 /** A message between two instances about a loan of tokens; each frame holds one message. */
-public sealed interface LoanMessage extends PeerMessage {
+sealed interface LoanMessage extends CorrelatedMessage {
   /** The version of the encoding; frames of any other version are rejected. */
   int VERSION = 1;
 
-  /**
-   * Returns the identifier that matches a response to its request, unique on one connection.
-   *
-   * @return the identifier
-   */
-  long correlationId();
-
   /**
    * Requests a loan.
    *
--- a/src/main/java/io/snipeloom/peer/PeerMessage.java
+++ b/src/main/java/io/snipeloom/peer/PeerMessage.java
@@ -7,7 +7,7 @@
 import org.msgpack.core.MessageUnpacker;
 
 /** A message between two instances; each frame holds one message and begins with its version. */
-sealed interface PeerMessage permits LoanMessage, DemandMessage {
+sealed interface PeerMessage permits CorrelatedMessage, DemandMessage {
 
   /**
    * Encodes the message as a frame.
@@ -28,6 +28,7 @@
     return switch (version(bytes)) {
       case LoanMessage.VERSION -> LoanMessage.parse(bytes);
       case DemandMessage.VERSION -> DemandMessage.parse(bytes);
+      case OriginMessage.VERSION -> OriginMessage.parse(bytes);
       default ->
           throw SnipeloomException.of(ErrorCode.MALFORMED_FRAME, "unsupported version of a frame");
     };
--- a/src/main/java/io/snipeloom/peer/PeerServer.java
+++ b/src/main/java/io/snipeloom/peer/PeerServer.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.snipeloom.resumption.PeerAnswer;
+import io.snipeloom.resumption.StreamContinuity;
 import io.snipeloom.routing.DemandReport;
 import io.snipeloom.spend.SpendControl;
 import io.snipeloom.telemetry.EventLog;
@@ -14,8 +16,9 @@
 import java.util.function.Consumer;
 
 /**
- * Serves the other instances: lends them tokens that this instance has claimed but not used, and
- * receives what they tell of their requests.
+ * Serves the other instances: lends them tokens that this instance has claimed but not used,
+ * receives what they tell of their requests, and tells them what began the streams that they ask
+ * for.
  *
  * <p>Confined to the event loop thread.
  */
@@ -25,6 +28,7 @@
 
   private final EventLoop loop;
   private final SpendControl spend;
+  private final StreamContinuity streams;
   private final Consumer<DemandReport> demandListener;
   private final EventLog log;
   private Channel listener;
@@ -34,13 +38,19 @@
    *
    * @param loop the event loop of the connections
    * @param spend holds the tokens to lend
+   * @param streams knows what began the streams of this instance
    * @param demandListener receives what other instances tell of their requests
    * @param log records loans whose response could not be sent
    */
   public PeerServer(
-      EventLoop loop, SpendControl spend, Consumer<DemandReport> demandListener, EventLog log) {
+      EventLoop loop,
+      SpendControl spend,
+      StreamContinuity streams,
+      Consumer<DemandReport> demandListener,
+      EventLog log) {
     this.loop = loop;
     this.spend = spend;
+    this.streams = streams;
     this.demandListener = demandListener;
     this.log = log;
   }
@@ -80,6 +90,10 @@
     } else if (message instanceof DemandMessage.Report told) {
       demandListener.accept(told.report());
       acknowledge(channel, told.sequence());
+    } else if (message instanceof OriginMessage.Request request) {
+      PeerAnswer answer = streams.answer(request.attempts(), System.nanoTime());
+      ChannelFuture unused =
+          PeerFrames.send(channel, new OriginMessage.Response(request.correlationId(), answer));
     }
   }
 
--- a/src/main/java/io/snipeloom/resumption/DeclaredOrigin.java
+++ b/src/main/java/io/snipeloom/resumption/DeclaredOrigin.java
@@ -4,6 +4,7 @@
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.state.SnipeloomException;
 import java.io.IOException;
+import java.util.Collection;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -14,10 +15,26 @@
  *
  * @param origin the origin
  * @param declaration identifies the declaration; each one has another
+ * @param instance the name of the instance, empty if it is unknown
+ * @param incarnation the start of the instance that declared it, empty if it is unknown
  */
-public record DeclaredOrigin(StreamOrigin origin, String declaration) {
-  /** The version of the encoding; declarations of any other version are rejected. */
-  private static final int ENCODING_VERSION = 1;
+public record DeclaredOrigin(
+    StreamOrigin origin, String declaration, String instance, String incarnation) {
+  /** The version of the encoding; declarations of any later version are rejected. */
+  private static final int ENCODING_VERSION = 2;
+
+  /** The version of the encoding that does not tell who declared the origin. */
+  private static final int ANONYMOUS_VERSION = 1;
+
+  /** Returns whether one of some incarnations declared the origin. */
+  boolean isDeclaredByOneOf(Collection<String> incarnations) {
+    return !incarnation.isEmpty() && incarnations.contains(incarnation);
+  }
+
+  /** Returns a text that no declaration by another incarnation, or of another origin, has. */
+  public String text() {
+    return incarnation.length() + ":" + incarnation + origin.text();
+  }
 
   /**
    * Encodes the declaration.
@@ -28,6 +45,7 @@
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packInt(ENCODING_VERSION).packString(origin.service());
       packer.packString(origin.version().value()).packString(declaration);
+      packer.packString(instance).packString(incarnation);
       return packer.toByteArray();
     } catch (IOException e) {
       throw SnipeloomException.of(ErrorCode.INTERNAL, "cannot encode a stream version")
@@ -44,12 +62,18 @@
    */
   public static DeclaredOrigin parse(byte[] bytes) {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      if (unpacker.unpackInt() != ENCODING_VERSION) {
+      int encoding = unpacker.unpackInt();
+      if (encoding != ENCODING_VERSION && encoding != ANONYMOUS_VERSION) {
         throw new IOException("unsupported version");
       }
       String service = unpacker.unpackString();
       SoftwareVersion version = new SoftwareVersion(unpacker.unpackString());
-      return new DeclaredOrigin(new StreamOrigin(service, version), unpacker.unpackString());
+      StreamOrigin origin = new StreamOrigin(service, version);
+      String declaration = unpacker.unpackString();
+      return encoding == ANONYMOUS_VERSION
+          ? new DeclaredOrigin(origin, declaration, "", "")
+          : new DeclaredOrigin(
+              origin, declaration, unpacker.unpackString(), unpacker.unpackString());
     } catch (IOException | RuntimeException e) {
       throw SnipeloomException.of(ErrorCode.MALFORMED_RECORD, "a stream version cannot be decoded")
           .withCause(e);
--- a/src/main/java/io/snipeloom/resumption/OriginLookup.java
+++ b/src/main/java/io/snipeloom/resumption/OriginLookup.java
@@ -18,6 +18,10 @@
     ONLY_POSSIBLE,
     /** Another instance or incarnation recorded it. */
     STORE,
+    /** Another instance knows it. */
+    PEER,
+    /** All instances that can have begun the stream could do so at this origin only. */
+    ONLY_REMAINING,
     /** Nothing tells the origin. */
     NONE
   }
--- a/src/main/java/io/snipeloom/resumption/OriginMemory.java
+++ b/src/main/java/io/snipeloom/resumption/OriginMemory.java
@@ -23,6 +23,9 @@
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private final Map<String, StreamOrigin> unrecorded = new LinkedHashMap<>();
 
+  private long overflowNanos;
+  private boolean overflowed;
+
   private record Entry(StreamOrigin origin, long sinceNanos) {}
 
   /** Adds the origin of a stream that began at this instance. */
@@ -42,6 +45,11 @@
     entries.putIfAbsent(attempt, new Entry(origin, nowNanos));
   }
 
+  /** Returns whether all streams are known that began here and that callers may resume now. */
+  boolean isComplete(long nowNanos) {
+    return !overflowed || nowNanos - overflowNanos > RETENTION_NANOS;
+  }
+
   Optional<StreamOrigin> find(String attempt) {
     return Optional.ofNullable(entries.get(attempt)).map(Entry::origin);
   }
@@ -75,6 +83,10 @@
       if (!old && entries.size() <= MAX_STREAMS) {
         return;
       }
+      if (!old) {
+        overflowed = true;
+        overflowNanos = nowNanos;
+      }
       oldest.remove();
       unrecorded.remove(entry.getKey());
     }
--- a/src/main/java/io/snipeloom/resumption/OriginSearch.java
+++ b/src/main/java/io/snipeloom/resumption/OriginSearch.java
@@ -1,8 +1,10 @@
 package io.snipeloom.resumption;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -12,7 +14,8 @@
  * <p>If only one origin is possible according to the declarations, it is the answer. The
  * declarations must have been read after the caller resumed its stream: whatever began the stream
  * was declared before its first event, so that this read shows it, whatever this instance has
- * missed before. Otherwise the recorded origins are read. Not thread-safe.
+ * missed before. Otherwise the recorded origins are read, and then the other instances are asked:
+ * one that does not know a stream has not begun it. Not thread-safe.
  */
 final class OriginSearch {
   /** How long after the first event of a stream its origin may not be recorded yet. */
@@ -30,12 +33,23 @@
    */
   private static final long REVERSION_HOLD_NANOS = 5_000_000_000L;
 
+  /** The shortest time between two questions to the other instances. */
+  private static final long ASK_INTERVAL_NANOS = 100_000_000L;
+
+  /** The most streams in one question; the others are asked about in the next one. */
+  private static final int MAX_ASKED = 100;
+
   private static final long UNKNOWN_ERA = -1;
 
   private final OriginStore store;
+  private final OriginPeers peers;
+  private final String incarnation;
   private final OriginMemory memory;
   private final VersionHistory history;
   private final Listener listener;
+  private List<DeclaredOrigin> declared = List.of();
+  private boolean declaredKnown;
+  private long lastAskedNanos = Long.MIN_VALUE / 2;
   private List<Waiter> waiters = new ArrayList<>();
   private boolean loaded;
   private boolean searching;
@@ -58,6 +72,9 @@
   /** Receives what is read. */
   interface Listener {
 
+    /** Called with all declarations. */
+    void onDeclared(List<DeclaredOrigin> declared);
+
     /** Called with a batch of recorded origins. */
     void onBatch(OriginBatch batch, long nowNanos);
 
@@ -68,8 +85,16 @@
     void onReadFailed();
   }
 
-  OriginSearch(OriginStore store, OriginMemory memory, VersionHistory history, Listener listener) {
+  OriginSearch(
+      OriginStore store,
+      OriginPeers peers,
+      String incarnation,
+      OriginMemory memory,
+      VersionHistory history,
+      Listener listener) {
     this.store = store;
+    this.peers = peers;
+    this.incarnation = incarnation;
     this.memory = memory;
     this.history = history;
     this.listener = listener;
@@ -115,8 +140,8 @@
     store.listDeclared(
         new OriginStore.ListingListener() {
           @Override
-          public void onListed(List<DeclaredOrigin> declared, boolean complete) {
-            onDeclared(declared, complete, nowNanos);
+          public void onListed(List<DeclaredOrigin> listed, boolean complete) {
+            onDeclared(listed, complete, nowNanos);
           }
 
           @Override
@@ -127,10 +152,13 @@
   }
 
   /** Applies the declarations as they were at some time after the search began. */
-  private void onDeclared(List<DeclaredOrigin> declared, boolean complete, long beganNanos) {
+  private void onDeclared(List<DeclaredOrigin> listed, boolean complete, long beganNanos) {
     noticeReversion(beganNanos);
-    history.observeDeclared(declared, beganNanos);
-    if (complete && beganNanos >= heldUntilNanos) {
+    history.observeDeclared(listed, beganNanos);
+    listener.onDeclared(listed);
+    declared = listed;
+    declaredKnown = complete && beganNanos >= heldUntilNanos;
+    if (declaredKnown) {
       answer(waiter -> onlyPossible(waiter, beganNanos));
     }
     if (loaded && waiters.isEmpty()) {
@@ -153,12 +181,59 @@
 
   private void onRecorded(List<OriginBatch> batches, long beganNanos) {
     loaded = true;
-    searching = false;
     batches.forEach(batch -> listener.onBatch(batch, beganNanos));
-    answer(waiter -> waiter.attempt().flatMap(one -> remembered(one, OriginLookup.Source.STORE)));
+    answerRemembered(OriginLookup.Source.STORE);
+    List<String> unknown = attemptsOfWaiters(beganNanos);
+    if (unknown.isEmpty() || beganNanos - lastAskedNanos < ASK_INTERVAL_NANOS) {
+      endSearch(beganNanos);
+      return;
+    }
+    lastAskedNanos = beganNanos;
+    peers.ask(unknown, answers -> onAnswers(unknown, answers, beganNanos));
+  }
+
+  /** Returns some of the streams whose callers came before a search began. */
+  private List<String> attemptsOfWaiters(long beganNanos) {
+    return waiters.stream()
+        .filter(waiter -> waiter.sinceNanos() <= beganNanos)
+        .flatMap(waiter -> waiter.attempt().stream())
+        .distinct()
+        .limit(MAX_ASKED)
+        .toList();
+  }
+
+  /** Applies what other instances know, and what is left if they have not begun the streams. */
+  private void onAnswers(List<String> asked, List<PeerAnswer> answers, long beganNanos) {
+    Set<String> excluded = new HashSet<>();
+    for (PeerAnswer one : answers) {
+      one.known().forEach(record -> memory.putRecorded(record, beganNanos));
+      if (one.complete()) {
+        excluded.add(one.incarnation());
+      }
+    }
+    if (memory.isComplete(beganNanos)) {
+      excluded.add(incarnation);
+    }
+    answerRemembered(OriginLookup.Source.PEER);
+    if (declaredKnown) {
+      Optional<OriginLookup> left =
+          RemainingOrigins.of(declared, history.possibleOrigins(beganNanos), excluded)
+              .only()
+              .map(origin -> OriginLookup.found(origin, OriginLookup.Source.ONLY_REMAINING));
+      answer(waiter -> waiter.attempt().filter(asked::contains).flatMap(attempt -> left));
+    }
+    endSearch(beganNanos);
+  }
+
+  private void endSearch(long beganNanos) {
+    searching = false;
     giveUp(waiter -> beganNanos - waiter.sinceNanos() >= RECORDING_DELAY_NANOS);
   }
 
+  private void answerRemembered(OriginLookup.Source source) {
+    answer(waiter -> waiter.attempt().flatMap(one -> remembered(one, source)));
+  }
+
   private void noticeReversion(long nowNanos) {
     if (era != store.era()) {
       boolean reverted = era != UNKNOWN_ERA && loaded;
--- a/src/main/java/io/snipeloom/resumption/OriginStore.java
+++ b/src/main/java/io/snipeloom/resumption/OriginStore.java
@@ -26,7 +26,7 @@
     /**
      * Called with all declared origins.
      *
-     * @param declared the newest declaration of each origin
+     * @param declared the newest declaration of each origin by each incarnation
      * @param complete false if a declaration could not be decoded
      */
     void onListed(List<DeclaredOrigin> declared, boolean complete);
@@ -49,6 +49,13 @@
    */
   void declare(StreamOrigin origin, Consumer<Boolean> listener);
 
+  /**
+   * Removes a declaration of an earlier incarnation of this instance.
+   *
+   * @param listener called once with true if it was removed; if false, it may have been
+   */
+  void retire(DeclaredOrigin declared, Consumer<Boolean> listener);
+
   /**
    * Lists the origins that any instance declared before this call.
    *
--- a/src/main/java/io/snipeloom/resumption/StreamContinuity.java
+++ b/src/main/java/io/snipeloom/resumption/StreamContinuity.java
@@ -1,7 +1,10 @@
 package io.snipeloom.resumption;
 
 import io.snipeloom.routing.Replica;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -14,8 +17,8 @@
  *
  * <p>Before streams begin at a service and software version, each instance declares them in the
  * store. Once there were several, it records the origins of its streams there, and an instance that
- * does not know a stream reads them. An origin that cannot be told is reported as unknown, never
- * guessed.
+ * does not know a stream reads them and asks the others. An origin that cannot be told is reported
+ * as unknown, never guessed.
  *
  * <p>Confined to the event loop thread.
  */
@@ -31,6 +34,12 @@
   /** The pause after a declaration that failed. */
   private static final long REDECLARE_DELAY_NANOS = 250_000_000L;
 
+  /**
+   * How long an instance has run when it removes the declarations of its earlier incarnations:
+   * streams that these began are not resumed any more.
+   */
+  private static final long RETIREMENT_NANOS = 2 * VersionHistory.RETENTION_NANOS;
+
   /** The time between two looks at all replicas, of which most do not change. */
   private static final long OBSERVATION_INTERVAL_NANOS = 1_000_000_000L;
 
@@ -45,6 +54,11 @@
   private final VersionHistory history = new VersionHistory();
   private final OriginDeclarations declarations = new OriginDeclarations();
   private final OriginSearch search;
+  private final String instance;
+  private final String incarnation;
+  private final Deque<DeclaredOrigin> predecessors = new ArrayDeque<>();
+  private boolean started;
+  private long startNanos;
   private Set<String> routedServices = Set.of();
   private boolean recording;
   private boolean declaring;
@@ -76,23 +90,42 @@
      *     tried again
      */
     void onDeclaration(StreamOrigin origin, boolean declared);
+
+    /**
+     * Called when a declaration of an earlier incarnation of this instance was removed.
+     *
+     * @param removed whether the store has removed it; if false, it stays until the next search
+     */
+    void onRetired(DeclaredOrigin declared, boolean removed);
   }
 
   /**
    * Creates an instance that has read nothing yet.
    *
    * @param store stores the origins
+   * @param peers asks the other instances
+   * @param instance the name of this instance
+   * @param incarnation a unique identifier of this start of the instance
    * @param timeOfDayMillis the time of day, in Unix milliseconds
    * @param fleetSize the number of instances that record origins, at least 1
    * @param listener receives what happens to the recorded origins
    */
   public StreamContinuity(
-      OriginStore store, LongSupplier timeOfDayMillis, IntSupplier fleetSize, Listener listener) {
+      OriginStore store,
+      OriginPeers peers,
+      String instance,
+      String incarnation,
+      LongSupplier timeOfDayMillis,
+      IntSupplier fleetSize,
+      Listener listener) {
     this.store = store;
+    this.instance = instance;
+    this.incarnation = incarnation;
     this.timeOfDayMillis = timeOfDayMillis;
     this.fleetSize = fleetSize;
     this.listener = listener;
-    this.search = new OriginSearch(store, memory, history, new SearchListener());
+    this.search =
+        new OriginSearch(store, peers, incarnation, memory, history, new SearchListener());
   }
 
   /** Records the entry of a replica, as soon as it is read. */
@@ -147,6 +180,19 @@
     memory.putUnrecorded(attempt, origin, nowNanos);
   }
 
+  /**
+   * Returns what this instance knows of streams, for another one that looks for their origins.
+   *
+   * @param attempts the attempts that began the streams
+   */
+  public PeerAnswer answer(List<String> attempts, long nowNanos) {
+    List<OriginRecord> known = new ArrayList<>();
+    for (String attempt : attempts) {
+      memory.find(attempt).ifPresent(origin -> known.add(new OriginRecord(attempt, origin)));
+    }
+    return new PeerAnswer(incarnation, memory.isComplete(nowNanos), known);
+  }
+
   /**
    * Looks for the origin of a stream.
    *
@@ -184,11 +230,23 @@
     memory.expire(nowNanos);
     search.tick(nowNanos);
     declare(nowNanos);
+    retirePredecessors(nowNanos);
     if (!recording && nowNanos - lastRecordingNanos >= recordingIntervalNanos()) {
       record(nowNanos);
     }
   }
 
+  private void retirePredecessors(long nowNanos) {
+    if (!started) {
+      started = true;
+      startNanos = nowNanos;
+    }
+    if (!predecessors.isEmpty() && nowNanos - startNanos > RETIREMENT_NANOS) {
+      DeclaredOrigin oldest = predecessors.poll();
+      store.retire(oldest, removed -> listener.onRetired(oldest, removed));
+    }
+  }
+
   private void declare(long nowNanos) {
     Optional<StreamOrigin> due = declarations.nextDue();
     if (declaring || due.isEmpty() || nowNanos - declarationFailedNanos < REDECLARE_DELAY_NANOS) {
@@ -247,6 +305,14 @@
 
   /** Applies what a search reads. */
   private final class SearchListener implements OriginSearch.Listener {
+    @Override
+    public void onDeclared(List<DeclaredOrigin> declared) {
+      predecessors.clear();
+      declared.stream()
+          .filter(one -> one.instance().equals(instance) && !one.incarnation().equals(incarnation))
+          .forEach(predecessors::add);
+    }
+
     @Override
     public void onBatch(OriginBatch batch, long nowNanos) {
       long ageMillis = Math.max(0, timeOfDayMillis.getAsLong() - batch.recordedAtMillis());
--- a/src/main/java/io/snipeloom/resumption/VersionHistory.java
+++ b/src/main/java/io/snipeloom/resumption/VersionHistory.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,7 +18,8 @@
   /** How long a version or a route counts after it was last seen; longer than callers retry. */
   static final long RETENTION_NANOS = 60_000_000_000L;
 
-  private final Map<StreamOrigin, String> declarations = new HashMap<>();
+  private final Map<String, String> declarations = new HashMap<>();
+  private final Set<StreamOrigin> declaredOrigins = new HashSet<>();
   private final Map<StreamOrigin, Long> versionSeenNanos = new HashMap<>();
   private final Map<String, Long> routeSeenNanos = new HashMap<>();
 
@@ -36,10 +38,11 @@
     routeSeenNanos.merge(service, seenNanos, Math::max);
   }
 
-  /** Records all declared origins; one that is new or declared anew counts as just seen. */
+  /** Records all declarations; the origin of one that is new counts as just seen. */
   void observeDeclared(List<DeclaredOrigin> declared, long nowNanos) {
     for (DeclaredOrigin one : declared) {
-      String previous = declarations.put(one.origin(), one.declaration());
+      String previous = declarations.put(one.text(), one.declaration());
+      declaredOrigins.add(one.origin());
       if (!one.declaration().equals(previous)) {
         observeVersion(one.origin(), nowNanos);
         observeRoute(one.origin().service(), nowNanos);
@@ -49,7 +52,7 @@
 
   /** Returns the origins that were ever declared, as far as this instance has listed them. */
   Set<StreamOrigin> declared() {
-    return Collections.unmodifiableSet(declarations.keySet());
+    return Collections.unmodifiableSet(declaredOrigins);
   }
 
   /** Returns what may have begun a stream that a caller resumes now. */
--- a/src/main/java/io/snipeloom/store/KeyedOrigins.java
+++ b/src/main/java/io/snipeloom/store/KeyedOrigins.java
@@ -13,18 +13,21 @@
 
 /**
  * Stores the origins of streams in a keyed topic, with one key per instance. The batches of all
- * instances are read in the order of their offsets, as long as the store retains them. Declared
- * origins are in another topic, with one key each, of which the newest record is kept.
+ * instances are read in the order of their offsets, as long as the store retains them. Declarations
+ * are in another topic, with one key for each origin and incarnation, of which the newest record is
+ * kept.
  *
  * <p>Confined to the event loop thread.
  */
 public final class KeyedOrigins implements OriginStore {
   private static final int ONLY_PARTITION = 0;
+  private static final byte[] REMOVAL = {};
 
   private final KeyedLog log;
   private final String topic;
   private final String declarationTopic;
   private final String instance;
+  private final String incarnation;
   private final Consumer<String> onMalformed;
   private long next;
   private long era;
@@ -36,6 +39,7 @@
    * @param topic the topic, which must hold nothing but origins
    * @param declarationTopic the topic of what may be an origin
    * @param instance the name of the instance, used as key
+   * @param incarnation a unique identifier of this start of the instance
    * @param onMalformed receives the key of each record that cannot be decoded
    */
   public KeyedOrigins(
@@ -43,11 +47,13 @@
       String topic,
       String declarationTopic,
       String instance,
+      String incarnation,
       Consumer<String> onMalformed) {
     this.log = log;
     this.topic = topic;
     this.declarationTopic = declarationTopic;
     this.instance = instance;
+    this.incarnation = incarnation;
     this.onMalformed = onMalformed;
   }
 
@@ -58,17 +64,27 @@
 
   @Override
   public void declare(StreamOrigin origin, Consumer<Boolean> listener) {
-    DeclaredOrigin declared = new DeclaredOrigin(origin, UUID.randomUUID().toString());
+    DeclaredOrigin declared =
+        new DeclaredOrigin(origin, UUID.randomUUID().toString(), instance, incarnation);
+    write(keyOf(declared), declared.toBytes(), listener);
+  }
+
+  @Override
+  public void retire(DeclaredOrigin declared, Consumer<Boolean> listener) {
+    write(keyOf(declared), REMOVAL, listener);
+  }
+
+  private void write(String key, byte[] value, Consumer<Boolean> listener) {
     log.append(
         declarationTopic,
         ONLY_PARTITION,
-        new KeyedRecord(keyOf(origin), declared.toBytes()),
+        new KeyedRecord(key, value),
         outcome -> listener.accept(outcome == StoreOutcome.DONE));
   }
 
   /** Returns a key of bounded length. */
-  private static String keyOf(StreamOrigin origin) {
-    return UUID.nameUUIDFromBytes(origin.text().getBytes(StandardCharsets.UTF_8)).toString();
+  private static String keyOf(DeclaredOrigin declared) {
+    return UUID.nameUUIDFromBytes(declared.text().getBytes(StandardCharsets.UTF_8)).toString();
   }
 
   @Override
--- a/src/test/java/io/snipeloom/LayersTest.java
+++ b/src/test/java/io/snipeloom/LayersTest.java
@@ -80,7 +80,7 @@
         .whereLayer("store")
         .mayOnlyAccessLayers("spend", "resumption", "state")
         .whereLayer("peer")
-        .mayOnlyAccessLayers("routing", "spend", "telemetry", "state")
+        .mayOnlyAccessLayers("routing", "spend", "resumption", "telemetry", "state")
         .whereLayer("telemetry")
         .mayNotAccessAnyLayer()
         .whereLayer("forwarding")
--- /dev/null
+++ b/src/test/java/io/snipeloom/resumption/SharedOriginStore.java
@@ -0,0 +1,135 @@
+package io.snipeloom.resumption;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** A store of origins that several instances share and whose calls end at once. */
+final class SharedOriginStore {
+  private final List<OriginBatch> batches = new ArrayList<>();
+  private final Map<String, DeclaredOrigin> declared = new HashMap<>();
+  private long era = 1;
+  private int declarations;
+  private boolean down;
+  private boolean unreadable;
+
+  /** Loses all declarations. */
+  void revert() {
+    era++;
+    declared.clear();
+  }
+
+  void setDown(boolean isDown) {
+    down = isDown;
+  }
+
+  /** Makes a declaration unreadable. */
+  void setUnreadable() {
+    unreadable = true;
+  }
+
+  List<OriginBatch> batches() {
+    return batches;
+  }
+
+  /** Returns the incarnations that have declared an origin. */
+  List<String> declarersOf(StreamOrigin origin) {
+    return declared.values().stream()
+        .filter(one -> one.origin().equals(origin))
+        .map(DeclaredOrigin::incarnation)
+        .toList();
+  }
+
+  /** Returns the view of one incarnation of an instance. */
+  Member member(String instance, String incarnation) {
+    return new Member(instance, incarnation);
+  }
+
+  /** The view of one incarnation of an instance. */
+  final class Member implements OriginStore {
+    private final String instance;
+    private final String incarnation;
+    private boolean cut;
+    private int next;
+
+    private Member(String instance, String incarnation) {
+      this.instance = instance;
+      this.incarnation = incarnation;
+    }
+
+    String instance() {
+      return instance;
+    }
+
+    String incarnation() {
+      return incarnation;
+    }
+
+    /** Cuts the instance off from the store. */
+    void cutOff() {
+      cut = true;
+    }
+
+    /** Lets the instance reach the store again. */
+    void reconnect() {
+      cut = false;
+    }
+
+    private boolean isReachable() {
+      return !down && !cut;
+    }
+
+    @Override
+    public long era() {
+      return era;
+    }
+
+    @Override
+    public void declare(StreamOrigin origin, Consumer<Boolean> listener) {
+      if (isReachable()) {
+        declarations++;
+        DeclaredOrigin one = new DeclaredOrigin(origin, "d" + declarations, instance, incarnation);
+        declared.put(one.text(), one);
+      }
+      listener.accept(isReachable());
+    }
+
+    @Override
+    public void retire(DeclaredOrigin one, Consumer<Boolean> listener) {
+      if (isReachable()) {
+        declared.remove(one.text());
+      }
+      listener.accept(isReachable());
+    }
+
+    @Override
+    public void listDeclared(ListingListener listener) {
+      if (isReachable()) {
+        listener.onListed(List.copyOf(declared.values()), !unreadable);
+      } else {
+        listener.onFailed();
+      }
+    }
+
+    @Override
+    public void append(OriginBatch batch, Consumer<Boolean> listener) {
+      if (isReachable()) {
+        batches.add(batch);
+      }
+      listener.accept(isReachable());
+    }
+
+    @Override
+    public void readNew(ReadListener listener) {
+      if (!isReachable()) {
+        listener.onFailed();
+        return;
+      }
+      List<OriginBatch> read = List.copyOf(batches.subList(next, batches.size()));
+      next = batches.size();
+      listener.onRead(read);
+    }
+  }
+}
--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -3,9 +3,11 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.snipeloom.resumption.OriginLookup.Source;
@@ -17,9 +19,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -32,8 +33,9 @@
   private static final StreamOrigin FIRST = origin("v1");
   private static final StreamOrigin SECOND = origin("v2");
 
-  private final SharedStore store = new SharedStore();
+  private final SharedOriginStore store = new SharedOriginStore();
   private final List<StreamContinuity> instances = new ArrayList<>();
+  private final Set<StreamContinuity> silent = new HashSet<>();
   private final StreamContinuity first = start(2);
   private final StreamContinuity second = start(2);
   private List<Replica> replicas = replicas("v1", "v2");
@@ -60,6 +62,7 @@
   void lookupWaitsForAnOriginThatIsBeingRecorded() {
     run(SECOND_NANOS);
     first.onBegun("a", SECOND, nowNanos);
+    silent.add(first);
     List<OriginLookup> found = find(second, "a");
     assertThat(found, is(empty()));
     run(4 * TICK_NANOS);
@@ -81,7 +84,7 @@
     first.onBegun("a", FIRST, nowNanos);
     run(SECOND_NANOS);
     assertThat(find(second, "a"), contains(OriginLookup.found(FIRST, Source.ONLY_POSSIBLE)));
-    assertThat(store.batches, is(empty()));
+    assertThat(store.batches(), is(empty()));
   }
 
   /** Guards against streams that began before their service got its second version. */
@@ -125,7 +128,7 @@
   void originIsUnknownAtOnceWhileNeitherRegistryNorStoreCanBeRead() {
     replicas = replicas("v1");
     run(SECOND_NANOS);
-    store.down = true;
+    store.setDown(true);
     run(3 * SECOND_NANOS);
     assertThat(find(second, "a"), contains(OriginLookup.unknown()));
   }
@@ -137,6 +140,7 @@
     run(SECOND_NANOS);
     first.onReplica(replica("llm", "e-9", "v2"), nowNanos);
     first.onBegun("a", SECOND, nowNanos);
+    silent.add(first);
     List<OriginLookup> found = find(second, "a");
     assertThat(found, is(empty()));
     run(SECOND_NANOS);
@@ -161,12 +165,12 @@
   void streamDoesNotBeginAtVersionThatIsNotDeclared() {
     replicas = replicas("v1");
     run(SECOND_NANOS);
-    store.down = true;
+    store.setDown(true);
     Replica fresh = replica("llm", "e-9", "v2");
     first.onReplica(fresh, nowNanos);
     assertThat(first.mayBegin(replicas.get(0), nowNanos), is(true));
     assertThat(first.mayBegin(fresh, nowNanos), is(false));
-    store.down = false;
+    store.setDown(false);
     run(SECOND_NANOS);
     assertThat(first.mayBegin(fresh, nowNanos), is(true));
   }
@@ -194,10 +198,10 @@
     replicas = replicas("v1");
     run(61 * SECOND_NANOS);
     Replica back = replica("llm", "e-9", "v2");
-    store.down = true;
+    store.setDown(true);
     first.onReplica(back, nowNanos);
     assertThat(first.mayBegin(back, nowNanos), is(false));
-    store.down = false;
+    store.setDown(false);
     run(SECOND_NANOS);
     first.onBegun("a", SECOND, nowNanos);
     assertThat(find(second, "other"), is(empty()));
@@ -211,6 +215,7 @@
     first.onReplica(replica("llm", "e-9", "v2"), nowNanos);
     first.onBegun("a", SECOND, nowNanos);
     store.revert();
+    silent.add(first);
     List<OriginLookup> found = find(second, "a");
     run(SECOND_NANOS);
     assertThat(found, contains(OriginLookup.found(SECOND, Source.STORE)));
@@ -224,7 +229,7 @@
   void onlyVersionIsNotTakenForTheOriginIfOneDeclarationCannotBeRead() {
     replicas = replicas("v1");
     run(SECOND_NANOS);
-    store.unreadable = true;
+    store.setUnreadable();
     List<OriginLookup> found = find(second, "a");
     run(SECOND_NANOS);
     assertThat(found, contains(OriginLookup.unknown()));
@@ -233,10 +238,10 @@
   @Test
   void recordingThatFailedIsRepeated() {
     run(TICK_NANOS);
-    store.down = true;
+    store.setDown(true);
     first.onBegun("a", FIRST, nowNanos);
     run(SECOND_NANOS);
-    store.down = false;
+    store.setDown(false);
     run(SECOND_NANOS);
     assertThat(find(second, "a"), contains(OriginLookup.found(FIRST, Source.STORE)));
   }
@@ -279,28 +284,154 @@
     assertThat(find(second, "a"), contains(OriginLookup.found(FIRST, Source.ONLY_POSSIBLE)));
   }
 
+  /**
+   * Guards against refusing streams of an instance that was cut off from the store and killed
+   * during a release, although it can have begun them at one version only.
+   */
+  @Test
+  void streamsOfInstanceThatWasCutOffBeforeReleaseGoOn() {
+    replicas = replicas("v1");
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    StreamContinuity cutOff = start(member, 3);
+    run(SECOND_NANOS);
+    cutOff.onBegun("before", FIRST, nowNanos);
+    member.cutOff();
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    assertThat(cutOff.mayBegin(replicas.get(1), nowNanos), is(false));
+    cutOff.onBegun("after", FIRST, nowNanos);
+    crash(cutOff);
+    OriginLookup found = OriginLookup.found(FIRST, Source.ONLY_REMAINING);
+    assertThat(find(first, "before"), contains(found));
+    assertThat(find(second, "after"), contains(found));
+  }
+
+  /** Guards against a guess where an instance that crashed could have begun either version. */
+  @Test
+  void streamOfCrashedInstanceThatHadDeclaredBothVersionsIsUnknown() {
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    StreamContinuity crashing = start(member, 3);
+    run(SECOND_NANOS);
+    member.cutOff();
+    crashing.onBegun("a", SECOND, nowNanos);
+    run(SECOND_NANOS);
+    crash(crashing);
+    List<OriginLookup> found = find(first, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against taking the silence of an instance for its word that it knows nothing. */
+  @Test
+  void instanceThatDoesNotAnswerMayHaveBegunTheStream() {
+    replicas = replicas("v1");
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    StreamContinuity cutOff = start(member, 3);
+    run(SECOND_NANOS);
+    member.cutOff();
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    silent.add(second);
+    crash(cutOff);
+    List<OriginLookup> found = find(first, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against refusing a stream that an instance without the store knows. */
+  @Test
+  void instanceThatIsCutOffFromTheStoreTellsWhatItKnows() {
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    StreamContinuity cutOff = start(member, 3);
+    run(SECOND_NANOS);
+    member.cutOff();
+    cutOff.onBegun("a", SECOND, nowNanos);
+    assertThat(find(first, "a"), contains(OriginLookup.found(SECOND, Source.PEER)));
+  }
+
+  /** Guards against the word of an incarnation for the streams of the one before it. */
+  @Test
+  void incarnationDoesNotAnswerForThePreviousOne() {
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    StreamContinuity crashing = start(member, 3);
+    run(SECOND_NANOS);
+    member.cutOff();
+    crashing.onBegun("a", SECOND, nowNanos);
+    crash(crashing);
+    replicas = replicas("v1", "v2");
+    start(store.member("edge-9", "edge-9-2"), 3);
+    run(SECOND_NANOS);
+    List<OriginLookup> found = find(first, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against declarations of incarnations that are long gone, which pile up. */
+  @Test
+  void declarationsOfEarlierIncarnationsAreRemovedOnceTheirStreamsAreOver() {
+    StreamContinuity crashing = start(store.member("edge-9", "edge-9-1"), 3);
+    run(SECOND_NANOS);
+    crash(crashing);
+    start(store.member("edge-9", "edge-9-2"), 3);
+    run(SECOND_NANOS);
+    assertThat(store.declarersOf(FIRST), hasItem("edge-9-1"));
+    run(121 * SECOND_NANOS);
+    assertThat(store.declarersOf(FIRST), not(hasItem("edge-9-1")));
+    assertThat(store.declarersOf(FIRST), hasItem("edge-9-2"));
+  }
+
+  /** Guards against a guess from a declaration that does not tell who may begin streams. */
+  @Test
+  void declarationOfUnknownInstanceRulesNothingOut() {
+    replicas = replicas("v1");
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    StreamContinuity cutOff = start(member, 3);
+    run(SECOND_NANOS);
+    member.cutOff();
+    store.member("", "").declare(SECOND, stored -> {});
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    crash(cutOff);
+    List<OriginLookup> found = find(first, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
   @Test
   void largeFleetRecordsAtBoundedRate() {
     StreamContinuity member = start(500);
     run(TICK_NANOS);
-    int before = store.batches.size();
+    int before = store.batches().size();
     for (int i = 0; i < 200; i++) {
       member.onBegun("a" + i, FIRST, nowNanos);
       run(TICK_NANOS);
     }
-    assertThat(store.batches.size() - before, is(lessThanOrEqualTo(3)));
+    assertThat(store.batches().size() - before, is(lessThanOrEqualTo(3)));
   }
 
   @Test
   void batchIsDecodedAsItWasEncoded() {
     OriginBatch batch = new OriginBatch(7, List.of(new OriginRecord("a", FIRST)));
     assertThat(OriginBatch.parse(batch.toBytes()), is(batch));
-    DeclaredOrigin declared = new DeclaredOrigin(FIRST, "once");
+    DeclaredOrigin declared = new DeclaredOrigin(FIRST, "once", "edge-1", "edge-1-1");
     assertThat(DeclaredOrigin.parse(declared.toBytes()), is(declared));
     assertThrows(SnipeloomException.class, () -> DeclaredOrigin.parse(new byte[] {1, 2}));
     assertThrows(SnipeloomException.class, () -> OriginBatch.parse(new byte[] {1, 2}));
   }
 
+  /** Guards against ruling out an instance that has forgotten recent streams. */
+  @Test
+  void memoryThatHasDroppedRecentStreamsIsNotComplete() {
+    OriginMemory memory = new OriginMemory();
+    for (int i = 0; i <= 50_000; i++) {
+      memory.putUnrecorded("a" + i, FIRST, 0);
+    }
+    assertThat(memory.isComplete(1), is(true));
+    memory.expire(1);
+    assertThat(memory.isComplete(2), is(false));
+    assertThat(memory.isComplete(OriginMemory.RETENTION_NANOS + 2), is(true));
+  }
+
   @Test
   void memoryIsBoundedInAge() {
     OriginMemory memory = new OriginMemory();
@@ -311,14 +442,39 @@
   }
 
   private StreamContinuity start(int fleetSize) {
+    String name = "edge-" + instances.size();
+    return start(store.member(name, name + "-1"), fleetSize);
+  }
+
+  private StreamContinuity start(SharedOriginStore.Member member, int fleetSize) {
     StreamContinuity instance =
         new StreamContinuity(
-            store.reader(), () -> nowNanos / 1_000_000, () -> fleetSize, new NoListener());
+            member,
+            this::ask,
+            member.instance(),
+            member.incarnation(),
+            () -> nowNanos / 1_000_000,
+            () -> fleetSize,
+            new IgnoredOriginEvents());
     instance.onRoutes(Set.of("llm"), nowNanos);
     instances.add(instance);
     return instance;
   }
 
+  /** Asks all instances that run and answer. */
+  private void ask(List<String> attempts, Consumer<List<PeerAnswer>> listener) {
+    listener.accept(
+        instances.stream()
+            .filter(instance -> !silent.contains(instance))
+            .map(instance -> instance.answer(attempts, nowNanos))
+            .toList());
+  }
+
+  /** Ends an instance as a crash does. */
+  private void crash(StreamContinuity instance) {
+    instances.remove(instance);
+  }
+
   private void run(long nanos) {
     for (long end = nowNanos + nanos; nowNanos < end; nowNanos += TICK_NANOS) {
       for (StreamContinuity instance : instances) {
@@ -357,83 +513,4 @@
         64,
         ReplicaState.READY);
   }
-
-  /** A store whose calls end at once. */
-  private static final class SharedStore {
-    private final List<OriginBatch> batches = new ArrayList<>();
-    private final Map<StreamOrigin, DeclaredOrigin> declared = new HashMap<>();
-    private long era = 1;
-    private int declarations;
-    private boolean down;
-    private boolean unreadable;
-
-    /** Loses all declarations. */
-    void revert() {
-      era++;
-      declared.clear();
-    }
-
-    /** Returns the view of one instance. */
-    OriginStore reader() {
-      return new OriginStore() {
-        private int next;
-
-        @Override
-        public long era() {
-          return era;
-        }
-
-        @Override
-        public void declare(StreamOrigin origin, Consumer<Boolean> listener) {
-          if (!down) {
-            declarations++;
-            declared.put(origin, new DeclaredOrigin(origin, "d" + declarations));
-          }
-          listener.accept(!down);
-        }
-
-        @Override
-        public void listDeclared(ListingListener listener) {
-          if (down) {
-            listener.onFailed();
-          } else {
-            listener.onListed(List.copyOf(declared.values()), !unreadable);
-          }
-        }
-
-        @Override
-        public void append(OriginBatch batch, Consumer<Boolean> listener) {
-          if (!down) {
-            batches.add(batch);
-          }
-          listener.accept(!down);
-        }
-
-        @Override
-        public void readNew(ReadListener listener) {
-          if (down) {
-            listener.onFailed();
-            return;
-          }
-          List<OriginBatch> read = List.copyOf(batches.subList(next, batches.size()));
-          next = batches.size();
-          listener.onRead(read);
-        }
-      };
-    }
-  }
-
-  private static final class NoListener implements StreamContinuity.Listener {
-    @Override
-    public void onRecorded(long total) {}
-
-    @Override
-    public void onRecordingFailed(int streams) {}
-
-    @Override
-    public void onReadFailed() {}
-
-    @Override
-    public void onDeclaration(StreamOrigin origin, boolean declared) {}
-  }
 }
