LOST: the grace period runs from the signal, however late the event loop is

What callers saw: nothing at all. The instance began to count its grace when the event loop came to it; if that was later than the margin of 0.4 s, requests were let in that could not end, and the last answers were due after the kill.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -227,7 +227,9 @@
    * most the grace period of the settings.
    */
   public void stop() {
-    loop.execute(() -> drain.begin(System.nanoTime()));
+    // The grace period runs from now, however late the event loop is.
+    long beginNanos = System.nanoTime();
+    loop.execute(() -> drain.begin(beginNanos));
     try {
       drain.await();
     } catch (InterruptedException e) {
--- a/src/test/java/io/snipeloom/edge/LateRequestTest.java
+++ b/src/test/java/io/snipeloom/edge/LateRequestTest.java
@@ -102,6 +102,23 @@
     assertThat(edge.hasLogged(line -> line.contains("event=last_answers")), is(true));
   }
 
+  /** Guards against an end that comes after the kill, as the event loop was late. */
+  @Test
+  void requestThatIsOpenAtTheEndGetsCodedAnswerAlthoughTheEventLoopWasLate() throws Exception {
+    edge.configureWithoutTotal(2);
+    edge.awaitLog("event=configuration version=2");
+    workMillis = 20_000;
+    Socket caller = edge.open();
+    String vote = EdgeFixture.request("/vote/1", "vote", "", true);
+    write(caller, vote.replace("Deadline-Ms: 3000", "Deadline-Ms: 15000"));
+    edge.awaitLog("event=sent id=vote");
+    edge.blockLoop(1_000);
+    callers.execute(this::stopLikeProcess);
+    String answer = EdgeFixture.readAll(caller.getInputStream());
+    assertThat(answer, startsWith("HTTP/1.1 50"));
+    assertThat(edge.hasLogged(line -> line.contains("event=last_answers")), is(true));
+  }
+
   private void stopLikeProcess() {
     edge.stop();
     edge.halt();
