ORDER: a declaration that the store lost is not taken for none

What callers would see: a stream that began at v2 goes on at v1. An instance declares v2, begins streams there and dies; the store comes back from an older copy, which holds its declaration of v1 only. The exclusion then left v1 as the only origin (5 s later, when the declarations count as known again), at instances that saw the store come back and at those that started afterwards. Now a declaration names the era of the store in which it was made. If an instance that is not ruled out has declared nothing in the present era, the store may have lost what it declared, and the origin is unknown. Evidence: StreamContinuityTest, two new cases, both told v1 (ONLY_REMAINING) before. Not covered: an instance that declares one of two origins anew and is cut off between the two calls.

--- a/src/main/java/io/snipeloom/resumption/DeclaredOrigin.java
+++ b/src/main/java/io/snipeloom/resumption/DeclaredOrigin.java
@@ -17,9 +17,10 @@
  * @param declaration identifies the declaration; each one has another
  * @param instance the name of the instance, empty if it is unknown
  * @param incarnation the start of the instance that declared it, empty if it is unknown
+ * @param era the era of the store in which it was declared; 0 if it is unknown
  */
 public record DeclaredOrigin(
-    StreamOrigin origin, String declaration, String instance, String incarnation) {
+    StreamOrigin origin, String declaration, String instance, String incarnation, long era) {
   /** The version of the encoding; declarations of any later version are rejected. */
   private static final int ENCODING_VERSION = 2;
 
@@ -45,7 +46,7 @@
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packInt(ENCODING_VERSION).packString(origin.service());
       packer.packString(origin.version().value()).packString(declaration);
-      packer.packString(instance).packString(incarnation);
+      packer.packString(instance).packString(incarnation).packLong(era);
       return packer.toByteArray();
     } catch (IOException e) {
       throw SnipeloomException.of(ErrorCode.INTERNAL, "cannot encode a stream version")
@@ -71,9 +72,13 @@
       StreamOrigin origin = new StreamOrigin(service, version);
       String declaration = unpacker.unpackString();
       return encoding == ANONYMOUS_VERSION
-          ? new DeclaredOrigin(origin, declaration, "", "")
+          ? new DeclaredOrigin(origin, declaration, "", "", 0)
           : new DeclaredOrigin(
-              origin, declaration, unpacker.unpackString(), unpacker.unpackString());
+              origin,
+              declaration,
+              unpacker.unpackString(),
+              unpacker.unpackString(),
+              unpacker.unpackLong());
     } catch (IOException | RuntimeException e) {
       throw SnipeloomException.of(ErrorCode.MALFORMED_RECORD, "a stream version cannot be decoded")
           .withCause(e);
--- a/src/main/java/io/snipeloom/resumption/OriginSearch.java
+++ b/src/main/java/io/snipeloom/resumption/OriginSearch.java
@@ -48,6 +48,7 @@
   private final VersionHistory history;
   private final Listener listener;
   private List<DeclaredOrigin> declared = List.of();
+  private long declaredEra;
   private boolean declaredKnown;
   private long lastAskedNanos = Long.MIN_VALUE / 2;
   private List<Waiter> waiters = new ArrayList<>();
@@ -157,6 +158,7 @@
     history.observeDeclared(listed, beganNanos);
     listener.onDeclared(listed);
     declared = listed;
+    declaredEra = store.era();
     declaredKnown = complete && beganNanos >= heldUntilNanos;
     if (declaredKnown) {
       answer(waiter -> onlyPossible(waiter, beganNanos));
@@ -217,7 +219,7 @@
     answerRemembered(OriginLookup.Source.PEER);
     if (declaredKnown) {
       Optional<OriginLookup> left =
-          RemainingOrigins.of(declared, history.possibleOrigins(beganNanos), excluded)
+          RemainingOrigins.of(declared, history.possibleOrigins(beganNanos), excluded, declaredEra)
               .only()
               .map(origin -> OriginLookup.found(origin, OriginLookup.Source.ONLY_REMAINING));
       answer(waiter -> waiter.attempt().filter(asked::contains).flatMap(attempt -> left));
--- a/src/test/java/io/snipeloom/resumption/SharedOriginStore.java
+++ b/src/test/java/io/snipeloom/resumption/SharedOriginStore.java
@@ -21,6 +21,18 @@
     declared.clear();
   }
 
+  /** Returns what brings the store back to its present state, in a new era. */
+  Runnable copy() {
+    Map<String, DeclaredOrigin> declaredThen = Map.copyOf(declared);
+    int batchesThen = batches.size();
+    return () -> {
+      era++;
+      declared.clear();
+      declared.putAll(declaredThen);
+      batches.subList(batchesThen, batches.size()).clear();
+    };
+  }
+
   void setDown(boolean isDown) {
     down = isDown;
   }
@@ -53,6 +65,7 @@
     private final String incarnation;
     private boolean cut;
     private int next;
+    private long readEra = 1;
 
     private Member(String instance, String incarnation) {
       this.instance = instance;
@@ -90,7 +103,8 @@
     public void declare(StreamOrigin origin, Consumer<Boolean> listener) {
       if (isReachable()) {
         declarations++;
-        DeclaredOrigin one = new DeclaredOrigin(origin, "d" + declarations, instance, incarnation);
+        DeclaredOrigin one =
+            new DeclaredOrigin(origin, "d" + declarations, instance, incarnation, era);
         declared.put(one.text(), one);
       }
       listener.accept(isReachable());
@@ -127,6 +141,10 @@
         listener.onFailed();
         return;
       }
+      if (readEra != era) {
+        readEra = era;
+        next = 0;
+      }
       List<OriginBatch> read = List.copyOf(batches.subList(next, batches.size()));
       next = batches.size();
       listener.onRead(read);
--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -224,6 +224,44 @@
     assertThat(unknown, contains(OriginLookup.unknown()));
   }
 
+  /** Guards against an origin told by exclusion from declarations that the store has lost. */
+  @Test
+  void declarationThatTheStoreLostWithItsDeadWriterIsNotTakenForNone() {
+    replicas = replicas("v1");
+    run(SECOND_NANOS);
+    final Runnable olderCopy = store.copy();
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    assertThat(first.mayBegin(replicas.get(1), nowNanos), is(true));
+    first.onBegun("a", SECOND, nowNanos);
+    instances.remove(first);
+    silent.add(first);
+    olderCopy.run();
+    run(6 * SECOND_NANOS);
+    List<OriginLookup> found = find(second, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against the same at an instance that starts after the store has come back. */
+  @Test
+  void lostDeclarationIsNotTakenForNoneByAnInstanceThatStartsAfterwards() {
+    replicas = replicas("v1");
+    run(SECOND_NANOS);
+    final Runnable olderCopy = store.copy();
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    first.onBegun("a", SECOND, nowNanos);
+    instances.remove(first);
+    silent.add(first);
+    olderCopy.run();
+    StreamContinuity started = start(2);
+    run(6 * SECOND_NANOS);
+    List<OriginLookup> found = find(started, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
   /** Guards against a guess from a declaration that this version of the software cannot read. */
   @Test
   void onlyVersionIsNotTakenForTheOriginIfOneDeclarationCannotBeRead() {
@@ -413,7 +451,7 @@
   void batchIsDecodedAsItWasEncoded() {
     OriginBatch batch = new OriginBatch(7, List.of(new OriginRecord("a", FIRST)));
     assertThat(OriginBatch.parse(batch.toBytes()), is(batch));
-    DeclaredOrigin declared = new DeclaredOrigin(FIRST, "once", "edge-1", "edge-1-1");
+    DeclaredOrigin declared = new DeclaredOrigin(FIRST, "once", "edge-1", "edge-1-1", 7);
     assertThat(DeclaredOrigin.parse(declared.toBytes()), is(declared));
     assertThrows(SnipeloomException.class, () -> DeclaredOrigin.parse(new byte[] {1, 2}));
     assertThrows(SnipeloomException.class, () -> OriginBatch.parse(new byte[] {1, 2}));
