--- a/src/main/java/io/snipeloom/edge/Drain.java
+++ b/src/main/java/io/snipeloom/edge/Drain.java
@@ -31,6 +31,9 @@
   /** Part of the grace period reserved for writing the last responses and log lines. */
   private static final double MARGIN_SECONDS = 0.4;
 
+  /** Part of the grace period in which the process ends, whatever is not written yet. */
+  private static final double END_SECONDS = 0.1;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final double graceSeconds;
@@ -72,7 +75,7 @@
     begun = true;
     beginNanos = nowNanos;
     log.log("drain", "open_requests", proxyServer.openRequests());
-    fleet.beginShutdown(nowNanos + ACCEPT_NANOS, nowNanos + servingNanos());
+    fleet.beginShutdown(nowNanos + ACCEPT_NANOS, nowNanos + nanosBefore(MARGIN_SECONDS));
     proxyServer.drain();
   }
 
@@ -82,9 +85,9 @@
         completed.await((long) (graceSeconds * NANOS_PER_SECOND), TimeUnit.NANOSECONDS);
   }
 
-  /** Returns the time from the start of a shutdown until the last answers are sent. */
-  private long servingNanos() {
-    return (long) (Math.max(0, graceSeconds - MARGIN_SECONDS) * NANOS_PER_SECOND);
+  /** Returns the time from the signal to a moment before the end of the grace period. */
+  private long nanosBefore(double seconds) {
+    return (long) (Math.max(0, graceSeconds - seconds) * NANOS_PER_SECOND);
   }
 
   /** Takes the steps that are due. */
@@ -98,10 +101,10 @@
     if (proxyServer.openRequests() > 0) {
       lastOpenRequestNanos = nowNanos;
     }
-    if (isIdle(nowNanos) || lastAnswersSent) {
+    boolean written = proxyServer.openRequests() == 0 || elapsedNanos > nanosBefore(END_SECONDS);
+    if (isIdle(nowNanos) || (lastAnswersSent && written)) {
       completed.countDown();
-    } else if (elapsedNanos > servingNanos()) {
-      // The next tick ends the process, once the event loop has written the answers.
+    } else if (!lastAnswersSent && elapsedNanos > nanosBefore(MARGIN_SECONDS)) {
       lastAnswersSent = true;
       log.log("last_answers", "open_requests", proxyServer.openRequests());
       proxyServer.endBeforeShutdown();
