LOST: all streams of an instance that is gone are asked about

What callers saw (allStreamsOfAnInstanceThatEndedGoOnAtOnce, 600 streams at once): 301 of 600 went on, the rest was refused unasked: a question held the first 100 streams, the next came 100 ms later, and who had waited 300 ms was given up. Now those who have not been asked about come first and are given up only at the time limit of a search; a question holds 400 streams or 16,384 characters. IDs of over 200 characters, which are never recorded, are left out: five of 15,000 characters closed the connections to all peers (a frame of 75,104 bytes, 65,536 allowed). After: 600 of 600. A search answers only who came before its listing (listingFromBeforeTheCallerCameRulesNothingOut fails with that taken out: v1 for a stream of v2). Once the store has come back from an older copy, an instance that saw it rules nothing out any more. Memory is incomplete only if streams of its own were dropped.

--- a/src/main/java/io/snipeloom/peer/OriginClient.java
+++ b/src/main/java/io/snipeloom/peer/OriginClient.java
@@ -90,7 +90,7 @@
     void complete() {
       if (!completed) {
         completed = true;
-        listener.accept(answers);
+        listener.accept(List.copyOf(answers));
       }
     }
   }
--- a/src/main/java/io/snipeloom/peer/OriginMessage.java
+++ b/src/main/java/io/snipeloom/peer/OriginMessage.java
@@ -19,7 +19,7 @@
   int VERSION = 4;
 
   /** The most streams in a message; a longer list is malformed. */
-  int MAX_STREAMS = 128;
+  int MAX_STREAMS = 512;
 
   /**
    * Asks which streams the other instance knows.
--- a/src/main/java/io/snipeloom/resumption/OriginMemory.java
+++ b/src/main/java/io/snipeloom/resumption/OriginMemory.java
@@ -18,7 +18,7 @@
   private static final int MAX_STREAMS = 50_000;
 
   /** Longer attempt IDs are not recorded, so that a batch fits into a record of the store. */
-  private static final int MAX_RECORDED_ID_CHARS = 200;
+  static final int MAX_RECORDED_ID_CHARS = 200;
 
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private final Map<String, StreamOrigin> unrecorded = new LinkedHashMap<>();
@@ -26,11 +26,16 @@
   private long overflowNanos;
   private boolean overflowed;
 
-  private record Entry(StreamOrigin origin, long sinceNanos) {}
+  /**
+   * The origin of a stream.
+   *
+   * @param own whether the stream began at this instance
+   */
+  private record Entry(StreamOrigin origin, long sinceNanos, boolean own) {}
 
   /** Adds the origin of a stream that began at this instance. */
   void putUnrecorded(String attempt, StreamOrigin origin, long nowNanos) {
-    put(attempt, origin, nowNanos);
+    entries.putIfAbsent(attempt, new Entry(origin, nowNanos, true));
     if (attempt.length() <= MAX_RECORDED_ID_CHARS) {
       unrecorded.put(attempt, origin);
     }
@@ -38,11 +43,7 @@
 
   /** Adds the origin of a stream that some instance has recorded. */
   void putRecorded(OriginRecord record, long nowNanos) {
-    put(record.attempt(), record.origin(), nowNanos);
-  }
-
-  private void put(String attempt, StreamOrigin origin, long nowNanos) {
-    entries.putIfAbsent(attempt, new Entry(origin, nowNanos));
+    entries.putIfAbsent(record.attempt(), new Entry(record.origin(), nowNanos, false));
   }
 
   /** Returns whether all streams are known that began here and that callers may resume now. */
@@ -83,7 +84,7 @@
       if (!old && entries.size() <= MAX_STREAMS) {
         return;
       }
-      if (!old) {
+      if (!old && entry.getValue().own()) {
         overflowed = true;
         overflowNanos = nowNanos;
       }
--- a/src/main/java/io/snipeloom/resumption/OriginSearch.java
+++ b/src/main/java/io/snipeloom/resumption/OriginSearch.java
@@ -37,7 +37,10 @@
   private static final long ASK_INTERVAL_NANOS = 100_000_000L;
 
   /** The most streams in one question; the others are asked about in the next one. */
-  private static final int MAX_ASKED = 100;
+  private static final int MAX_ASKED = 400;
+
+  /** The most characters of their attempt IDs, so that question and answer fit into a frame. */
+  private static final int MAX_ASKED_CHARS = 16_384;
 
   private static final long UNKNOWN_ERA = -1;
 
@@ -54,21 +57,48 @@
   private List<Waiter> waiters = new ArrayList<>();
   private boolean loaded;
   private boolean searching;
+
+  /** Whether the store has come back from an older copy and may lack declarations for good. */
+  private boolean hasLostDeclarations;
+
   private long era = UNKNOWN_ERA;
   private long lastSearchNanos = Long.MIN_VALUE / 2;
   private long heldUntilNanos = Long.MIN_VALUE / 2;
 
-  /**
-   * A caller that waits for the origin of its stream.
-   *
-   * @param attempt the attempt that began the stream, empty if the caller does not state it
-   * @param isCandidate whether an origin is possible as far as the request tells
-   */
-  private record Waiter(
-      Optional<String> attempt,
-      Predicate<StreamOrigin> isCandidate,
-      long sinceNanos,
-      Consumer<OriginLookup> receiver) {}
+  /** A caller that waits for the origin of its stream. */
+  private static final class Waiter {
+    private final Optional<String> attempt;
+    private final Predicate<StreamOrigin> isCandidate;
+    private final long sinceNanos;
+    private final Consumer<OriginLookup> receiver;
+    private boolean asked;
+
+    /**
+     * Creates a waiter.
+     *
+     * @param attempt the attempt that began the stream, empty if the caller does not state it
+     * @param isCandidate whether an origin is possible as far as the request tells
+     */
+    private Waiter(
+        Optional<String> attempt,
+        Predicate<StreamOrigin> isCandidate,
+        long sinceNanos,
+        Consumer<OriginLookup> receiver) {
+      this.attempt = attempt;
+      this.isCandidate = isCandidate;
+      this.sinceNanos = sinceNanos;
+      this.receiver = receiver;
+    }
+
+    /** Returns whether the other instances have yet to be asked. */
+    private boolean isToBeAsked() {
+      return !asked && isAskable();
+    }
+
+    private boolean isAskable() {
+      return attempt.isPresent() && attempt.get().length() <= OriginMemory.MAX_RECORDED_ID_CHARS;
+    }
+  }
 
   /** Receives what is read. */
   interface Listener {
@@ -119,13 +149,13 @@
 
   private void await(Waiter waiter) {
     waiters.add(waiter);
-    search(waiter.sinceNanos());
+    search(waiter.sinceNanos);
   }
 
   /** Starts the reads that are due and ends searches that take too long. */
   void tick(long nowNanos) {
     noticeReversion(nowNanos);
-    giveUp(waiter -> nowNanos - waiter.sinceNanos() > TIMEOUT_NANOS);
+    giveUp(waiter -> nowNanos - waiter.sinceNanos > TIMEOUT_NANOS);
     boolean loadDue = !loaded && nowNanos - lastSearchNanos >= RETRY_DELAY_NANOS;
     if (loadDue || !waiters.isEmpty()) {
       search(nowNanos);
@@ -185,27 +215,37 @@
     loaded = true;
     batches.forEach(batch -> listener.onBatch(batch, beganNanos));
     answerRemembered(OriginLookup.Source.STORE);
-    List<String> unknown = attemptsOfWaiters(beganNanos);
-    if (unknown.isEmpty() || beganNanos - lastAskedNanos < ASK_INTERVAL_NANOS) {
+    List<Waiter> unasked =
+        beganNanos - lastAskedNanos < ASK_INTERVAL_NANOS ? List.of() : unasked(beganNanos);
+    if (unasked.isEmpty()) {
       endSearch(beganNanos);
       return;
     }
     lastAskedNanos = beganNanos;
-    peers.ask(unknown, answers -> onAnswers(unknown, answers, beganNanos));
+    List<String> attempts = unasked.stream().flatMap(one -> one.attempt.stream()).toList();
+    peers.ask(attempts, answers -> onAnswers(unasked, answers, beganNanos));
   }
 
-  /** Returns some of the streams whose callers came before a search began. */
-  private List<String> attemptsOfWaiters(long beganNanos) {
-    return waiters.stream()
-        .filter(waiter -> waiter.sinceNanos() <= beganNanos)
-        .flatMap(waiter -> waiter.attempt().stream())
-        .distinct()
-        .limit(MAX_ASKED)
-        .toList();
+  /**
+   * Returns those who wait for an answer of the other instances, as many as fit a question. Who
+   * came after a search began is left for the next one, since its listing may be too old.
+   */
+  private List<Waiter> unasked(long beganNanos) {
+    List<Waiter> chosen = new ArrayList<>();
+    int chars = 0;
+    for (Waiter waiter : waiters) {
+      int length = waiter.attempt.map(String::length).orElse(0);
+      boolean fits = chosen.size() < MAX_ASKED && chars + length <= MAX_ASKED_CHARS;
+      if (waiter.isToBeAsked() && waiter.sinceNanos <= beganNanos && fits) {
+        chosen.add(waiter);
+        chars += length;
+      }
+    }
+    return chosen;
   }
 
   /** Applies what other instances know, and what is left if they have not begun the streams. */
-  private void onAnswers(List<String> asked, List<PeerAnswer> answers, long beganNanos) {
+  private void onAnswers(List<Waiter> asked, List<PeerAnswer> answers, long beganNanos) {
     Set<String> excluded = new HashSet<>();
     for (PeerAnswer one : answers) {
       one.known().forEach(record -> memory.putRecorded(record, beganNanos));
@@ -217,23 +257,25 @@
       excluded.add(incarnation);
     }
     answerRemembered(OriginLookup.Source.PEER);
-    if (declaredKnown) {
+    asked.forEach(waiter -> waiter.asked = true);
+    if (declaredKnown && !hasLostDeclarations) {
       Optional<OriginLookup> left =
           RemainingOrigins.of(declared, history.possibleOrigins(beganNanos), excluded, declaredEra)
               .only()
               .map(origin -> OriginLookup.found(origin, OriginLookup.Source.ONLY_REMAINING));
-      answer(waiter -> waiter.attempt().filter(asked::contains).flatMap(attempt -> left));
+      answer(waiter -> asked.contains(waiter) ? left : Optional.empty());
     }
     endSearch(beganNanos);
   }
 
   private void endSearch(long beganNanos) {
     searching = false;
-    giveUp(waiter -> beganNanos - waiter.sinceNanos() >= RECORDING_DELAY_NANOS);
+    giveUp(
+        waiter -> !waiter.isToBeAsked() && beganNanos - waiter.sinceNanos >= RECORDING_DELAY_NANOS);
   }
 
   private void answerRemembered(OriginLookup.Source source) {
-    answer(waiter -> waiter.attempt().flatMap(one -> remembered(one, source)));
+    answer(waiter -> waiter.attempt.flatMap(one -> remembered(one, source)));
   }
 
   private void noticeReversion(long nowNanos) {
@@ -241,6 +283,7 @@
       boolean reverted = era != UNKNOWN_ERA && loaded;
       era = store.era();
       if (reverted) {
+        hasLostDeclarations = true;
         heldUntilNanos = nowNanos + REVERSION_HOLD_NANOS;
         listener.onReverted(nowNanos);
       }
@@ -254,8 +297,8 @@
   /** Returns the only possible origin if the declarations were read after the caller came. */
   private Optional<OriginLookup> onlyPossible(Waiter waiter, long beganNanos) {
     List<StreamOrigin> possible =
-        history.possibleOrigins(beganNanos).stream().filter(waiter.isCandidate()).toList();
-    return waiter.sinceNanos() <= beganNanos && possible.size() == 1
+        history.possibleOrigins(beganNanos).stream().filter(waiter.isCandidate).toList();
+    return waiter.sinceNanos <= beganNanos && possible.size() == 1
         ? Optional.of(OriginLookup.found(possible.get(0), OriginLookup.Source.ONLY_POSSIBLE))
         : Optional.empty();
   }
@@ -270,7 +313,7 @@
     for (Waiter waiter : open) {
       Optional<OriginLookup> found = resolver.resolve(waiter);
       if (found.isPresent()) {
-        waiter.receiver().accept(found.get());
+        waiter.receiver.accept(found.get());
       } else {
         waiters.add(waiter);
       }
@@ -286,6 +329,6 @@
   private void giveUp(Predicate<Waiter> isHopeless) {
     List<Waiter> hopeless = waiters.stream().filter(isHopeless).toList();
     waiters.removeAll(hopeless);
-    hopeless.forEach(waiter -> waiter.receiver().accept(OriginLookup.unknown()));
+    hopeless.forEach(waiter -> waiter.receiver.accept(OriginLookup.unknown()));
   }
 }
--- a/src/test/java/io/snipeloom/resumption/SharedOriginStore.java
+++ b/src/test/java/io/snipeloom/resumption/SharedOriginStore.java
@@ -64,6 +64,8 @@
     private final String instance;
     private final String incarnation;
     private boolean cut;
+    private boolean holdsListings;
+    private Runnable heldListing;
     private int next;
     private long readEra = 1;
 
@@ -90,6 +92,17 @@
       cut = false;
     }
 
+    /** Holds the next listing back, as it is when it is asked for, until it is released. */
+    void holdListing() {
+      holdsListings = true;
+    }
+
+    /** Lets the listing arrive that was held back. */
+    void releaseListing() {
+      holdsListings = false;
+      heldListing.run();
+    }
+
     private boolean isReachable() {
       return !down && !cut;
     }
@@ -121,7 +134,11 @@
     @Override
     public void listDeclared(ListingListener listener) {
       if (isReachable()) {
-        listener.onListed(List.copyOf(declared.values()), !unreadable);
+        List<DeclaredOrigin> listed = List.copyOf(declared.values());
+        heldListing = () -> listener.onListed(listed, !unreadable);
+        if (!holdsListings) {
+          heldListing.run();
+        }
       } else {
         listener.onFailed();
       }
--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -435,6 +435,101 @@
     assertThat(found, contains(OriginLookup.unknown()));
   }
 
+  /** Guards against refusing streams about which the others were not asked in time. */
+  @Test
+  void allStreamsOfAnInstanceThatEndedGoOnAtOnce() {
+    replicas = replicas("v1");
+    run(SECOND_NANOS);
+    int streams = 600;
+    for (int i = 0; i < streams; i++) {
+      first.onBegun("a" + i, FIRST, nowNanos);
+    }
+    crash(first);
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    List<OriginLookup> found = new ArrayList<>();
+    for (int i = 0; i < streams; i++) {
+      second.find("a" + i, nowNanos, found::add);
+    }
+    run(2 * SECOND_NANOS);
+    assertThat(found.stream().filter(one -> one.origin().isPresent()).count(), is((long) streams));
+  }
+
+  /** Guards against a listing that is older than the stream that a caller resumes. */
+  @Test
+  void listingFromBeforeTheCallerCameRulesNothingOut() {
+    replicas = replicas("v1");
+    SharedOriginStore.Member searching = store.member("edge-8", "edge-8-1");
+    final StreamContinuity asking = start(searching, 4);
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    final StreamContinuity crashing = start(member, 4);
+    run(SECOND_NANOS);
+    first.onReplica(replica("llm", "e-9", "v2"), nowNanos);
+    run(TICK_NANOS);
+    searching.holdListing();
+    find(asking, "other");
+    crashing.onReplica(replica("llm", "e-9", "v2"), nowNanos);
+    member.cutOff();
+    crashing.onBegun("a", SECOND, nowNanos);
+    crash(crashing);
+    nowNanos += TICK_NANOS;
+    List<OriginLookup> found = find(asking, "a");
+    searching.releaseListing();
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against a guess by instances that have not seen a version for a minute. */
+  @Test
+  void versionThatAnInstanceCutOffFromTheStoreStillUsesCounts() {
+    replicas = replicas("v1", "v2");
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    StreamContinuity cutOff = start(member, 3);
+    run(SECOND_NANOS);
+    find(second, "lists the declarations");
+    run(SECOND_NANOS);
+    member.cutOff();
+    instances.remove(cutOff);
+    List<Replica> old = replicas("v1");
+    replicas = replicas("v2");
+    for (int i = 0; i < 70; i++) {
+      run(SECOND_NANOS);
+      cutOff.onReplica(old.get(0), nowNanos);
+      cutOff.tick(old, nowNanos);
+    }
+    assertThat(cutOff.mayBegin(old.get(0), nowNanos), is(true));
+    cutOff.onBegun("a", FIRST, nowNanos);
+    List<OriginLookup> found = find(second, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against long IDs of one caller that keep the question of all from being sent. */
+  @Test
+  void othersAreNotAskedAboutIdsThatAreTooLong() {
+    List<String> asked = new ArrayList<>();
+    StreamContinuity asking =
+        new StreamContinuity(
+            store.member("edge-9", "edge-9-1"),
+            (attempts, listener) -> {
+              asked.addAll(attempts);
+              listener.accept(List.of());
+            },
+            "edge-9",
+            "edge-9-1",
+            () -> nowNanos / 1_000_000,
+            () -> 3,
+            new IgnoredOriginEvents());
+    instances.add(asking);
+    run(SECOND_NANOS);
+    final List<OriginLookup> found = find(asking, "a".repeat(201));
+    final List<OriginLookup> other = find(asking, "b");
+    run(SECOND_NANOS);
+    assertThat(asked, contains("b"));
+    assertThat(found, contains(OriginLookup.unknown()));
+    assertThat(other, contains(OriginLookup.unknown()));
+  }
+
   @Test
   void largeFleetRecordsAtBoundedRate() {
     StreamContinuity member = start(500);
