--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -484,7 +484,7 @@
   void versionThatAnInstanceCutOffFromTheStoreStillUsesCounts() {
     replicas = replicas("v1", "v2");
     SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
-    StreamContinuity cutOff = start(member, 3);
+    final StreamContinuity cutOff = start(member, 3);
     run(SECOND_NANOS);
     find(second, "lists the declarations");
     run(SECOND_NANOS);
