ORDER: no remaining origin after the store came back without a silent instance's declarations

What callers would have seen: two versions in one stream. An instance declared v1, the store's copy was made, it declared v2, began streams there and was cut off or killed; the store came back from the copy. The listing then named it with v1 only, and 5 s later its streams went on at v1 (ONLY_REMAINING). An instance that saw the era change takes no remaining origin until it ends, since declarations may be lost altogether. Evidence: declarationThatTheStoreLostWithItsInstanceIsNotTakenForNone failed before (ONLY_REMAINING v1).

--- a/src/main/java/io/snipeloom/resumption/DeclaredOrigin.java
+++ b/src/main/java/io/snipeloom/resumption/DeclaredOrigin.java
@@ -17,20 +17,28 @@
  * @param declaration identifies the declaration; each one has another
  * @param instance the name of the instance, empty if it is unknown
  * @param incarnation the start of the instance that declared it, empty if it is unknown
+ * @param era the era of the store as the instance knew it then
  */
 public record DeclaredOrigin(
-    StreamOrigin origin, String declaration, String instance, String incarnation) {
+    StreamOrigin origin, String declaration, String instance, String incarnation, long era) {
   /** The version of the encoding; declarations of any later version are rejected. */
   private static final int ENCODING_VERSION = 2;
 
   /** The version of the encoding that does not tell who declared the origin. */
   private static final int ANONYMOUS_VERSION = 1;
 
+  private static final long UNKNOWN_ERA = 0;
+
   /** Returns whether one of some incarnations declared the origin. */
   boolean isDeclaredByOneOf(Collection<String> incarnations) {
     return !incarnation.isEmpty() && incarnations.contains(incarnation);
   }
 
+  /** Returns whether the instance that declared it may have declared others that are lost. */
+  boolean mayBeOneOfSeveral(long currentEra) {
+    return !incarnation.isEmpty() && era != currentEra;
+  }
+
   /** Returns a text that no declaration by another incarnation, or of another origin, has. */
   public String text() {
     return incarnation.length() + ":" + incarnation + origin.text();
@@ -45,7 +53,7 @@
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packInt(ENCODING_VERSION).packString(origin.service());
       packer.packString(origin.version().value()).packString(declaration);
-      packer.packString(instance).packString(incarnation);
+      packer.packString(instance).packString(incarnation).packLong(era);
       return packer.toByteArray();
     } catch (IOException e) {
       throw SnipeloomException.of(ErrorCode.INTERNAL, "cannot encode a stream version")
@@ -71,9 +79,13 @@
       StreamOrigin origin = new StreamOrigin(service, version);
       String declaration = unpacker.unpackString();
       return encoding == ANONYMOUS_VERSION
-          ? new DeclaredOrigin(origin, declaration, "", "")
+          ? new DeclaredOrigin(origin, declaration, "", "", UNKNOWN_ERA)
           : new DeclaredOrigin(
-              origin, declaration, unpacker.unpackString(), unpacker.unpackString());
+              origin,
+              declaration,
+              unpacker.unpackString(),
+              unpacker.unpackString(),
+              unpacker.unpackLong());
     } catch (IOException | RuntimeException e) {
       throw SnipeloomException.of(ErrorCode.MALFORMED_RECORD, "a stream version cannot be decoded")
           .withCause(e);
--- a/src/main/java/io/snipeloom/resumption/OriginSearch.java
+++ b/src/main/java/io/snipeloom/resumption/OriginSearch.java
@@ -41,6 +41,9 @@
 
   private static final long UNKNOWN_ERA = -1;
 
+  /** The era of the store before its first response. */
+  private static final long NO_ERA = 0;
+
   private final OriginStore store;
   private final OriginPeers peers;
   private final String incarnation;
@@ -53,6 +56,10 @@
   private List<Waiter> waiters = new ArrayList<>();
   private boolean loaded;
   private boolean searching;
+
+  /** Whether the store may lack declarations of instances that are gone or cut off from it. */
+  private boolean hasLostDeclarations;
+
   private long era = UNKNOWN_ERA;
   private long lastSearchNanos = Long.MIN_VALUE / 2;
   private long heldUntilNanos = Long.MIN_VALUE / 2;
@@ -215,9 +222,9 @@
       excluded.add(incarnation);
     }
     answerRemembered(OriginLookup.Source.PEER);
-    if (declaredKnown) {
+    if (declaredKnown && !hasLostDeclarations) {
       Optional<OriginLookup> left =
-          RemainingOrigins.of(declared, history.possibleOrigins(beganNanos), excluded)
+          RemainingOrigins.of(declared, history.possibleOrigins(beganNanos), excluded, era)
               .only()
               .map(origin -> OriginLookup.found(origin, OriginLookup.Source.ONLY_REMAINING));
       answer(waiter -> waiter.attempt().filter(asked::contains).flatMap(attempt -> left));
@@ -237,6 +244,7 @@
   private void noticeReversion(long nowNanos) {
     if (era != store.era()) {
       boolean reverted = era != UNKNOWN_ERA && loaded;
+      hasLostDeclarations = hasLostDeclarations || era > NO_ERA;
       era = store.era();
       if (reverted) {
         heldUntilNanos = nowNanos + REVERSION_HOLD_NANOS;
--- a/src/main/java/io/snipeloom/resumption/RemainingOrigins.java
+++ b/src/main/java/io/snipeloom/resumption/RemainingOrigins.java
@@ -21,19 +21,28 @@
   }
 
   /**
-   * Finds the origins that are left.
+   * Finds the origins that are left. There are none if an incarnation that is not excluded declared
+   * anything before the store came back from an older copy: later declarations of it may be lost.
    *
    * @param declared all declarations, listed after the caller came
    * @param possible the origins at which streams that callers resume now can have begun
    * @param excluded the incarnations that have not begun the stream
+   * @param era the era of the store
    */
   static RemainingOrigins of(
       List<DeclaredOrigin> declared,
       Collection<StreamOrigin> possible,
-      Collection<String> excluded) {
+      Collection<String> excluded,
+      long era) {
     Set<StreamOrigin> left = new HashSet<>();
     for (DeclaredOrigin one : declared) {
-      if (possible.contains(one.origin()) && !one.isDeclaredByOneOf(excluded)) {
+      if (one.isDeclaredByOneOf(excluded)) {
+        continue;
+      }
+      if (one.mayBeOneOfSeveral(era)) {
+        return new RemainingOrigins(Set.of());
+      }
+      if (possible.contains(one.origin())) {
         left.add(one.origin());
       }
     }
--- a/src/main/java/io/snipeloom/store/KeyedOrigins.java
+++ b/src/main/java/io/snipeloom/store/KeyedOrigins.java
@@ -65,7 +65,7 @@
   @Override
   public void declare(StreamOrigin origin, Consumer<Boolean> listener) {
     DeclaredOrigin declared =
-        new DeclaredOrigin(origin, UUID.randomUUID().toString(), instance, incarnation);
+        new DeclaredOrigin(origin, UUID.randomUUID().toString(), instance, incarnation, log.era());
     write(keyOf(declared), declared.toBytes(), listener);
   }
 
--- a/src/test/java/io/snipeloom/resumption/SharedOriginStore.java
+++ b/src/test/java/io/snipeloom/resumption/SharedOriginStore.java
@@ -10,8 +10,12 @@
 final class SharedOriginStore {
   private final List<OriginBatch> batches = new ArrayList<>();
   private final Map<String, DeclaredOrigin> declared = new HashMap<>();
+  private final List<DeclaredOrigin> late = new ArrayList<>();
+  private Map<String, DeclaredOrigin> copy = Map.of();
+  private int copiedBatches;
   private long era = 1;
   private int declarations;
+  private int listedRecords;
   private boolean down;
   private boolean unreadable;
 
@@ -21,6 +25,26 @@
     declared.clear();
   }
 
+  /** Keeps a copy, to which {@link #revertToCopy} goes back. */
+  void copy() {
+    copy = Map.copyOf(declared);
+    copiedBatches = batches.size();
+  }
+
+  /** Comes back from the last copy; what was written since is lost. */
+  void revertToCopy() {
+    era++;
+    declared.clear();
+    declared.putAll(copy);
+    batches.subList(copiedBatches, batches.size()).clear();
+  }
+
+  /** Executes the declarations that were under way when their instances were cut off. */
+  void executeLate() {
+    late.forEach(one -> declared.put(one.text(), one));
+    late.clear();
+  }
+
   void setDown(boolean isDown) {
     down = isDown;
   }
@@ -42,6 +66,11 @@
         .toList();
   }
 
+  /** Returns how many declarations all listings together had. */
+  int listedRecords() {
+    return listedRecords;
+  }
+
   /** Returns the view of one incarnation of an instance. */
   Member member(String instance, String incarnation) {
     return new Member(instance, incarnation);
@@ -53,6 +82,7 @@
     private final String incarnation;
     private boolean cut;
     private int next;
+    private long knownEra;
 
     private Member(String instance, String incarnation) {
       this.instance = instance;
@@ -83,15 +113,22 @@
 
     @Override
     public long era() {
-      return era;
+      if (isReachable() && knownEra != era) {
+        knownEra = era;
+        next = 0;
+      }
+      return knownEra;
     }
 
     @Override
     public void declare(StreamOrigin origin, Consumer<Boolean> listener) {
+      declarations++;
+      DeclaredOrigin one =
+          new DeclaredOrigin(origin, "d" + declarations, instance, incarnation, era());
       if (isReachable()) {
-        declarations++;
-        DeclaredOrigin one = new DeclaredOrigin(origin, "d" + declarations, instance, incarnation);
         declared.put(one.text(), one);
+      } else {
+        late.add(one);
       }
       listener.accept(isReachable());
     }
@@ -107,6 +144,7 @@
     @Override
     public void listDeclared(ListingListener listener) {
       if (isReachable()) {
+        listedRecords += declared.size();
         listener.onListed(List.copyOf(declared.values()), !unreadable);
       } else {
         listener.onFailed();
@@ -127,7 +165,8 @@
         listener.onFailed();
         return;
       }
-      List<OriginBatch> read = List.copyOf(batches.subList(next, batches.size()));
+      int from = Math.min(next, batches.size());
+      List<OriginBatch> read = List.copyOf(batches.subList(from, batches.size()));
       next = batches.size();
       listener.onRead(read);
     }
--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -380,6 +380,95 @@
     assertThat(store.declarersOf(FIRST), hasItem("edge-9-2"));
   }
 
+  /**
+   * Guards against a guess after the store came back without a declaration of an instance that is
+   * gone and cannot declare it again.
+   */
+  @Test
+  void declarationThatTheStoreLostWithItsInstanceIsNotTakenForNone() {
+    replicas = replicas("v1");
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    final StreamContinuity crashing = start(member, 3);
+    run(SECOND_NANOS);
+    store.copy();
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    member.cutOff();
+    crashing.onBegun("a", SECOND, nowNanos);
+    crash(crashing);
+    store.revertToCopy();
+    run(20 * SECOND_NANOS);
+    List<OriginLookup> found = find(first, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against the same guess where the store lost all declarations of an instance. */
+  @Test
+  void instanceThatSawTheStoreComeBackDoesNotGuess() {
+    run(SECOND_NANOS);
+    store.copy();
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    StreamContinuity crashing = start(member, 4);
+    run(SECOND_NANOS);
+    member.cutOff();
+    crashing.onBegun("a", SECOND, nowNanos);
+    crash(crashing);
+    store.revertToCopy();
+    run(6 * SECOND_NANOS);
+    replicas = replicas("v1");
+    StreamContinuity endedEarly = start(store.member("edge-8", "edge-8-1"), 4);
+    run(TICK_NANOS);
+    crash(endedEarly);
+    List<OriginLookup> found = find(first, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against taking the word of an instance that has dropped recent streams. */
+  @Test
+  void instanceThatHasDroppedRecentStreamsMayHaveBegunTheStream() {
+    replicas = replicas("v1");
+    StreamContinuity crashing = start(store.member("edge-8", "edge-8-1"), 4);
+    run(SECOND_NANOS);
+    crash(crashing);
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    final StreamContinuity forgetful = start(member, 4);
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    member.cutOff();
+    forgetful.onBegun("a", SECOND, nowNanos);
+    for (int i = 0; i < 50_000; i++) {
+      forgetful.onBegun("b" + i, SECOND, nowNanos);
+    }
+    run(SECOND_NANOS);
+    List<OriginLookup> found = find(first, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against the same guess by an instance that has not noticed that the store came back. */
+  @Test
+  void instanceThatStartsAfterTheStoreCameBackDoesNotGuess() {
+    replicas = replicas("v1");
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    final StreamContinuity crashing = start(member, 3);
+    run(SECOND_NANOS);
+    store.copy();
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    member.cutOff();
+    crashing.onBegun("a", SECOND, nowNanos);
+    crash(crashing);
+    store.revertToCopy();
+    run(5 * SECOND_NANOS);
+    StreamContinuity starting = start(store.member("edge-8", "edge-8-1"), 4);
+    run(SECOND_NANOS);
+    List<OriginLookup> found = find(starting, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
   /** Guards against a guess from a declaration that does not tell who may begin streams. */
   @Test
   void declarationOfUnknownInstanceRulesNothingOut() {
@@ -413,7 +502,7 @@
   void batchIsDecodedAsItWasEncoded() {
     OriginBatch batch = new OriginBatch(7, List.of(new OriginRecord("a", FIRST)));
     assertThat(OriginBatch.parse(batch.toBytes()), is(batch));
-    DeclaredOrigin declared = new DeclaredOrigin(FIRST, "once", "edge-1", "edge-1-1");
+    DeclaredOrigin declared = new DeclaredOrigin(FIRST, "once", "edge-1", "edge-1-1", 3);
     assertThat(DeclaredOrigin.parse(declared.toBytes()), is(declared));
     assertThrows(SnipeloomException.class, () -> DeclaredOrigin.parse(new byte[] {1, 2}));
     assertThrows(SnipeloomException.class, () -> OriginBatch.parse(new byte[] {1, 2}));
