--- a/src/test/java/io/snipeloom/edge/StreamVersionTest.java
+++ b/src/test/java/io/snipeloom/edge/StreamVersionTest.java
@@ -33,6 +33,8 @@
   /** Enough for both versions to begin some of the streams. */
   private static final int STREAMS = 16;
 
+  private static final int TRIES = 10;
+
   private final List<FakeReplica> replicas = new ArrayList<>();
   private EdgeFixture edge;
 
@@ -142,6 +144,76 @@
     }
   }
 
+  /**
+   * Guards against refusing the streams of an instance that was cut off from the store and killed
+   * during a release, although it could begin them at one version only.
+   */
+  @Test
+  void streamsOfInstanceThatWasCutOffAndKilledDuringReleaseGoOn() throws Exception {
+    edge.configureWithoutTotal(1);
+    startReplicas(StreamVersionTest::breakUnlessCallerResumes, "v1");
+    InetSocketAddress endpoint = edge.store.addEndpoint();
+    try (EdgeFixture second = new EdgeFixture("edge-2", edge.store);
+        EdgeFixture cutOff = new EdgeFixture("edge-3", edge.store, endpoint)) {
+      second.awaitReady();
+      cutOff.awaitReady();
+      assertThat(versionOfFirstEvent(cutOff.send("/draft/1", "a", PROMPT_HEADERS)), is("v1"));
+      edge.store.disableEndpoint(endpoint);
+      startReplicas(StreamVersionTest::breakUnlessCallerResumes, "v2");
+      second.awaitLog("version=v2 declared=true");
+      assertThat(versionOfFirstEvent(cutOff.send("/draft/1", "b", PROMPT_HEADERS)), is("v1"));
+      cutOff.halt();
+      for (String attempt : List.of("a", "b")) {
+        assertThat(resumeUntilServed(second, attempt), containsString("id: 2\ndata: v1\n\n"));
+        second.awaitLog("resumes=" + attempt + " service=llm version=v1 source=ONLY_REMAINING");
+      }
+    }
+  }
+
+  /** Guards against a guess where the killed instance could begin streams at either version. */
+  @Test
+  void streamOfKilledInstanceThatHadDeclaredBothVersionsIsRefused() throws Exception {
+    edge.configureWithoutTotal(1);
+    startReplicas(StreamVersionTest::breakUnlessCallerResumes, "v1", "v2");
+    InetSocketAddress endpoint = edge.store.addEndpoint();
+    try (EdgeFixture second = new EdgeFixture("edge-2", edge.store);
+        EdgeFixture cutOff = new EdgeFixture("edge-3", edge.store, endpoint)) {
+      second.awaitReady();
+      cutOff.awaitReady();
+      cutOff.awaitLog("version=v1 declared=true");
+      cutOff.awaitLog("version=v2 declared=true");
+      edge.store.disableEndpoint(endpoint);
+      String version = versionOfFirstEvent(cutOff.send("/draft/1", "a", PROMPT_HEADERS));
+      cutOff.halt();
+      for (int i = 0; i < 4; i++) {
+        assertThat(
+            "a stream of " + version,
+            resume(second, "a"),
+            allOf(startsWith("HTTP/1.1 503"), containsString("retry-after")));
+      }
+    }
+  }
+
+  /** Guards against refusing a stream that an instance without the store knows. */
+  @Test
+  void instanceThatIsCutOffFromTheStoreTellsWhatBeganItsStreams() throws Exception {
+    edge.configureWithoutTotal(1);
+    startReplicas(StreamVersionTest::breakUnlessCallerResumes, "v1", "v2");
+    InetSocketAddress endpoint = edge.store.addEndpoint();
+    try (EdgeFixture second = new EdgeFixture("edge-2", edge.store);
+        EdgeFixture cutOff = new EdgeFixture("edge-3", edge.store, endpoint)) {
+      second.awaitReady();
+      cutOff.awaitReady();
+      cutOff.awaitLog("version=v1 declared=true");
+      cutOff.awaitLog("version=v2 declared=true");
+      edge.store.disableEndpoint(endpoint);
+      String version = versionOfFirstEvent(cutOff.send("/draft/1", "a", PROMPT_HEADERS));
+      assertThat(
+          resumeUntilServed(second, "a"), containsString("id: 2\ndata: " + version + "\n\n"));
+      second.awaitLog("resumes=a service=llm version=" + version + " source=PEER");
+    }
+  }
+
   /** Guards against a guess when nothing tells which version began a stream. */
   @Test
   void streamOfUnknownOriginIsRefusedWhileVersionsDiffer() throws Exception {
@@ -221,6 +293,17 @@
     return instance.send("/draft/1", attempt + "-again", PROMPT_HEADERS + position);
   }
 
+  /** Resumes a stream until it goes on, as callers do that are told to come back. */
+  private static String resumeUntilServed(EdgeFixture instance, String attempt)
+      throws IOException, InterruptedException {
+    String response = resume(instance, attempt);
+    for (int i = 0; i < TRIES && response.startsWith("HTTP/1.1 503"); i++) {
+      Thread.sleep(500);
+      response = resume(instance, attempt);
+    }
+    return response;
+  }
+
   private void startReplicas(VersionScript script, String... versions) throws Exception {
     for (String version : versions) {
       FakeReplica replica =
