--- a/src/main/java/io/snipeloom/resumption/DeclaredOrigin.java
+++ b/src/main/java/io/snipeloom/resumption/DeclaredOrigin.java
@@ -17,7 +17,7 @@
  * @param declaration identifies the declaration; each one has another
  * @param instance the name of the instance, empty if it is unknown
  * @param incarnation the start of the instance that declared it, empty if it is unknown
- * @param era the era of the store in which it was declared; 0 if it is unknown
+ * @param era the era of the store as the instance knew it then
  */
 public record DeclaredOrigin(
     StreamOrigin origin, String declaration, String instance, String incarnation, long era) {
@@ -27,11 +27,18 @@
   /** The version of the encoding that does not tell who declared the origin. */
   private static final int ANONYMOUS_VERSION = 1;
 
+  private static final long UNKNOWN_ERA = 0;
+
   /** Returns whether one of some incarnations declared the origin. */
   boolean isDeclaredByOneOf(Collection<String> incarnations) {
     return !incarnation.isEmpty() && incarnations.contains(incarnation);
   }
 
+  /** Returns whether the instance that declared it may have declared others that are lost. */
+  boolean mayBeOneOfSeveral(long currentEra) {
+    return !incarnation.isEmpty() && era != currentEra;
+  }
+
   /** Returns a text that no declaration by another incarnation, or of another origin, has. */
   public String text() {
     return incarnation.length() + ":" + incarnation + origin.text();
@@ -72,7 +79,7 @@
       StreamOrigin origin = new StreamOrigin(service, version);
       String declaration = unpacker.unpackString();
       return encoding == ANONYMOUS_VERSION
-          ? new DeclaredOrigin(origin, declaration, "", "", 0)
+          ? new DeclaredOrigin(origin, declaration, "", "", UNKNOWN_ERA)
           : new DeclaredOrigin(
               origin,
               declaration,
--- a/src/main/java/io/snipeloom/resumption/OriginSearch.java
+++ b/src/main/java/io/snipeloom/resumption/OriginSearch.java
@@ -44,6 +44,9 @@
 
   private static final long UNKNOWN_ERA = -1;
 
+  /** The era of the store before its first response. */
+  private static final long NO_ERA = 0;
+
   private final OriginStore store;
   private final OriginPeers peers;
   private final String incarnation;
@@ -281,9 +284,9 @@
   private void noticeReversion(long nowNanos) {
     if (era != store.era()) {
       boolean reverted = era != UNKNOWN_ERA && loaded;
+      hasLostDeclarations = hasLostDeclarations || era > NO_ERA;
       era = store.era();
       if (reverted) {
-        hasLostDeclarations = true;
         heldUntilNanos = nowNanos + REVERSION_HOLD_NANOS;
         listener.onReverted(nowNanos);
       }
--- a/src/main/java/io/snipeloom/resumption/RemainingOrigins.java
+++ b/src/main/java/io/snipeloom/resumption/RemainingOrigins.java
@@ -11,9 +11,7 @@
  *
  * <p>Each incarnation of an instance declares an origin before it begins streams there. One that
  * answers, after the caller came, that it does not know the stream has not begun it. What is left
- * are the origins that the others declared. The store may have lost further declarations of an
- * incarnation that has declared nothing since it came back from an older copy; then nothing can be
- * told. Immutable.
+ * are the origins that the others declared. Immutable.
  */
 final class RemainingOrigins {
   private final Set<StreamOrigin> origins;
@@ -23,12 +21,13 @@
   }
 
   /**
-   * Finds the origins that are left.
+   * Finds the origins that are left. There are none if an incarnation that is not excluded declared
+   * anything before the store came back from an older copy: later declarations of it may be lost.
    *
    * @param declared all declarations, listed after the caller came
    * @param possible the origins at which streams that callers resume now can have begun
    * @param excluded the incarnations that have not begun the stream
-   * @param era the present era of the store
+   * @param era the era of the store
    */
   static RemainingOrigins of(
       List<DeclaredOrigin> declared,
@@ -36,17 +35,18 @@
       Collection<String> excluded,
       long era) {
     Set<StreamOrigin> left = new HashSet<>();
-    Set<String> incomplete = new HashSet<>();
     for (DeclaredOrigin one : declared) {
-      if (possible.contains(one.origin()) && !one.isDeclaredByOneOf(excluded)) {
+      if (one.isDeclaredByOneOf(excluded)) {
+        continue;
+      }
+      if (one.mayBeOneOfSeveral(era)) {
+        return new RemainingOrigins(Set.of());
+      }
+      if (possible.contains(one.origin())) {
         left.add(one.origin());
-        incomplete.add(one.incarnation());
       }
     }
-    declared.stream()
-        .filter(one -> one.era() == era)
-        .forEach(one -> incomplete.remove(one.incarnation()));
-    return new RemainingOrigins(incomplete.isEmpty() ? left : Set.of());
+    return new RemainingOrigins(left);
   }
 
   /** Returns the origin, empty if several are left, or none. */
--- a/src/test/java/io/snipeloom/resumption/SharedOriginStore.java
+++ b/src/test/java/io/snipeloom/resumption/SharedOriginStore.java
@@ -10,8 +10,12 @@
 final class SharedOriginStore {
   private final List<OriginBatch> batches = new ArrayList<>();
   private final Map<String, DeclaredOrigin> declared = new HashMap<>();
+  private final List<DeclaredOrigin> late = new ArrayList<>();
+  private Map<String, DeclaredOrigin> copy = Map.of();
+  private int copiedBatches;
   private long era = 1;
   private int declarations;
+  private int listedRecords;
   private boolean down;
   private boolean unreadable;
 
@@ -21,16 +25,24 @@
     declared.clear();
   }
 
-  /** Returns what brings the store back to its present state, in a new era. */
-  Runnable copy() {
-    Map<String, DeclaredOrigin> declaredThen = Map.copyOf(declared);
-    int batchesThen = batches.size();
-    return () -> {
-      era++;
-      declared.clear();
-      declared.putAll(declaredThen);
-      batches.subList(batchesThen, batches.size()).clear();
-    };
+  /** Keeps a copy, to which {@link #revertToCopy} goes back. */
+  void copy() {
+    copy = Map.copyOf(declared);
+    copiedBatches = batches.size();
+  }
+
+  /** Comes back from the last copy; what was written since is lost. */
+  void revertToCopy() {
+    era++;
+    declared.clear();
+    declared.putAll(copy);
+    batches.subList(copiedBatches, batches.size()).clear();
+  }
+
+  /** Executes the declarations that were under way when their instances were cut off. */
+  void executeLate() {
+    late.forEach(one -> declared.put(one.text(), one));
+    late.clear();
   }
 
   void setDown(boolean isDown) {
@@ -54,6 +66,11 @@
         .toList();
   }
 
+  /** Returns how many declarations all listings together had. */
+  int listedRecords() {
+    return listedRecords;
+  }
+
   /** Returns the view of one incarnation of an instance. */
   Member member(String instance, String incarnation) {
     return new Member(instance, incarnation);
@@ -68,6 +85,7 @@
     private Runnable heldListing;
     private int next;
     private long readEra = 1;
+    private long knownEra;
 
     private Member(String instance, String incarnation) {
       this.instance = instance;
@@ -109,16 +127,22 @@
 
     @Override
     public long era() {
-      return era;
+      if (isReachable() && knownEra != era) {
+        knownEra = era;
+        next = 0;
+      }
+      return knownEra;
     }
 
     @Override
     public void declare(StreamOrigin origin, Consumer<Boolean> listener) {
+      declarations++;
+      DeclaredOrigin one =
+          new DeclaredOrigin(origin, "d" + declarations, instance, incarnation, era());
       if (isReachable()) {
-        declarations++;
-        DeclaredOrigin one =
-            new DeclaredOrigin(origin, "d" + declarations, instance, incarnation, era);
         declared.put(one.text(), one);
+      } else {
+        late.add(one);
       }
       listener.accept(isReachable());
     }
@@ -134,6 +158,7 @@
     @Override
     public void listDeclared(ListingListener listener) {
       if (isReachable()) {
+        listedRecords += declared.size();
         List<DeclaredOrigin> listed = List.copyOf(declared.values());
         heldListing = () -> listener.onListed(listed, !unreadable);
         if (!holdsListings) {
--- a/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
+++ b/src/test/java/io/snipeloom/resumption/StreamContinuityTest.java
@@ -229,14 +229,14 @@
   void declarationThatTheStoreLostWithItsDeadWriterIsNotTakenForNone() {
     replicas = replicas("v1");
     run(SECOND_NANOS);
-    final Runnable olderCopy = store.copy();
+    store.copy();
     replicas = replicas("v1", "v2");
     run(SECOND_NANOS);
     assertThat(first.mayBegin(replicas.get(1), nowNanos), is(true));
     first.onBegun("a", SECOND, nowNanos);
     instances.remove(first);
     silent.add(first);
-    olderCopy.run();
+    store.revertToCopy();
     run(6 * SECOND_NANOS);
     List<OriginLookup> found = find(second, "a");
     run(SECOND_NANOS);
@@ -248,13 +248,13 @@
   void lostDeclarationIsNotTakenForNoneByAnInstanceThatStartsAfterwards() {
     replicas = replicas("v1");
     run(SECOND_NANOS);
-    final Runnable olderCopy = store.copy();
+    store.copy();
     replicas = replicas("v1", "v2");
     run(SECOND_NANOS);
     first.onBegun("a", SECOND, nowNanos);
     instances.remove(first);
     silent.add(first);
-    olderCopy.run();
+    store.revertToCopy();
     StreamContinuity started = start(2);
     run(6 * SECOND_NANOS);
     List<OriginLookup> found = find(started, "a");
@@ -418,6 +418,95 @@
     assertThat(store.declarersOf(FIRST), hasItem("edge-9-2"));
   }
 
+  /**
+   * Guards against a guess after the store came back without a declaration of an instance that is
+   * gone and cannot declare it again.
+   */
+  @Test
+  void declarationThatTheStoreLostWithItsInstanceIsNotTakenForNone() {
+    replicas = replicas("v1");
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    final StreamContinuity crashing = start(member, 3);
+    run(SECOND_NANOS);
+    store.copy();
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    member.cutOff();
+    crashing.onBegun("a", SECOND, nowNanos);
+    crash(crashing);
+    store.revertToCopy();
+    run(20 * SECOND_NANOS);
+    List<OriginLookup> found = find(first, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against the same guess where the store lost all declarations of an instance. */
+  @Test
+  void instanceThatSawTheStoreComeBackDoesNotGuess() {
+    run(SECOND_NANOS);
+    store.copy();
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    StreamContinuity crashing = start(member, 4);
+    run(SECOND_NANOS);
+    member.cutOff();
+    crashing.onBegun("a", SECOND, nowNanos);
+    crash(crashing);
+    store.revertToCopy();
+    run(6 * SECOND_NANOS);
+    replicas = replicas("v1");
+    StreamContinuity endedEarly = start(store.member("edge-8", "edge-8-1"), 4);
+    run(TICK_NANOS);
+    crash(endedEarly);
+    List<OriginLookup> found = find(first, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against taking the word of an instance that has dropped recent streams. */
+  @Test
+  void instanceThatHasDroppedRecentStreamsMayHaveBegunTheStream() {
+    replicas = replicas("v1");
+    StreamContinuity crashing = start(store.member("edge-8", "edge-8-1"), 4);
+    run(SECOND_NANOS);
+    crash(crashing);
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    final StreamContinuity forgetful = start(member, 4);
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    member.cutOff();
+    forgetful.onBegun("a", SECOND, nowNanos);
+    for (int i = 0; i < 50_000; i++) {
+      forgetful.onBegun("b" + i, SECOND, nowNanos);
+    }
+    run(SECOND_NANOS);
+    List<OriginLookup> found = find(first, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
+  /** Guards against the same guess by an instance that has not noticed that the store came back. */
+  @Test
+  void instanceThatStartsAfterTheStoreCameBackDoesNotGuess() {
+    replicas = replicas("v1");
+    SharedOriginStore.Member member = store.member("edge-9", "edge-9-1");
+    final StreamContinuity crashing = start(member, 3);
+    run(SECOND_NANOS);
+    store.copy();
+    replicas = replicas("v1", "v2");
+    run(SECOND_NANOS);
+    member.cutOff();
+    crashing.onBegun("a", SECOND, nowNanos);
+    crash(crashing);
+    store.revertToCopy();
+    run(5 * SECOND_NANOS);
+    StreamContinuity starting = start(store.member("edge-8", "edge-8-1"), 4);
+    run(SECOND_NANOS);
+    List<OriginLookup> found = find(starting, "a");
+    run(SECOND_NANOS);
+    assertThat(found, contains(OriginLookup.unknown()));
+  }
+
   /** Guards against a guess from a declaration that does not tell who may begin streams. */
   @Test
   void declarationOfUnknownInstanceRulesNothingOut() {
