--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -153,6 +153,15 @@
     store.put("keyed.op", "config", patient);
   }
 
+  /** Publishes the same configuration with time limits for headers and idle connections. */
+  void configureWithLimits(int version, long headerMillis, long idleMillis) {
+    String limits =
+        "{\"limits\":{\"headerTimeoutMs\":%d,\"idleTimeoutMs\":%d},"
+            .formatted(headerMillis, idleMillis);
+    String patient = document(version, "").replace("\"timeoutMs\":3000", "\"timeoutMs\":15000");
+    store.put("keyed.op", "config", limits + patient.strip().substring(1));
+  }
+
   private static String route(
       String prefix, String type, String service, int attempts, boolean resume) {
     return ("{\"name\":\"r%s\",\"host\":\"h.example\",\"pathPrefix\":\"%s\",\"type\":\"%s\","
