--- a/src/test/java/io/snipeloom/platform/FakeStore.java
+++ b/src/test/java/io/snipeloom/platform/FakeStore.java
@@ -34,6 +34,7 @@
   private final List<HttpServer> endpoints = new ArrayList<>();
   private final Set<Integer> disabledPorts = new HashSet<>();
   private boolean down;
+  private String refusedTopic = "";
   private int responsesToDrop;
   private long era = 1;
   private Map<String, List<byte[]>> copy = Map.of();
@@ -103,6 +104,13 @@
     down = isDown;
   }
 
+  /**
+   * Refuses the appends to one topic with status 503 from now on; the empty name stands for none.
+   */
+  public synchronized void refuseAppends(String topic) {
+    refusedTopic = topic;
+  }
+
   /** Carries out the next appends but closes their connections without a response. */
   public synchronized void dropResponses(int count) {
     responsesToDrop = count;
@@ -187,7 +195,7 @@
   private synchronized void append(HttpExchange exchange) throws IOException {
     Map<String, String> query = query(exchange);
     ByteBuffer body = ByteBuffer.wrap(exchange.getRequestBody().readAllBytes());
-    if (isDown(exchange)) {
+    if (isDown(exchange) || refusedTopic.equals(query.get("topic"))) {
       respond(exchange, 503, new byte[0]);
       return;
     }
