--- a/src/test/java/io/snipeloom/edge/RollingFleet.java
+++ b/src/test/java/io/snipeloom/edge/RollingFleet.java
@@ -23,6 +23,7 @@
   private final ShutdownJudge judge;
   private final double graceSeconds;
   private final List<Member> members = new CopyOnWriteArrayList<>();
+  private final List<EdgeProcess> started = new CopyOnWriteArrayList<>();
   private final AtomicInteger kills = new AtomicInteger();
   private final AtomicInteger starts = new AtomicInteger();
   private volatile boolean over;
@@ -54,6 +55,7 @@
     String name = instance + "-process-" + starts.incrementAndGet();
     Path own = Files.createDirectory(directory.resolve(name));
     EdgeProcess process = new EdgeProcess(own, platform.store(), instance, graceSeconds);
+    started.add(process);
     Eventually.await("the process is ready", process::isReady);
     members.add(new Member(process));
   }
@@ -117,9 +119,9 @@
 
   /** Ends all processes at once. */
   void stop() throws InterruptedException {
-    for (Member member : members) {
-      member.process.kill();
-      member.process.awaitEnd(1_000);
+    for (EdgeProcess process : started) {
+      process.kill();
+      process.awaitEnd(1_000);
     }
   }
 }
