LOST: connections that wait when the listener closes are accepted first

Cause: the event loop accepts a few connections a turn, then the task ran that closes the listener; the kernel resets those that wait, with whole requests in them. Evidence: callersThatWaitWhenTheListenerClosesAreAnswered, 100 callers while the loop is busy for 1 s: no answer without the change, 100 answered with it.

--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -43,6 +44,7 @@
   private Channel listener;
   private ServerSocketChannel socket;
   private boolean draining;
+  private long accepted;
 
   /**
    * Creates a server that does not listen yet.
@@ -122,6 +124,7 @@
     channel.pipeline().addLast(connection.encoder());
     channel.pipeline().addLast(connection);
     connections.add(connection);
+    accepted++;
   }
 
   /** Starts draining: every further response closes its connection. */
@@ -150,11 +153,24 @@
     new ArrayList<>(connections).forEach(connection -> connection.closeIfTimedOut(now));
   }
 
-  /** Starts to close the listener, which {@link #isListening} shows to be complete. */
+  /**
+   * Accepts the connections that wait, and starts to close the listener, which {@link #isListening}
+   * shows to be complete. The kernel resets those that wait when it is closed.
+   */
   public void stopAccepting() {
+    acceptWaiting();
     ChannelFuture unused = listener.close();
   }
 
+  private void acceptWaiting() {
+    AbstractNioChannel.NioUnsafe socketReader = (AbstractNioChannel.NioUnsafe) listener.unsafe();
+    long before;
+    do {
+      before = accepted;
+      socketReader.read();
+    } while (accepted > before && accepted - before < MAX_PENDING_CONNECTIONS);
+  }
+
   /**
    * Returns whether the kernel may still accept connections. It does after {@link #stopAccepting}
    * until the event loop has released the socket from its selector.
--- a/src/test/java/io/snipeloom/edge/DrainingRequestTest.java
+++ b/src/test/java/io/snipeloom/edge/DrainingRequestTest.java
@@ -13,6 +13,7 @@
 import io.snipeloom.platform.FakeReplica;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -31,6 +32,14 @@
   private static final String END_OF_CHUNKS = "0\r\n\r\n";
   private static final long GRACE_MILLIS = 5_000;
 
+  /** A moment after the signal that is shortly before the listener closes. */
+  private static final long BEFORE_CLOSE_MILLIS = 2_200;
+
+  private static final long BLOCKED_MILLIS = 1_000;
+
+  /** More than the event loop accepts in one turn. */
+  private static final int WAITING_CALLERS = 100;
+
   /** Enough for streams to begin at both versions. */
   private static final int STREAMS = 8;
 
@@ -84,6 +93,26 @@
     assertThat(work.runs("v3"), is(1));
   }
 
+  /** Guards against resets of connections that wait to be accepted when the listener closes. */
+  @Test
+  void callersThatWaitWhenTheListenerClosesAreAnswered() throws Exception {
+    beginStop();
+    TimeUnit.MILLISECONDS.sleep(BEFORE_CLOSE_MILLIS);
+    edge.blockLoop(BLOCKED_MILLIS);
+    TimeUnit.MILLISECONDS.sleep(BLOCKED_MILLIS / 10);
+    List<Socket> waiting = new ArrayList<>();
+    for (int i = 0; i < WAITING_CALLERS; i++) {
+      Socket caller = edge.open();
+      waiting.add(caller);
+      FakeReplica.write(caller, EdgeFixture.request("/vote/10", "w" + i, "", true));
+    }
+    for (Socket caller : waiting) {
+      try (caller) {
+        assertThat(EdgeFixture.readAll(caller.getInputStream()), startsWith("HTTP/1.1 "));
+      }
+    }
+  }
+
   /** Guards against an answer that vanishes with the process, without a line that tells why. */
   @Test
   void streamThatIsOpenAtTheEndIsLoggedAndCounted() throws Exception {
