--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -461,7 +461,7 @@
       case BODY -> closeAfterBodyTimeout();
       case UNREAD -> cutOff("the caller reads nothing");
       case IDLE -> closeIdle();
-      default -> metrics.count("bytes_read_before_close");
+      default -> metrics.count("request_read_before_close");
     }
   }
 
