LOST: the silence of a replica does not end a request sooner while the instance stops

What callers saw: a stream that had been sent before the signal, and whose replica sent nothing for 1.5 s, got 502 and was cancelled at a sound replica: the attempt was ended to send the request to another one, and that was then refused. Now an attempt is not given up for its silence where no other may begin.

--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -189,7 +189,7 @@
   }
 
   private void dispatch() {
-    if (!response.isBegun() && !fleet.shutdown().maySend(routed(), System.nanoTime())) {
+    if (!isTimeToSend()) {
       metrics.count("refused_for_shutdown");
       comeBackMillis = LocalResponse.SHUTDOWN_RETRY_MILLIS;
       fail(ErrorCode.NO_UPSTREAM, RequestEntry.SHUTDOWN_REASON);
@@ -322,7 +322,12 @@
 
   @Override
   public boolean mayRetryAfterSilence() {
-    return history.mayRetryAfterSilence(routed().route(), remainingMillis());
+    return isTimeToSend() && history.mayRetryAfterSilence(routed().route(), remainingMillis());
+  }
+
+  /** Returns whether this instance runs for as long as an attempt may take that begins now. */
+  private boolean isTimeToSend() {
+    return response.isBegun() || fleet.shutdown().maySend(routed(), System.nanoTime());
   }
 
   @Override
