--- a/src/main/java/io/snipeloom/edge/Drain.java
+++ b/src/main/java/io/snipeloom/edge/Drain.java
@@ -32,7 +32,7 @@
   private static final double MARGIN_SECONDS = 0.4;
 
   /** Part of the grace period in which the process ends, whatever is not written yet. */
-  private static final double END_SECONDS = 0.1;
+  private static final double END_SECONDS = 0.25;
 
   private static final double NANOS_PER_SECOND = 1e9;
 
@@ -101,8 +101,7 @@
     if (proxyServer.openRequests() > 0) {
       lastOpenRequestNanos = nowNanos;
     }
-    boolean written = proxyServer.openRequests() == 0 || elapsedNanos > nanosBefore(END_SECONDS);
-    if (isIdle(nowNanos) || (lastAnswersSent && written)) {
+    if (isIdle(nowNanos) || (lastAnswersSent && isWritten(elapsedNanos))) {
       completed.countDown();
     } else if (!lastAnswersSent && elapsedNanos > nanosBefore(MARGIN_SECONDS)) {
       lastAnswersSent = true;
@@ -111,6 +110,11 @@
     }
   }
 
+  /** Returns whether the last answers are written, or cannot be waited for any longer. */
+  private boolean isWritten(long elapsedNanos) {
+    return !proxyServer.hasUnwrittenAnswers() || elapsedNanos > nanosBefore(END_SECONDS);
+  }
+
   private void closeListener(long nowNanos) {
     if (!listenerClosing) {
       listenerClosing = true;
--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -436,6 +436,10 @@
     return exchange != null || head != null || !pendingMessages.isEmpty() || !writer.isIdle();
   }
 
+  boolean hasUnwrittenAnswer() {
+    return !writer.isIdle();
+  }
+
   /** Closes the connection unless a request is in progress, or has arrived and was not read. */
   void closeIfIdle() {
     if (isBusy()) {
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -184,6 +184,11 @@
     return connections.stream().filter(ProxyConnection::isBusy).count();
   }
 
+  /** Returns whether bytes of answers wait to be written to callers. */
+  public boolean hasUnwrittenAnswers() {
+    return connections.stream().anyMatch(ProxyConnection::hasUnwrittenAnswer);
+  }
+
   /** Returns how late the event loop is, in milliseconds. */
   long loopDelayMillis(long nowNanos) {
     return loopDelay.millis(nowNanos);
