Bytes by purpose, round trips to other instances and conflicts of claims are told

Two causes were suspected at the instance that the largest customer's callers reach, a full link and claims that starve, and nothing told them apart: no figure of bytes, none of how long messages take, none of writes to the ledger that came too late.

- `LinkTraffic` counts the bytes of connections by purpose (callers, replicas, store, other instances), in one handler a connection; the line `link` tells them each second.
- `RoundTripTime`: the shortest of the last round trips to other instances, from the acknowledgements of reports that are sent anyway.
- The line `claim_conflict` and the counter `claim_conflicts`.

No decision changes. Tests of peers and of the store's client pass a `LinkTraffic` to the constructors; nothing that they check changes.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -43,7 +43,10 @@
 import io.snipeloom.store.TopicWatch;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.telemetry.FleetMetrics;
+import io.snipeloom.telemetry.LinkReport;
+import io.snipeloom.telemetry.LinkTraffic;
 import io.snipeloom.telemetry.LoopDelay;
+import io.snipeloom.telemetry.RoundTripTime;
 import io.snipeloom.transport.MetricsText;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -99,6 +102,8 @@
 
   private static final long HEARTBEAT_INTERVAL_MILLIS = 5_000;
 
+  private static final long LINK_REPORT_INTERVAL_MILLIS = 1_000;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final EdgeSettings settings;
@@ -111,6 +116,9 @@
   private final EventLoop loop = group.next();
   private final LoopTimer timer;
   private final LoopDelay loopDelay = new LoopDelay(TICK_INTERVAL_MILLIS, System.nanoTime());
+  private final LinkTraffic traffic = new LinkTraffic();
+  private final RoundTripTime roundTrip = new RoundTripTime();
+  private final LinkReport linkReport;
   private final KeyedLog store;
   private final LoanClient loanClient;
   private final DemandSender demandSender;
@@ -136,16 +144,29 @@
     this.incarnation = incarnation;
     this.boot = boot;
     this.log = log;
+    this.linkReport = new LinkReport(traffic, log);
     this.timer = new LoopTimer(loop, log);
     this.store =
         new PlatformStore(
-            new AsyncHttpClient(loop, settings.store(), this::onDeadStoreConnection),
+            new AsyncHttpClient(
+                loop,
+                settings.store(),
+                traffic.meter(LinkTraffic.Purpose.STORE),
+                this::onDeadStoreConnection),
             this::onForeignStoreAnswer);
-    this.loanClient = new LoanClient(loop, new Random());
-    this.originClient = new OriginClient(loop);
-    this.claimClient = new ClaimClient(loop, settings.instance());
+    this.loanClient = new LoanClient(loop, traffic, new Random());
+    this.originClient = new OriginClient(loop, traffic);
+    this.claimClient = new ClaimClient(loop, traffic, settings.instance());
     FleetClock fleetClock = new FleetClock(settings.instance(), EdgeDaemon::wallOffsetMillis);
-    this.demandSender = new DemandSender(loop, settings.instance(), fleetClock::onResponse);
+    this.demandSender =
+        new DemandSender(
+            loop,
+            traffic,
+            settings.instance(),
+            (other, wallMillis, sentNanos, receivedNanos) -> {
+              fleetClock.onResponse(other, wallMillis, sentNanos, receivedNanos);
+              roundTrip.onResponse(other, sentNanos, receivedNanos);
+            });
     long startNanos = System.nanoTime();
     SpendControl spend =
         new SpendControl(
@@ -175,7 +196,8 @@
             new PlacementRules(settings.places()),
             settings.coldStart(),
             newBuffers(),
-            new ConnectionEvents(log, metrics));
+            new ConnectionEvents(log, metrics),
+            traffic);
     metrics.registry().gauge("cold_replicas", () -> fleet::coldReplicas);
     this.configurationFeed =
         new ConfigurationFeed(fleet, log, this::onStoreOutcome, this::onStoreOverdue);
@@ -217,13 +239,18 @@
         System.currentTimeMillis());
     new OperationsServer(loop, this::readiness).start(settings.readiness());
     new OperationsServer(loop, this::metricsText).start(settings.metrics());
-    new PeerServer(loop, fleet.spend(), fleet.streams(), this::onPeerDemand, log)
+    new PeerServer(loop, traffic, fleet.spend(), fleet.streams(), this::onPeerDemand, log)
         .start(settings.loans());
     registerGauges();
     proxyServer.start(settings.callers());
     loop.execute(this::startWatches);
     timer.every(this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS);
     timer.after(this::tellDemand, demandSender.intervalMillis());
+    timer.every(this::reportLink, LINK_REPORT_INTERVAL_MILLIS, LINK_REPORT_INTERVAL_MILLIS);
+  }
+
+  private void reportLink() {
+    linkReport.write(roundTrip.shortestMillis(System.nanoTime()));
   }
 
   /**
--- a/src/main/java/io/snipeloom/edge/SpendEventLogger.java
+++ b/src/main/java/io/snipeloom/edge/SpendEventLogger.java
@@ -125,6 +125,12 @@
     log.log("claim_restored", "customer", customer, "claimed", claimedTokens);
   }
 
+  @Override
+  public void onConflict(Set<CustomerId> customers, int failures) {
+    metrics.count("claim_conflicts");
+    log.log("claim_conflict", "customers", customers, "in_a_row", failures);
+  }
+
   @Override
   public void onClaimLost(CustomerId customer, long tokens) {
     log.log("claim_lost", "customer", customer, "tokens", tokens);
--- a/src/main/java/io/snipeloom/forwarding/ArrivalReader.java
+++ b/src/main/java/io/snipeloom/forwarding/ArrivalReader.java
@@ -11,7 +11,7 @@
 /**
  * Reads at once what has arrived on a connection and the event loop has not come to read yet.
  *
- * <p>It must be the first handler of its channel. Confined to the event loop thread.
+ * <p>Only a handler that counts bytes may go before it. Confined to the event loop thread.
  */
 // A failed close also closes the channel, which the channel handlers detect.
 @SuppressWarnings("FutureReturnValueIgnored")
--- a/src/main/java/io/snipeloom/forwarding/AsyncHttpClient.java
+++ b/src/main/java/io/snipeloom/forwarding/AsyncHttpClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -47,6 +48,7 @@
   private final EventLoop loop;
   private final String host;
   private final InetSocketAddress address;
+  private final ChannelHandler meter;
   private final Map<String, ConnectionPool> lanes = new HashMap<>();
   private final Runnable onDeadConnection;
 
@@ -99,14 +101,17 @@
    *
    * @param loop the event loop that all connections use
    * @param address the address of the peer
+   * @param meter counts the bytes of the connections
    * @param onDeadConnection called when a request got no response on one connection and one on a
    *     new connection
    */
-  public AsyncHttpClient(EventLoop loop, InetSocketAddress address, Runnable onDeadConnection) {
+  public AsyncHttpClient(
+      EventLoop loop, InetSocketAddress address, ChannelHandler meter, Runnable onDeadConnection) {
     this.loop = loop;
     this.onDeadConnection = onDeadConnection;
     this.host = address.getHostString() + ":" + address.getPort();
     this.address = address;
+    this.meter = meter;
   }
 
   /**
@@ -163,7 +168,11 @@
         lane,
         name ->
             new ConnectionPool(
-                loop, address, connection -> OptionalLong.empty(), (connection, moment) -> {}));
+                loop,
+                address,
+                meter,
+                connection -> OptionalLong.empty(),
+                (connection, moment) -> {}));
   }
 
   private void start(
--- a/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
+++ b/src/main/java/io/snipeloom/forwarding/ConnectionPool.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
@@ -53,6 +54,7 @@
 
   private final EventLoop loop;
   private final InetSocketAddress address;
+  private final ChannelHandler meter;
   private final Function<ClientConnection, OptionalLong> announcedKeepAliveMillis;
   private final BiConsumer<ClientConnection, SurplusMoment> onSurplus;
   private final Deque<ClientConnection> idle = new ArrayDeque<>();
@@ -63,6 +65,7 @@
    *
    * @param loop the event loop that the connections use
    * @param address the address of the peer
+   * @param meter counts the bytes of the connections
    * @param announcedKeepAliveMillis returns how long the peer keeps an idle connection open, in
    *     milliseconds, if it has said so on that connection
    * @param onSurplus called when bytes came on a connection that belong to no request
@@ -70,10 +73,12 @@
   ConnectionPool(
       EventLoop loop,
       InetSocketAddress address,
+      ChannelHandler meter,
       Function<ClientConnection, OptionalLong> announcedKeepAliveMillis,
       BiConsumer<ClientConnection, SurplusMoment> onSurplus) {
     this.loop = loop;
     this.address = address;
+    this.meter = meter;
     this.announcedKeepAliveMillis = announcedKeepAliveMillis;
     this.onSurplus = onSurplus;
   }
@@ -233,7 +238,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(connection.reader());
+                channel.pipeline().addLast(meter, connection.reader());
                 channel.pipeline().addLast(connection.decoder(), new HttpRequestEncoder());
                 channel.pipeline().addLast(connection);
               }
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -32,6 +32,7 @@
 import io.snipeloom.spend.SpendControl;
 import io.snipeloom.state.CustomerId;
 import io.snipeloom.state.SnipeloomException;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -68,6 +69,7 @@
   private final Optional<ColdStartBounds> coldStartBounds;
   private final Buffers buffers;
   private final ConnectionEvents connectionEvents;
+  private final LinkTraffic traffic;
   private final Map<ReplicaId, ReplicaView> views = new HashMap<>();
   private final DepartedReplicas departed = new DepartedReplicas();
   private final Map<InetSocketAddress, ConnectionPool> pools = new HashMap<>();
@@ -93,6 +95,7 @@
    * @param coldStartBounds the bounds on requests to cold replicas, if any are in force
    * @param buffers counts the bytes held for callers and replicas
    * @param connectionEvents records what happens on connections to replicas
+   * @param traffic counts the bytes of the connections
    */
   public Fleet(
       EventLoop loop,
@@ -106,7 +109,8 @@
       PlacementRules placement,
       Optional<ColdStartBounds> coldStartBounds,
       Buffers buffers,
-      ConnectionEvents connectionEvents) {
+      ConnectionEvents connectionEvents,
+      LinkTraffic traffic) {
     this.loop = loop;
     this.codec = codec;
     this.directory = directory;
@@ -119,6 +123,7 @@
     this.coldStartBounds = coldStartBounds;
     this.buffers = buffers;
     this.connectionEvents = connectionEvents;
+    this.traffic = traffic;
   }
 
   /**
@@ -403,10 +408,16 @@
             new ConnectionPool(
                 loop,
                 address,
+                traffic.meter(LinkTraffic.Purpose.REPLICAS),
                 connection -> codec.keepAliveMillis(connection.lastHeaders()),
                 (connection, moment) -> connectionEvents.surplus(address, connection, moment)));
   }
 
+  /** Returns the counters of the bytes of connections. */
+  LinkTraffic traffic() {
+    return traffic;
+  }
+
   RetryAllowance retryAllowanceOf(String service) {
     return retryAllowances.computeIfAbsent(service, name -> newRetryAllowance.get());
   }
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -14,6 +14,7 @@
 import io.snipeloom.routing.RequestLimits;
 import io.snipeloom.telemetry.EventLog;
 import io.snipeloom.telemetry.FleetMetrics;
+import io.snipeloom.telemetry.LinkTraffic;
 import io.snipeloom.telemetry.LoopDelay;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -119,6 +120,7 @@
             .setMaxInitialLineLength(limits().maxHeaderBytes())
             .setMaxHeaderSize(limits().maxHeaderBytes());
     ProxyConnection connection = new ProxyConnection(this, loop, fleet, log, metrics);
+    channel.pipeline().addLast(fleet.traffic().meter(LinkTraffic.Purpose.CALLERS));
     channel.pipeline().addLast(connection.reader());
     channel.pipeline().addLast(new HttpRequestDecoder(config));
     channel.pipeline().addLast(connection.encoder());
--- a/src/main/java/io/snipeloom/peer/ClaimClient.java
+++ b/src/main/java/io/snipeloom/peer/ClaimClient.java
@@ -4,6 +4,7 @@
 import io.snipeloom.spend.ClaimPeers;
 import io.snipeloom.spend.CustomerPart;
 import io.snipeloom.state.RendezvousHash;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -22,6 +23,7 @@
   private static final int REMEMBERING = 2;
 
   private final EventLoop loop;
+  private final LinkTraffic traffic;
   private final String instance;
   private final Map<String, RequestConnection> connections = new HashMap<>();
   private List<String> remembering = List.of();
@@ -30,10 +32,12 @@
    * Creates a client that knows no other instances yet.
    *
    * @param loop the event loop of the connections
+   * @param traffic counts the bytes of the connections
    * @param instance the name of this instance
    */
-  public ClaimClient(EventLoop loop, String instance) {
+  public ClaimClient(EventLoop loop, LinkTraffic traffic, String instance) {
     this.loop = loop;
+    this.traffic = traffic;
     this.instance = instance;
   }
 
@@ -50,7 +54,8 @@
     outdated.forEach(name -> connections.remove(name).close());
     addresses.forEach(
         (name, address) ->
-            connections.computeIfAbsent(name, absent -> new RequestConnection(loop, address)));
+            connections.computeIfAbsent(
+                name, absent -> new RequestConnection(loop, address, traffic)));
     remembering =
         addresses.keySet().stream()
             .sorted(Comparator.comparingLong(name -> RendezvousHash.weightOf(name, instance)))
--- a/src/main/java/io/snipeloom/peer/DemandConnection.java
+++ b/src/main/java/io/snipeloom/peer/DemandConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.snipeloom.routing.DemandReport;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -32,6 +33,7 @@
 
   private final EventLoop loop;
   private final InetSocketAddress address;
+  private final LinkTraffic traffic;
   private final ClockListener clockListener;
   private final Map<Long, Long> sentNanos = new LinkedHashMap<>();
   private Channel channel;
@@ -46,9 +48,11 @@
     void onResponse(long wallMillis, long sentNanos, long receivedNanos);
   }
 
-  DemandConnection(EventLoop loop, InetSocketAddress address, ClockListener clockListener) {
+  DemandConnection(
+      EventLoop loop, InetSocketAddress address, LinkTraffic traffic, ClockListener clockListener) {
     this.loop = loop;
     this.address = address;
+    this.traffic = traffic;
     this.clockListener = clockListener;
   }
 
@@ -104,6 +108,7 @@
                   protected void initChannel(Channel connection) {
                     PeerFrames.addTo(
                         connection,
+                        traffic,
                         message -> onMessage(connection, message),
                         () -> onClosed(connection));
                   }
--- a/src/main/java/io/snipeloom/peer/DemandSender.java
+++ b/src/main/java/io/snipeloom/peer/DemandSender.java
@@ -4,6 +4,7 @@
 import io.snipeloom.routing.DemandReport;
 import io.snipeloom.routing.PeerDemand;
 import io.snipeloom.state.RendezvousHash;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -24,6 +25,7 @@
   private static final double INTERVAL_MILLIS_PER_RECEIVER = 2.5;
 
   private final EventLoop loop;
+  private final LinkTraffic traffic;
   private final String instance;
   private final ClockListener clockListener;
   private final Map<String, DemandConnection> connections = new HashMap<>();
@@ -46,11 +48,14 @@
    * Creates a sender that knows no other instances yet.
    *
    * @param loop the event loop of the connections
+   * @param traffic counts the bytes of the connections
    * @param instance the name of this instance
    * @param clockListener receives the times of day of the other instances
    */
-  public DemandSender(EventLoop loop, String instance, ClockListener clockListener) {
+  public DemandSender(
+      EventLoop loop, LinkTraffic traffic, String instance, ClockListener clockListener) {
     this.loop = loop;
+    this.traffic = traffic;
     this.instance = instance;
     this.clockListener = clockListener;
   }
@@ -80,6 +85,7 @@
     return new DemandConnection(
         loop,
         address,
+        traffic,
         (wallMillis, sentNanos, receivedNanos) ->
             clockListener.onResponse(name, wallMillis, sentNanos, receivedNanos));
   }
--- a/src/main/java/io/snipeloom/peer/LoanClient.java
+++ b/src/main/java/io/snipeloom/peer/LoanClient.java
@@ -5,6 +5,7 @@
 import io.snipeloom.spend.LoanPeers;
 import io.snipeloom.spend.LoanRequest;
 import io.snipeloom.state.CustomerId;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -42,6 +43,7 @@
   private static final long NEXT_LENDER_MILLIS = 25;
 
   private final EventLoop loop;
+  private final LinkTraffic traffic;
   private final Random random;
   private final Map<String, LoanConnection> connections = new HashMap<>();
   private final Map<CustomerId, String> lastLenders = new HashMap<>();
@@ -51,10 +53,12 @@
    * Creates a client that knows no other instances yet.
    *
    * @param loop the event loop of the connections
+   * @param traffic counts the bytes of the connections
    * @param random chooses the instances to borrow from
    */
-  public LoanClient(EventLoop loop, Random random) {
+  public LoanClient(EventLoop loop, LinkTraffic traffic, Random random) {
     this.loop = loop;
+    this.traffic = traffic;
     this.random = random;
   }
 
@@ -74,7 +78,7 @@
         (name, address) -> {
           LoanConnection previous = connections.get(name);
           if (previous == null || !previous.address().equals(address)) {
-            connections.put(name, new LoanConnection(loop, address));
+            connections.put(name, new LoanConnection(loop, address, traffic));
             if (previous != null) {
               previous.close();
             }
--- a/src/main/java/io/snipeloom/peer/LoanConnection.java
+++ b/src/main/java/io/snipeloom/peer/LoanConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.snipeloom.spend.LoanRequest;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.LongConsumer;
@@ -14,8 +15,8 @@
 final class LoanConnection {
   private final RequestConnection connection;
 
-  LoanConnection(EventLoop loop, InetSocketAddress address) {
-    this.connection = new RequestConnection(loop, address);
+  LoanConnection(EventLoop loop, InetSocketAddress address, LinkTraffic traffic) {
+    this.connection = new RequestConnection(loop, address, traffic);
   }
 
   InetSocketAddress address() {
--- a/src/main/java/io/snipeloom/peer/OriginClient.java
+++ b/src/main/java/io/snipeloom/peer/OriginClient.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.snipeloom.resumption.OriginPeers;
 import io.snipeloom.resumption.PeerAnswer;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -22,15 +23,18 @@
   private static final long TIMEOUT_MILLIS = 200;
 
   private final EventLoop loop;
+  private final LinkTraffic traffic;
   private final Map<String, RequestConnection> connections = new HashMap<>();
 
   /**
    * Creates a client that knows no other instances yet.
    *
    * @param loop the event loop of the connections
+   * @param traffic counts the bytes of the connections
    */
-  public OriginClient(EventLoop loop) {
+  public OriginClient(EventLoop loop, LinkTraffic traffic) {
     this.loop = loop;
+    this.traffic = traffic;
   }
 
   /**
@@ -46,7 +50,8 @@
     outdated.forEach(name -> connections.remove(name).close());
     addresses.forEach(
         (name, address) ->
-            connections.computeIfAbsent(name, absent -> new RequestConnection(loop, address)));
+            connections.computeIfAbsent(
+                name, absent -> new RequestConnection(loop, address, traffic)));
   }
 
   @Override
--- a/src/main/java/io/snipeloom/peer/PeerFrames.java
+++ b/src/main/java/io/snipeloom/peer/PeerFrames.java
@@ -9,6 +9,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.util.function.Consumer;
 
 /** Framing of connections between instances: a four-byte length followed by one message. */
@@ -21,12 +22,15 @@
   /**
    * Adds the framing and a message handler to a channel. A malformed frame closes the connection.
    *
+   * @param traffic counts the bytes
    * @param onMessage receives each message
    * @param onClosed runs once the connection is closed
    */
-  static void addTo(Channel channel, Consumer<PeerMessage> onMessage, Runnable onClosed) {
+  static void addTo(
+      Channel channel, LinkTraffic traffic, Consumer<PeerMessage> onMessage, Runnable onClosed) {
     channel
         .pipeline()
+        .addLast(traffic.meter(LinkTraffic.Purpose.PEERS))
         .addLast(
             new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
--- a/src/main/java/io/snipeloom/peer/PeerServer.java
+++ b/src/main/java/io/snipeloom/peer/PeerServer.java
@@ -13,6 +13,7 @@
 import io.snipeloom.spend.CustomerPart;
 import io.snipeloom.spend.SpendControl;
 import io.snipeloom.telemetry.EventLog;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.function.Consumer;
@@ -29,6 +30,7 @@
   private static final int REPORTS_PER_ACKNOWLEDGEMENT = 5;
 
   private final EventLoop loop;
+  private final LinkTraffic traffic;
   private final SpendControl spend;
   private final StreamContinuity streams;
   private final Consumer<DemandReport> demandListener;
@@ -39,6 +41,7 @@
    * Creates a server, which does not listen until {@link #start} is called.
    *
    * @param loop the event loop of the connections
+   * @param traffic counts the bytes of the connections
    * @param spend holds the tokens to lend
    * @param streams knows what began the streams of this instance
    * @param demandListener receives what other instances tell of their requests
@@ -46,11 +49,13 @@
    */
   public PeerServer(
       EventLoop loop,
+      LinkTraffic traffic,
       SpendControl spend,
       StreamContinuity streams,
       Consumer<DemandReport> demandListener,
       EventLog log) {
     this.loop = loop;
+    this.traffic = traffic;
     this.spend = spend;
     this.streams = streams;
     this.demandListener = demandListener;
@@ -73,7 +78,8 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    PeerFrames.addTo(channel, message -> onMessage(channel, message), () -> {});
+                    PeerFrames.addTo(
+                        channel, traffic, message -> onMessage(channel, message), () -> {});
                   }
                 })
             .bind(address)
--- a/src/main/java/io/snipeloom/peer/RequestConnection.java
+++ b/src/main/java/io/snipeloom/peer/RequestConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -34,6 +35,7 @@
 
   private final EventLoop loop;
   private final InetSocketAddress address;
+  private final LinkTraffic traffic;
   private final Map<Long, PendingRequest> pending = new LinkedHashMap<>();
   private Channel channel;
   private long lastCorrelationId;
@@ -41,9 +43,10 @@
   private record PendingRequest(
       CorrelatedMessage message, long sentNanos, Consumer<Optional<CorrelatedMessage>> listener) {}
 
-  RequestConnection(EventLoop loop, InetSocketAddress address) {
+  RequestConnection(EventLoop loop, InetSocketAddress address, LinkTraffic traffic) {
     this.loop = loop;
     this.address = address;
+    this.traffic = traffic;
   }
 
   InetSocketAddress address() {
@@ -99,7 +102,10 @@
                   @Override
                   protected void initChannel(Channel connection) {
                     PeerFrames.addTo(
-                        connection, RequestConnection.this::onMessage, () -> onClosed(connection));
+                        connection,
+                        traffic,
+                        RequestConnection.this::onMessage,
+                        () -> onClosed(connection));
                   }
                 })
             .connect(address);
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -61,6 +61,9 @@
   private Batch pendingBatch;
   private long sequence;
 
+  /** How many writes in a row were refused because another instance had written. */
+  private int conflicts;
+
   /**
    * A write whose outcome is not known yet.
    *
@@ -249,6 +252,7 @@
           @Override
           public void onAppended() {
             onResponse();
+            conflicts = 0;
             pendingBatch = null;
             end = batch.at() + batch.records().size();
             claimedTotalsConfirmedNanos = nowNanos;
@@ -260,6 +264,8 @@
           @Override
           public void onConflict() {
             onResponse();
+            conflicts++;
+            events.onConflict(batch.changes().keySet(), conflicts);
             read(nowNanos);
           }
 
--- a/src/main/java/io/snipeloom/spend/SpendEvents.java
+++ b/src/main/java/io/snipeloom/spend/SpendEvents.java
@@ -30,6 +30,14 @@
    */
   void onClaimLost(CustomerId customer, long tokens);
 
+  /**
+   * A write of claims and returns was refused, since another instance had written to the partition.
+   *
+   * @param customers the customers whose claimed totals would have changed
+   * @param failures how many writes in a row were refused
+   */
+  void onConflict(Set<CustomerId> customers, int failures);
+
   /**
    * This incarnation inherited tokens that the previous one left unused.
    *
--- a/src/test/java/io/snipeloom/forwarding/ConnectionPoolTest.java
+++ b/src/test/java/io/snipeloom/forwarding/ConnectionPoolTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.snipeloom.telemetry.LinkTraffic;
 import io.snipeloom.transport.BusyReading;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -48,7 +49,11 @@
     InetSocketAddress address = (InetSocketAddress) peer.getLocalSocketAddress();
     pool =
         new ConnectionPool(
-            loop, address, connection -> OptionalLong.empty(), (connection, moment) -> {});
+            loop,
+            address,
+            new LinkTraffic().meter(LinkTraffic.Purpose.REPLICAS),
+            connection -> OptionalLong.empty(),
+            (connection, moment) -> {});
   }
 
   @AfterEach
--- a/src/test/java/io/snipeloom/forwarding/RepeatedRequestTest.java
+++ b/src/test/java/io/snipeloom/forwarding/RepeatedRequestTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -89,6 +90,7 @@
         new AsyncHttpClient(
             loop,
             new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort()),
+            new LinkTraffic().meter(LinkTraffic.Purpose.STORE),
             () -> {});
     AsyncHttpClient.Listener outcome =
         new AsyncHttpClient.Listener() {
--- a/src/test/java/io/snipeloom/peer/LoanClientTest.java
+++ b/src/test/java/io/snipeloom/peer/LoanClientTest.java
@@ -12,6 +12,7 @@
 import io.snipeloom.spend.LoanPeers;
 import io.snipeloom.spend.LoanRequest;
 import io.snipeloom.state.CustomerId;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -47,7 +48,7 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
-  private final LoanClient client = new LoanClient(loop, new Random(1));
+  private final LoanClient client = new LoanClient(loop, new LinkTraffic(), new Random(1));
   private ServerSocket peer;
 
   @BeforeEach
@@ -182,7 +183,7 @@
     InetSocketAddress address = new InetSocketAddress(peer.getInetAddress(), peer.getLocalPort());
     CompletableFuture<Long> first = new CompletableFuture<>();
     CompletableFuture<Long> second = new CompletableFuture<>();
-    LoanConnection connection = new LoanConnection(loop, address);
+    LoanConnection connection = new LoanConnection(loop, address, new LinkTraffic());
     loop.execute(
         () -> {
           connection.request(REQUEST, first::complete);
--- a/src/test/java/io/snipeloom/peer/OriginClientTest.java
+++ b/src/test/java/io/snipeloom/peer/OriginClientTest.java
@@ -13,6 +13,7 @@
 import io.snipeloom.resumption.PeerAnswer;
 import io.snipeloom.spend.LoanRequest;
 import io.snipeloom.state.CustomerId;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -38,7 +39,7 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
-  private final OriginClient client = new OriginClient(loop);
+  private final OriginClient client = new OriginClient(loop, new LinkTraffic());
   private final List<ServerSocket> peers = new ArrayList<>();
   private long askedNanos;
   private volatile long answeredNanos;
@@ -91,7 +92,7 @@
   void olderInstanceThatClosesTheConnectionKeepsItsConnectionForLoans() throws Exception {
     InetSocketAddress older = serve(OriginClientTest::answerAsBefore);
     InetSocketAddress live = serve((message, out) -> answer("live", message, out));
-    LoanConnection loans = new LoanConnection(loop, older);
+    LoanConnection loans = new LoanConnection(loop, older, new LinkTraffic());
     assertThat(borrow(loans).get(5, TimeUnit.SECONDS), is(1_000L));
     CompletableFuture<Long> during = borrow(loans);
     assertThat(ask(Map.of("older", older, "live", live)), contains("live"));
--- a/src/test/java/io/snipeloom/peer/PeerFramesTest.java
+++ b/src/test/java/io/snipeloom/peer/PeerFramesTest.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -23,7 +24,7 @@
     for (int bytes = 0; bytes <= frame.readableBytes(); bytes++) {
       List<PeerMessage> received = new ArrayList<>();
       EmbeddedChannel channel = new EmbeddedChannel();
-      PeerFrames.addTo(channel, received::add, () -> {});
+      PeerFrames.addTo(channel, new LinkTraffic(), received::add, () -> {});
       channel.writeInbound(frame.copy(0, bytes));
       channel.close().syncUninterruptibly();
       boolean whole = bytes == frame.readableBytes();
--- a/src/test/java/io/snipeloom/platform/KeyedOriginsTest.java
+++ b/src/test/java/io/snipeloom/platform/KeyedOriginsTest.java
@@ -14,6 +14,7 @@
 import io.snipeloom.resumption.StreamOrigin;
 import io.snipeloom.routing.SoftwareVersion;
 import io.snipeloom.store.KeyedOrigins;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -112,7 +113,12 @@
   private KeyedOrigins origins(String incarnation) {
     PlatformStore log =
         new PlatformStore(
-            new AsyncHttpClient(group.next(), store.address(), () -> {}), foreign -> {});
+            new AsyncHttpClient(
+                group.next(),
+                store.address(),
+                new LinkTraffic().meter(LinkTraffic.Purpose.STORE),
+                () -> {}),
+            foreign -> {});
     return new KeyedOrigins(log, "streams", TOPIC, "edge-1", incarnation, malformed -> {});
   }
 
--- a/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
+++ b/src/test/java/io/snipeloom/platform/PlatformStoreTest.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.snipeloom.forwarding.AsyncHttpClient;
 import io.snipeloom.store.StoreOutcome;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -217,7 +218,10 @@
   private PlatformStore connect(FakeReplica server) {
     InetSocketAddress address =
         new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
-    return new PlatformStore(new AsyncHttpClient(loops.next(), address, () -> {}), foreign -> {});
+    return new PlatformStore(
+        new AsyncHttpClient(
+            loops.next(), address, new LinkTraffic().meter(LinkTraffic.Purpose.STORE), () -> {}),
+        foreign -> {});
   }
 
   private StoreOutcome listFrom(PlatformStore store) throws Exception {
--- a/src/test/java/io/snipeloom/platform/RepeatedStoreAnswerTest.java
+++ b/src/test/java/io/snipeloom/platform/RepeatedStoreAnswerTest.java
@@ -10,6 +10,7 @@
 import io.snipeloom.store.KeyedRecord;
 import io.snipeloom.store.RecordPage;
 import io.snipeloom.store.StoreOutcome;
+import io.snipeloom.telemetry.LinkTraffic;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -342,7 +343,13 @@
       InetSocketAddress address =
           new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
       PlatformStore store =
-          new PlatformStore(new AsyncHttpClient(loops.next(), address, () -> {}), foreign -> {});
+          new PlatformStore(
+              new AsyncHttpClient(
+                  loops.next(),
+                  address,
+                  new LinkTraffic().meter(LinkTraffic.Purpose.STORE),
+                  () -> {}),
+              foreign -> {});
       final String first = call(store, pair.first);
       if (moment.isAwaited()) {
         copied.get(10, TimeUnit.SECONDS);
--- a/src/test/java/io/snipeloom/spend/SpendSchedule.java
+++ b/src/test/java/io/snipeloom/spend/SpendSchedule.java
@@ -45,6 +45,9 @@
         @Override
         public void onReturned(CustomerId id, long tokens) {}
 
+        @Override
+        public void onConflict(Set<CustomerId> customers, int failures) {}
+
         @Override
         public void onClaimLost(CustomerId id, long tokens) {}
 
