An instance on a machine that has just booted does not trust its monotonic clock

Callers: tokens of a customer could be used twice. An instance takes over what its predecessor left unused, by the age of the predecessor's last report. Where the boot ID does not change with a boot, a reboot is seen by the offset of the wall clock, which may move by 6 s for other reasons. A machine that boots twice within 6 s, whose time of day was set back meanwhile by about as much, hides the second boot: a report that was 2.1 s old counted as 0.14 s old.

A clock that has run for less than the tolerance is not compared; the clocks of the other instances bound the time then, or nothing is taken over.

--- a/src/main/java/io/snipeloom/spend/MachineClock.java
+++ b/src/main/java/io/snipeloom/spend/MachineClock.java
@@ -16,6 +16,16 @@
    */
   private static final long MAX_WALL_STEP_MILLIS = 6_000;
 
+  /**
+   * Returns whether a clock has run for so long that an earlier reading of the same machine's clock
+   * shows whether it started anew. The wall clock may hide a reboot that was this recent.
+   *
+   * @param nanos the monotonic time, in nanoseconds
+   */
+  static boolean isOld(long nanos) {
+    return nanos >= TimeUnit.MILLISECONDS.toNanos(MAX_WALL_STEP_MILLIS);
+  }
+
   /**
    * Identifies the clock from a simultaneous reading of the wall clock and the monotonic clock.
    *
--- a/src/main/java/io/snipeloom/spend/UsageReporter.java
+++ b/src/main/java/io/snipeloom/spend/UsageReporter.java
@@ -191,7 +191,10 @@
    * @return false if the time is not known yet and may be known soon
    */
   private boolean determineInheritance(long nowNanos) {
-    boolean sameClock = predecessor.clock().isSame(clock) && startNanos >= predecessor.nanos();
+    boolean sameClock =
+        predecessor.clock().isSame(clock)
+            && startNanos >= predecessor.nanos()
+            && MachineClock.isOld(startNanos);
     if (sameClock) {
       inherit(clock.maxElapsedNanos(predecessor.clock(), predecessor.nanos(), startNanos), true);
       return true;
--- a/src/test/java/io/snipeloom/spend/UsageInheritanceTest.java
+++ b/src/test/java/io/snipeloom/spend/UsageInheritanceTest.java
@@ -16,6 +16,9 @@
   private static final CustomerId CUSTOMER = CustomerId.of("customer");
   private static final long ERA = 4;
 
+  /** How long the machine has run when the successor starts after a kill. */
+  private static final long UPTIME_NANOS = 8_000_000_000L;
+
   @Test
   void unusedTokensOfTheLastReportAreInherited() {
     assertThat(inherited(ERA), greaterThan(0L));
@@ -68,12 +71,26 @@
     return Arrays.stream(stepMillis).boxed().toList();
   }
 
+  /**
+   * Guards against inheriting too much on a machine that lost power twice within seconds, while its
+   * time of day was set back by as much as its monotonic clock: the report looks recent, but is
+   * old.
+   */
+  @Test
+  void clockThatMayHaveStartedAnewDoesNotShowTheAgeOfReport() {
+    MachineClock clock = new MachineClock("boot", 0);
+    UsageReport predecessor = report(clock, ERA, "machine", List.of());
+    FleetClock fleetClock = new FleetClock("instance", () -> 0);
+    long tokens = inheritedFrom(predecessor, clock, fleetClock, 300_000_000L, 400_000_000L);
+    assertThat(tokens, is(0L));
+  }
+
   /** Returns the tokens that a new instance inherits from a report that was made in an era. */
   private static long inherited(long reportEra) {
     MachineClock clock = new MachineClock("boot", 0);
     UsageReport predecessor = report(clock, reportEra, "machine", List.of());
     FleetClock fleetClock = new FleetClock("instance", () -> 0);
-    return inheritedFrom(predecessor, clock, fleetClock, 200_000_000L);
+    return inheritedFrom(predecessor, clock, fleetClock, UPTIME_NANOS, UPTIME_NANOS + 100_000_000L);
   }
 
   /**
@@ -91,7 +108,11 @@
     }
     UsageReport predecessor = report(new MachineClock("boot", 9_900_000), era, machine, readings);
     return inheritedFrom(
-        predecessor, new MachineClock("boot", 10_000_000), fleetClock, 5_000_000_000L);
+        predecessor,
+        new MachineClock("boot", 10_000_000),
+        fleetClock,
+        100_000_000L,
+        5_000_000_000L);
   }
 
   private static UsageReport report(
@@ -108,14 +129,18 @@
   }
 
   private static long inheritedFrom(
-      UsageReport predecessor, MachineClock clock, FleetClock fleetClock, long nowNanos) {
+      UsageReport predecessor,
+      MachineClock clock,
+      FleetClock fleetClock,
+      long startNanos,
+      long nowNanos) {
     SpendControl control =
         new SpendControl(
             "successor",
             clock,
             "machine",
             fleetClock,
-            100_000_000L,
+            startNanos,
             new SilentLedger(),
             new StoredReport(predecessor),
             1,
