Tokens are claimed and borrowed for all requests that wait, not for the first one

Cause: a claim covered the first request that waits, so an instance got the tokens of one request a round trip; the callers of that customer all reach one instance, whose round trip to the store is 250 ms and more on its full link. Three more of the same kind: - a loan covered the first request that waits, too; - after a conflict the instance reads and writes anew, and each of these calls began the 120 ms after which it borrows anew, so it did not borrow; - while a call was slow it borrowed for tokens that it had and that only its next usage report allows to be used, again and again: 19.4 M borrowed, 9 M used, 12 M returned.

--- a/src/main/java/io/snipeloom/spend/CustomerAccount.java
+++ b/src/main/java/io/snipeloom/spend/CustomerAccount.java
@@ -352,6 +352,11 @@
     return first == null ? 0 : Math.max(0, first.tokens() - available);
   }
 
+  /** Returns how many tokens more than are available all waiting requests need together. */
+  long missingTokensOfAll() {
+    return Math.max(0, waitingTokens() - available);
+  }
+
   /**
    * Returns how many tokens more the first waiting request needs than are available and allowed by
    * the usage reports, 0 if no request waits.
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -122,6 +122,11 @@
         && accounts.values().stream().allMatch(account -> account.pendingReturn() == 0);
   }
 
+  /** Returns whether the last call failed, as it does while the store does not answer. */
+  boolean isAway() {
+    return lastCallFailed;
+  }
+
   /**
    * Returns whether nothing can be claimed now, because the current call is slow, the last call
    * failed, or the totals are being corrected.
@@ -386,12 +391,15 @@
   }
 
   /**
-   * Marks a call as started at the latest time passed to {@link #startCallIfDue}. Callbacks pass on
-   * the start time of their own call, which may be outdated when they start the next one.
+   * Marks a call as started, unless it is made again after a conflict, at the latest time passed to
+   * {@link #startCallIfDue}. Callbacks pass on the start time of their own call, which may be
+   * outdated when they start the next one.
    */
   private void startCall() {
     callInProgress = true;
-    callStartNanos = latestNanos;
+    if (conflicts == 0) {
+      callStartNanos = latestNanos;
+    }
   }
 
   private void onResponse() {
@@ -501,7 +509,7 @@
     if (missing > unclaimed) {
       return 0;
     }
-    return Math.min(unclaimed, Math.max(missing, claimAhead));
+    return Math.min(unclaimed, Math.max(account.missingTokensOfAll(), claimAhead));
   }
 
   private void serveOrRefuseWaiters(long nowNanos) {
--- a/src/main/java/io/snipeloom/spend/SpendControl.java
+++ b/src/main/java/io/snipeloom/spend/SpendControl.java
@@ -181,17 +181,26 @@
 
   private void borrowIfShort(CustomerAccount account, long nowNanos) {
     LedgerPartition partition = partitionOf(account.customer());
-    boolean stalled = !storeAvailable || partition.isStalled(nowNanos);
-    long missing = stalled ? account.shortage(nowNanos) : partition.shortage(account);
+    long missing = missingFor(account, partition, nowNanos);
     if (missing == 0 || account.isBorrowing() || account.areLoansRefused(nowNanos)) {
       return;
     }
     account.startBorrowing();
-    long wanted = LoanPolicy.wanted(missing, account.tokensPerSecond(nowNanos));
+    long missingOfAll = Math.max(missing, account.missingTokensOfAll());
+    long wanted = LoanPolicy.wanted(missingOfAll, account.tokensPerSecond(nowNanos));
     LoanRequest request = new LoanRequest(account.customer(), missing, wanted);
     peers.borrow(request, new LoanReceiver(account, nowNanos));
   }
 
+  /** Returns how many tokens the first waiting request needs from others; 0 if none. */
+  private long missingFor(CustomerAccount account, LedgerPartition partition, long nowNanos) {
+    if (!storeAvailable || partition.isAway()) {
+      return account.shortage(nowNanos);
+    }
+    // Tokens that only the next report allows to be used are not missing while the store answers.
+    return partition.isStalled(nowNanos) ? account.missingTokens() : partition.shortage(account);
+  }
+
   /** Adds the tokens that other instances lend in response to one loan request. */
   private final class LoanReceiver implements LoanPeers.Listener {
     private final CustomerAccount account;
--- a/src/test/java/io/snipeloom/spend/SpendLoad.java
+++ b/src/test/java/io/snipeloom/spend/SpendLoad.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Simulates the load of one customer on several instances, determined by a seed: prompts of widely
@@ -42,6 +43,8 @@
   private final PriorityQueue<ScheduledTask> scheduledTasks =
       new PriorityQueue<>((a, b) -> Long.compare(a.atNanos(), b.atNanos()));
   private final double[] requestsPerSecond;
+  private final long[] roundTripNanos;
+  private int ledgerWrites;
   private long reportsEnd;
   private final boolean holdersKnown;
   private boolean outage;
@@ -69,6 +72,7 @@
     this.limit = limit;
     this.lendingEnabled = lendingEnabled;
     this.requestsPerSecond = requestsPerSecond;
+    this.roundTripNanos = new long[requestsPerSecond.length];
     for (int i = 0; i < requestsPerSecond.length; i++) {
       instances.add(new Instance(i));
     }
@@ -79,6 +83,21 @@
     return new SpendLoad(seed, limit, true, false, requestsPerSecond);
   }
 
+  /** Sets how long each instance waits for responses of the ledger; they are immediate at first. */
+  void setRoundTrip(int instance, long millis) {
+    roundTripNanos[instance] = TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  /** Changes how many requests a second arrive at an instance. */
+  void setRate(int instance, double rate) {
+    requestsPerSecond[instance] = rate;
+  }
+
+  /** Returns the number of writes that the ledger accepted since the start. */
+  int ledgerWrites() {
+    return ledgerWrites;
+  }
+
   /** Runs the simulation for the given time. */
   void run(double seconds) {
     long end = now + (long) (seconds * NANOS_PER_SECOND);
@@ -360,11 +379,45 @@
 
     @Override
     public void read(int partition, long from, PageListener listener) {
-      if (outage) {
-        listener.onFailed();
+      call(() -> readNow(from, listener));
+    }
+
+    /** Makes a call of the ledger, whose outcome is passed on by the task that it returns. */
+    private void call(Supplier<Runnable> call) {
+      long roundTrip = roundTripNanos[number];
+      if (roundTrip == 0) {
+        call.get().run();
         return;
       }
-      listener.onPage(new LedgerPage(ledger.subList((int) from, ledger.size()), ledger.size()));
+      long arrival = now + roundTrip / 2;
+      scheduledTasks.add(
+          new ScheduledTask(
+              arrival,
+              () -> {
+                Runnable outcome = call.get();
+                scheduledTasks.add(new ScheduledTask(arrival + roundTrip / 2, outcome));
+              }));
+    }
+
+    private Runnable appendNow(long at, List<LedgerRecord> records, AppendListener listener) {
+      if (outage) {
+        return listener::onUnknown;
+      }
+      if (at != ledger.size()) {
+        return listener::onConflict;
+      }
+      ledger.addAll(records);
+      ledgerWrites++;
+      return listener::onAppended;
+    }
+
+    private Runnable readNow(long from, PageListener listener) {
+      if (outage) {
+        return listener::onFailed;
+      }
+      LedgerPage page =
+          new LedgerPage(List.copyOf(ledger.subList((int) from, ledger.size())), ledger.size());
+      return () -> listener.onPage(page);
     }
 
     @Override
@@ -379,14 +432,7 @@
     @Override
     public void append(
         int partition, long at, List<LedgerRecord> records, AppendListener listener) {
-      if (outage) {
-        listener.onUnknown();
-      } else if (at != ledger.size()) {
-        listener.onConflict();
-      } else {
-        ledger.addAll(records);
-        listener.onAppended();
-      }
+      call(() -> appendNow(at, records, listener));
     }
 
     @Override
