Holders return their first claims in a few writes

The holders of a customer claim ahead when the fleet starts and return what they do not need.

An instance now returns at least a tenth of what it has at a time.

--- a/src/main/java/io/snipeloom/spend/ClaimPolicy.java
+++ b/src/main/java/io/snipeloom/spend/ClaimPolicy.java
@@ -27,6 +27,12 @@
   /** A surplus of at most this share of the prepaid total is not worth a write and is kept. */
   private static final double MIN_SURPLUS_SHARE = 0.007;
 
+  /**
+   * The smallest share of its available tokens that an instance returns. While its target falls, it
+   * returns them in a few writes, with each of which the claims of others may conflict.
+   */
+  private static final double MIN_RETURNED_SHARE = 0.1;
+
   /** The largest share of the prepaid total that all instances together keep in this way. */
   private static final double MAX_FLEET_SURPLUS_SHARE = 0.03;
 
@@ -97,6 +103,7 @@
   public long surplus(long available, long target, long limit) {
     long surplus = available - target * 2;
     double kept = Math.min(MIN_SURPLUS_SHARE, MAX_FLEET_SURPLUS_SHARE / fleetSize);
-    return surplus > limit * kept ? surplus : 0;
+    boolean worthWrite = surplus > limit * kept && surplus >= available * MIN_RETURNED_SHARE;
+    return worthWrite ? surplus : 0;
   }
 }
--- a/src/test/java/io/snipeloom/spend/ConcentratedCustomerTest.java
+++ b/src/test/java/io/snipeloom/spend/ConcentratedCustomerTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.snipeloom.Simulation;
+import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -40,6 +42,23 @@
     assertThat("share of requests refused", refused, lessThan(0.01));
   }
 
+  /**
+   * Guards against the incident SHORT: idle holders returned their first claims in hundreds of
+   * writes, with which the claims of others conflicted.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {4, 9, 26, 100})
+  void idleInstancesReturnTheirFirstClaimsInFewWrites(int instances) {
+    int holders = Math.min(instances, CustomerHolders.HOLDERS);
+    int atMost = 10 * holders + instances;
+    int most =
+        IntStream.range(0, SEEDS)
+            .map(seed -> idleFleet(seed, instances).ledgerWrites())
+            .max()
+            .orElse(0);
+    assertThat("writes of the ledger", most, lessThanOrEqualTo(atMost));
+  }
+
   private static SpendLoad idleFleet(int seed, int instances) {
     SpendLoad load = new SpendLoad(seed, LIMIT, true, new double[instances]);
     for (int i = 0; i < instances; i++) {
