An instance whose network link is full sends its callers to other instances

The load balancer chooses an instance by a hash of the caller; 2,785 of 8,393 requests come to edge-caxias-7, whose link carries 7 Mbit/s.

Evidence: from second 1 on that link is full with what comes in (785 to 842 of 875 KB a second, 625 to 793 of it bodies), its shortest round trip to 24 others grows from 3 to 1,644 ms; 1,130 connects to replicas time out there, 94 elsewhere.

The instance knows it by figures of its own: the shortest of its round trips to all others, and the bytes against what its settings say that the link carries. It then is not ready, and 2.2 s later, when the load balancer has seen two probes fail, closes connections after their answers, so that callers connect to its neighbours. It is the same for any instance, link and caller.

Tests: LinkOverloadTest (the decision), OverloadedInstanceTest (four instances, one of which is too late to keep up), LinkUtilizationTest.

--- a/src/main/java/io/snipeloom/edge/ClassArchiveTrainingRun.java
+++ b/src/main/java/io/snipeloom/edge/ClassArchiveTrainingRun.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.jar.JarFile;
 
@@ -42,6 +43,9 @@
   /** Time for the instance to attempt calls to the missing store, whose classes then load too. */
   private static final long STORE_CALLS_MILLIS = 500;
 
+  /** Any figure, so that the classes that need it are loaded. */
+  private static final double LINK_MEGABITS = 1_000;
+
   private ClassArchiveTrainingRun() {}
 
   /**
@@ -71,7 +75,8 @@
             Places.UNKNOWN,
             Optional.empty(),
             OptionalInt.empty(),
-            EdgeSettings.DEFAULT_LEASE_TERMS);
+            EdgeSettings.DEFAULT_LEASE_TERMS,
+            OptionalDouble.of(LINK_MEGABITS));
     EventLog log = EventLog.to(new PrintStream(System.out));
     EdgeDaemon daemon = EdgeDaemon.of(settings, "rehearsal", "", log);
     daemon.start();
--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -45,11 +45,14 @@
 import io.snipeloom.telemetry.FleetMetrics;
 import io.snipeloom.telemetry.LinkReport;
 import io.snipeloom.telemetry.LinkTraffic;
+import io.snipeloom.telemetry.LinkUtilization;
 import io.snipeloom.telemetry.LoopDelay;
 import io.snipeloom.telemetry.RoundTripTime;
 import io.snipeloom.transport.MetricsText;
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -119,6 +122,8 @@
   private final LinkTraffic traffic = new LinkTraffic();
   private final RoundTripTime roundTrip = new RoundTripTime();
   private final LinkReport linkReport;
+  private final LinkOverload linkOverload = new LinkOverload(System.nanoTime());
+  private final Optional<LinkUtilization> linkUtilization;
   private final KeyedLog store;
   private final LoanClient loanClient;
   private final DemandSender demandSender;
@@ -145,6 +150,12 @@
     this.boot = boot;
     this.log = log;
     this.linkReport = new LinkReport(traffic, log);
+    this.linkUtilization =
+        settings.linkMegabits().isPresent()
+            ? Optional.of(
+                new LinkUtilization(
+                    traffic, settings.linkMegabits().getAsDouble(), System.nanoTime()))
+            : Optional.empty();
     this.timer = new LoopTimer(loop, log);
     this.store =
         new PlatformStore(
@@ -327,6 +338,7 @@
   private void tick() {
     long nowNanos = System.nanoTime();
     recordLoopDelay(loopDelay.onTick(nowNanos));
+    updateLinkOverload(nowNanos);
     fleet.spend().tick(nowNanos);
     fleet.streams().tick(fleet.directory().replicas(), nowNanos);
     fleet.crashes().tick(nowNanos);
@@ -341,6 +353,23 @@
     drain.tick(nowNanos);
   }
 
+  private void updateLinkOverload(long nowNanos) {
+    long roundTripMillis = roundTrip.shortestMillis(nowNanos);
+    double utilization = linkUtilization.map(link -> link.share(nowNanos)).orElse(0.0);
+    if (linkOverload.update(roundTripMillis, utilization, nowNanos)) {
+      log.log(
+          "link_overload",
+          "overloaded",
+          linkOverload.isOverloaded(),
+          "round_trip_ms",
+          roundTripMillis,
+          "utilization",
+          String.format(Locale.ROOT, "%.2f", utilization));
+      metrics.count(linkOverload.isOverloaded() ? "link_overloaded" : "link_free");
+    }
+    proxyServer.setRerouted(linkOverload.isRerouted(nowNanos));
+  }
+
   private void recordLoopDelay(long delayMillis) {
     metrics.loopDelay(delayMillis);
     if (delayMillis >= LOGGED_LOOP_DELAY_MILLIS) {
@@ -453,6 +482,7 @@
     boolean ready =
         !drain.isBegun()
             && initialized
+            && !linkOverload.isOverloaded()
             && fleet.configuration().isPresent()
             && fleet.directory().size() > 0;
     return new OperationsServer.TextResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
--- a/src/main/java/io/snipeloom/edge/EdgeSettings.java
+++ b/src/main/java/io/snipeloom/edge/EdgeSettings.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 
@@ -42,6 +43,8 @@
  * @param coldStart the bounds on requests to cold replicas; empty if none are in force
  * @param memoryMegabytes the memory that the process may use; empty if it is not limited
  * @param leaseTerms how long the entries of replicas hold
+ * @param linkMegabits what the network link carries in each direction, in megabits a second; empty
+ *     if it is not known
  */
 public record EdgeSettings(
     String instance,
@@ -59,10 +62,13 @@
     Places places,
     Optional<ColdStartBounds> coldStart,
     OptionalInt memoryMegabytes,
-    LeaseTerms leaseTerms) {
+    LeaseTerms leaseTerms,
+    OptionalDouble linkMegabits) {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int MAX_PORT = 65_535;
   private static final double MAX_COLD_OVERSHOOT = 1_000;
+  private static final double MIN_LINK_MEGABITS = 0.001;
+  private static final double MAX_LINK_MEGABITS = 1e9;
   private static final int MAX_MEMORY_MEGABYTES = 16_777_216;
   private static final long MAX_HEARTBEAT_MILLIS = 3_600_000;
 
@@ -88,7 +94,8 @@
           "coldOvershoot",
           "coldSlack",
           "memoryMegabytes",
-          "heartbeatMillis");
+          "heartbeatMillis",
+          "linkMegabits");
 
   /**
    * Reads and validates a settings file in JSON.
@@ -121,7 +128,8 @@
             reader.places(),
             reader.coldStart(),
             reader.memoryMegabytes(),
-            reader.leaseTerms());
+            reader.leaseTerms(),
+            reader.linkMegabits());
     reader.rejectUnknownFields();
     if (!reader.errors.isEmpty()) {
       throw invalid(file, String.join("; ", reader.errors));
@@ -211,6 +219,12 @@
           : DEFAULT_LEASE_TERMS;
     }
 
+    OptionalDouble linkMegabits() {
+      return root.has("linkMegabits")
+          ? OptionalDouble.of(number("linkMegabits", MIN_LINK_MEGABITS, MAX_LINK_MEGABITS))
+          : OptionalDouble.empty();
+    }
+
     void rejectUnknownFields() {
       Iterator<String> names = root.fieldNames();
       while (names.hasNext()) {
--- a/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyConnection.java
@@ -565,7 +565,7 @@
    * of a draining instance is closed.
    */
   private boolean announceClose(HttpHeaders headers) {
-    if (server.isDraining() && pendingMessages.isEmpty()) {
+    if ((server.isDraining() || server.isRerouted()) && pendingMessages.isEmpty()) {
       keepAlive = false;
     }
     if (!keepAlive) {
--- a/src/main/java/io/snipeloom/forwarding/ProxyServer.java
+++ b/src/main/java/io/snipeloom/forwarding/ProxyServer.java
@@ -45,6 +45,7 @@
   private Channel listener;
   private ServerSocketChannel socket;
   private boolean draining;
+  private boolean rerouted;
   private long accepted;
 
   /**
@@ -204,6 +205,18 @@
     return draining;
   }
 
+  /**
+   * Sets whether new connections of callers go to other instances, so that each response closes its
+   * connection.
+   */
+  public void setRerouted(boolean rerouted) {
+    this.rerouted = rerouted;
+  }
+
+  boolean isRerouted() {
+    return rerouted;
+  }
+
   RequestLimits limits() {
     return fleet.configuration().map(FleetConfiguration::limits).orElse(RequestLimits.DEFAULT);
   }
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -17,12 +17,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -90,7 +93,8 @@
             places,
             coldStart,
             memoryMegabytes,
-            EdgeSettings.DEFAULT_LEASE_TERMS);
+            EdgeSettings.DEFAULT_LEASE_TERMS,
+            OptionalDouble.empty());
     daemon =
         EdgeDaemon.of(
             settings,
@@ -200,12 +204,18 @@
       FakeReplica replica,
       String state,
       String version) {
-    store.put(
-        REPLICA_TOPIC,
-        id,
-        ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"zone-a\",\"slots\":6,"
-                + "\"version\":\"%s\",\"state\":\"%s\",\"born\":1}")
-            .formatted(service, replica.port(), version, state));
+    store.put(REPLICA_TOPIC, id, entry(service, replica.port(), version, state));
+  }
+
+  /** Writes the entry of a replica of version v1 to the store, whatever listens at its port. */
+  void registerAt(String id, String service, int port) {
+    store.put(REPLICA_TOPIC, id, entry(service, port, "v1", "ready"));
+  }
+
+  private static String entry(String service, int port, String version, String state) {
+    return ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"zone-a\",\"slots\":6,"
+            + "\"version\":\"%s\",\"state\":\"%s\",\"born\":1}")
+        .formatted(service, port, version, state);
   }
 
   /** Removes the entry of a replica from the store. */
@@ -219,7 +229,7 @@
    */
   void awaitReady() throws IOException, InterruptedException {
     long deadlineMillis = System.currentTimeMillis() + AWAIT_TIMEOUT_MILLIS;
-    while (!get(settings.readiness(), "/").startsWith("HTTP/1.1 200")) {
+    while (!isReady()) {
       if (System.currentTimeMillis() > deadlineMillis) {
         throw new IllegalStateException("not ready: " + log);
       }
@@ -230,6 +240,11 @@
     }
   }
 
+  /** Returns whether the instance reports that it is ready. */
+  boolean isReady() throws IOException {
+    return get(settings.readiness(), "/").startsWith("HTTP/1.1 200");
+  }
+
   /**
    * Waits until tokens of the customer are claimed. On a busy machine the first claim takes longer
    * than a request waits for it.
@@ -249,6 +264,11 @@
     awaitLines(line -> line.contains(text));
   }
 
+  /** Waits until the log contains a line that matches a regular expression. */
+  void awaitMatch(String line) throws InterruptedException {
+    awaitLines(Pattern.compile(line).asMatchPredicate());
+  }
+
   /** Returns whether the log contains a line. */
   boolean hasLogged(Predicate<String> expected) {
     return log.toString(StandardCharsets.UTF_8).lines().anyMatch(expected);
@@ -332,6 +352,22 @@
     daemon.loop().execute(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis)));
   }
 
+  /** Keeps the event loop busy for a time in each of its rounds, until the test says otherwise. */
+  void blockEachRound(long millis, BooleanSupplier goesOn) {
+    daemon
+        .loop()
+        .execute(
+            () -> {
+              LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+              if (goesOn.getAsBoolean()) {
+                var unused =
+                    daemon
+                        .loop()
+                        .schedule(() -> blockEachRound(millis, goesOn), 0, TimeUnit.MILLISECONDS);
+              }
+            });
+  }
+
   /** Returns what keeps the event loop busy in the middle of reading its connections. */
   BusyReading busyReading() {
     return new BusyReading(daemon.loop());
