An overloaded instance tries one replica and lets callers come back at once

Cause: the instance takes its own queue for the state of the replica and of the store. A caller's retry reaches another instance, which serves it at once.

While it is overloaded it now tries one replica, does not count it as unreachable, and tells callers of requests that did not run to come back after 100 to 125 ms. The same delay is told where the store answers and the tokens are unclaimed, but were not claimed in time. Where all instances are in the same state (the store is away, totals are claimed) the delays stay.

--- a/src/main/java/io/snipeloom/edge/EdgeDaemon.java
+++ b/src/main/java/io/snipeloom/edge/EdgeDaemon.java
@@ -367,6 +367,7 @@
           String.format(Locale.ROOT, "%.2f", utilization));
       metrics.count(linkOverload.isOverloaded() ? "link_overloaded" : "link_free");
     }
+    fleet.setOverloaded(linkOverload.isOverloaded());
     proxyServer.setRerouted(linkOverload.isRerouted(nowNanos));
   }
 
--- a/src/main/java/io/snipeloom/forwarding/Attempt.java
+++ b/src/main/java/io/snipeloom/forwarding/Attempt.java
@@ -236,7 +236,9 @@
       return;
     }
     end();
-    view.health().onUnreachable(System.nanoTime());
+    if (!fleet.isOverloaded()) {
+      view.health().onUnreachable(System.nanoTime());
+    }
     view.limit().warmUp().onOutOfReach(System.nanoTime());
     owner.onFailed(this, AttemptFailure.NOT_CONNECTED, reason);
   }
--- a/src/main/java/io/snipeloom/forwarding/Exchange.java
+++ b/src/main/java/io/snipeloom/forwarding/Exchange.java
@@ -447,8 +447,7 @@
     boolean retry =
         caller.isOpen()
             && history.mayRetry(routed().route(), failure, remainingMillis)
-            && (failure == AttemptFailure.NOT_CONNECTED
-                || fleet.retryAllowanceOf(routed().service()).tryRetry(System.nanoTime()));
+            && mayRetryHere(failure);
     log.attemptFailed(
         failed.view().replica().id(),
         failure,
@@ -470,6 +469,15 @@
     }
   }
 
+  /** Returns whether this instance retries a request that may be retried. */
+  private boolean mayRetryHere(AttemptFailure failure) {
+    if (failure == AttemptFailure.NOT_CONNECTED) {
+      // The next replica would not be reached in time either.
+      return !fleet.isOverloaded();
+    }
+    return fleet.retryAllowanceOf(routed().service()).tryRetry(System.nanoTime());
+  }
+
   /**
    * Sends the final response of a request that will not be retried, or truncates a response that
    * has already begun.
@@ -495,6 +503,9 @@
     if (comeBackMillis > 0) {
       return comeBackMillis;
     }
+    if (fleet.isOverloaded()) {
+      return LocalResponse.spread(LocalResponse.OTHER_INSTANCE_RETRY_MILLIS, Math.random());
+    }
     return history.isRefusedByReplicas()
         ? LocalResponse.AT_CAPACITY_RETRY_MILLIS
         : LocalResponse.CRASH_RETRY_MILLIS;
--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -79,6 +79,7 @@
   private final Map<AskedRequests, Integer> asked = new HashMap<>();
   private FleetConfiguration configuration;
   private boolean storeAvailable = true;
+  private boolean overloaded;
   private final ShutdownAdmission shutdown = new ShutdownAdmission();
 
   /**
@@ -413,6 +414,18 @@
                 (connection, moment) -> connectionEvents.surplus(address, connection, moment)));
   }
 
+  /**
+   * Sets whether this instance is overloaded, so that others serve a request sooner, and a replica
+   * that cannot be reached in time may be well.
+   */
+  public void setOverloaded(boolean overloaded) {
+    this.overloaded = overloaded;
+  }
+
+  boolean isOverloaded() {
+    return overloaded;
+  }
+
   /** Returns the counters of the bytes of connections. */
   LinkTraffic traffic() {
     return traffic;
--- a/src/main/java/io/snipeloom/forwarding/LocalResponse.java
+++ b/src/main/java/io/snipeloom/forwarding/LocalResponse.java
@@ -19,6 +19,9 @@
   /** Retry delay while this instance shuts down; another one serves the request at once. */
   static final long SHUTDOWN_RETRY_MILLIS = 100;
 
+  /** Retry delay when this instance is too slow; another one serves the request at once. */
+  static final long OTHER_INSTANCE_RETRY_MILLIS = 100;
+
   /** Retry delay when replicas are at capacity; about the duration of one request. */
   static final long AT_CAPACITY_RETRY_MILLIS = 150;
 
--- a/src/main/java/io/snipeloom/forwarding/RequestEntry.java
+++ b/src/main/java/io/snipeloom/forwarding/RequestEntry.java
@@ -11,6 +11,7 @@
 import io.snipeloom.routing.RequestMetadata;
 import io.snipeloom.routing.Route;
 import io.snipeloom.spend.ReserveOutcome;
+import io.snipeloom.spend.SpendStatus;
 import io.snipeloom.state.ErrorCode;
 import io.snipeloom.telemetry.FleetMetrics;
 import java.util.Optional;
@@ -256,10 +257,18 @@
       refuse(
           ErrorCode.BUDGET_UNAVAILABLE,
           "prepaid tokens cannot be claimed at the moment",
-          LocalResponse.OUTAGE_RETRY_MILLIS);
+          isUnclaimed(reservation.status()) || fleet.isOverloaded()
+              ? LocalResponse.spread(LocalResponse.OTHER_INSTANCE_RETRY_MILLIS, Math.random())
+              : LocalResponse.OUTAGE_RETRY_MILLIS);
     }
   }
 
+  /** Returns whether an instance that reaches the store sooner can claim the tokens at once. */
+  private boolean isUnclaimed(SpendStatus status) {
+    long unclaimed = status.limit() - status.claimedTokens();
+    return fleet.isStoreAvailable() && unclaimed >= reservation.tokens();
+  }
+
   /** Refuses the request as not executed, with a time to come back. */
   private void refuse(ErrorCode code, String reason, long retryMillis) {
     listener.onRefused(LocalResponse.notExecuted(code, reason, retryMillis, remainingMillis()));
--- a/src/test/java/io/snipeloom/edge/OverloadedInstanceTest.java
+++ b/src/test/java/io/snipeloom/edge/OverloadedInstanceTest.java
@@ -4,7 +4,9 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
 
 import io.snipeloom.platform.FakeReplica;
 import io.snipeloom.platform.FakeStore;
@@ -89,6 +91,37 @@
     assertThat(answerOnKeptConnection("after"), not(containsString(CLOSE)));
   }
 
+  /**
+   * Guards against the incident SHORT: an instance that is too slow to connect to replicas tries
+   * one after the other, takes them for unreachable, and lets the caller come back late.
+   */
+  @Test
+  void requestWhoseReplicaIsNotReachedInTimeMayComeBackAtOnce() throws Exception {
+    try (UnansweredListener listener = new UnansweredListener()) {
+      for (EdgeFixture edge : fleet) {
+        edge.registerAt("i-2", "none", listener.port());
+        edge.awaitLog("event=replica replica=i-2 ");
+      }
+      overloaded().blockEachRound(BLOCKED_MILLIS, blocked::get);
+      overloaded().awaitLog("event=link_overload overloaded=true");
+      String answer = overloaded().send("/unserved/1", "unreached", "");
+      assertThat(answer, startsWith("HTTP/1.1 503"));
+      assertThat(retryAfterSeconds(answer), is(lessThan(0.2)));
+      String failures = overloaded().linesWith("event=attempt_failed id=unreached ");
+      assertThat(failures.lines().count(), is(1L));
+    }
+  }
+
+  private static double retryAfterSeconds(String answer) {
+    return answer
+        .lines()
+        .map(line -> line.toLowerCase(Locale.ROOT))
+        .filter(line -> line.startsWith("retry-after: "))
+        .mapToDouble(line -> Double.parseDouble(line.substring("retry-after: ".length())))
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Returns the answer to a request whose caller would keep its connection. */
   private String answerOnKeptConnection(String attempt) throws IOException {
     try (Socket caller = overloaded().open()) {
