LedgerPartition is split: the state of its calls, the records of an incarnation

Nothing else changes: SpendControlTest (10,000 schedules), SpendLoadTest, ConcentratedCustomerTest, StoreReversionTest pass.

--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -2,13 +2,9 @@
 
 import io.snipeloom.state.CustomerId;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -20,15 +16,6 @@
  * write cannot be known any more, so nothing is granted by it. Not thread-safe.
  */
 final class LedgerPartition {
-  /** The delay before the next call after one failed, which limits the load during an outage. */
-  private static final long RETRY_DELAY_NANOS = 150_000_000L;
-
-  /**
-   * A call that takes longer than this is treated as stalled, since it may never complete. The
-   * value is many times the usual response time.
-   */
-  private static final long SLOW_CALL_NANOS = 120_000_000L;
-
   /** Claimed totals older than this are read again before a request is refused because of them. */
   private static final long MAX_CLAIMED_TOTALS_AGE_NANOS = 250_000_000L;
 
@@ -40,29 +27,21 @@
   private final ClaimInquiry inquiry;
   private final ClaimPeers peers;
   private final MachineClock clock;
-  private final Map<CustomerId, Long> partIds = new HashMap<>();
   private final Map<CustomerId, CustomerAccount> accounts = new LinkedHashMap<>();
   private final ClaimedTotals totals = new ClaimedTotals();
+  private final ClaimRecords claimRecords;
+  private final LedgerCalls calls = new LedgerCalls();
   private ClaimPolicy policy;
   private boolean loaded;
   private boolean listed;
   private long end;
   private long era;
   private long claimedTotalsConfirmedNanos;
-  private long pausedUntilNanos = Long.MIN_VALUE / 2;
 
   /** Whether more is to be returned than the totals show as claimed; it was borrowed since. */
   private boolean outdated;
 
-  private boolean callInProgress;
-  private boolean lastCallFailed;
-  private long callStartNanos;
-  private long latestNanos = Long.MIN_VALUE / 2;
   private Batch pendingBatch;
-  private long sequence;
-
-  /** How many writes in a row were refused because another instance had written. */
-  private int conflicts;
 
   /**
    * A write whose outcome is not known yet.
@@ -86,6 +65,7 @@
     this.inquiry = inquiry;
     this.peers = peers;
     this.clock = clock;
+    this.claimRecords = new ClaimRecords(writer, totals);
     this.number = number;
     this.writer = writer;
     this.store = store;
@@ -117,14 +97,14 @@
    * pending return.
    */
   boolean isSettled() {
-    return !callInProgress
+    return !calls.isInProgress()
         && pendingBatch == null
         && accounts.values().stream().allMatch(account -> account.pendingReturn() == 0);
   }
 
   /** Returns whether the last call failed, as it does while the store does not answer. */
   boolean isAway() {
-    return lastCallFailed;
+    return calls.hasFailed();
   }
 
   /**
@@ -132,8 +112,7 @@
    * failed, or the totals are being corrected.
    */
   boolean isStalled(long nowNanos) {
-    boolean slowCall = callInProgress && nowNanos - callStartNanos > SLOW_CALL_NANOS;
-    return slowCall || lastCallFailed || inquiry.isOpen();
+    return calls.isSlow(nowNanos) || calls.hasFailed() || inquiry.isOpen();
   }
 
   /**
@@ -154,8 +133,7 @@
 
   /** Starts the next call if one is due and none is in progress. */
   void startCallIfDue(long nowNanos) {
-    latestNanos = Math.max(latestNanos, nowNanos);
-    if (callInProgress || nowNanos - pausedUntilNanos < 0) {
+    if (!calls.mayStart(nowNanos)) {
       return;
     }
     if (listed && store.era() != era) {
@@ -176,7 +154,7 @@
       read(nowNanos);
       return;
     }
-    if (!callInProgress) {
+    if (!calls.isInProgress()) {
       serveOrRefuseWaiters(nowNanos);
     }
   }
@@ -214,13 +192,13 @@
   }
 
   private void list(long nowNanos) {
-    startCall();
+    calls.onStart();
     store.list(
         number,
         new LedgerStore.PageListener() {
           @Override
           public void onPage(LedgerPage page) {
-            onResponse();
+            calls.onResponse();
             loaded = true;
             end = page.end();
             era = store.era();
@@ -236,18 +214,18 @@
 
           @Override
           public void onExpired() {
-            retryLater(nowNanos);
+            calls.onFailed(nowNanos);
           }
 
           @Override
           public void onFailed() {
-            retryLater(nowNanos);
+            calls.onFailed(nowNanos);
           }
         });
   }
 
   private void append(long nowNanos) {
-    startCall();
+    calls.onStart();
     Batch batch = pendingBatch;
     store.append(
         number,
@@ -256,8 +234,7 @@
         new LedgerStore.AppendListener() {
           @Override
           public void onAppended() {
-            onResponse();
-            conflicts = 0;
+            calls.onAppended();
             pendingBatch = null;
             end = batch.at() + batch.records().size();
             claimedTotalsConfirmedNanos = nowNanos;
@@ -268,36 +245,35 @@
 
           @Override
           public void onConflict() {
-            onResponse();
-            conflicts++;
-            events.onConflict(batch.changes().keySet(), conflicts);
+            calls.onConflict();
+            events.onConflict(batch.changes().keySet(), calls.conflicts());
             read(nowNanos);
           }
 
           @Override
           public void onUnknown() {
-            retryLater(nowNanos);
+            calls.onFailed(nowNanos);
           }
         });
   }
 
   private void read(long nowNanos) {
     outdated = false;
-    startCall();
+    calls.onStart();
     store.read(
         number,
         end,
         new LedgerStore.PageListener() {
           @Override
           public void onPage(LedgerPage page) {
-            onResponse();
+            calls.onResponse();
             claimedTotalsConfirmedNanos = nowNanos;
             onRecords(page, nowNanos);
           }
 
           @Override
           public void onExpired() {
-            onResponse();
+            calls.onResponse();
             loaded = false;
             discardPendingBatch();
             startCallIfDue(nowNanos);
@@ -305,7 +281,7 @@
 
           @Override
           public void onFailed() {
-            retryLater(nowNanos);
+            calls.onFailed(nowNanos);
           }
         });
   }
@@ -347,7 +323,7 @@
 
   /** Grants the claimed tokens of a successful write and reports its returns. */
   private void onBatchWritten(Batch batch, long nowNanos) {
-    List<CustomerPart> changed = ownParts(batch.changes().keySet());
+    List<CustomerPart> changed = claimRecords.parts(batch.changes().keySet());
     if (!changed.isEmpty()) {
       peers.tell(changed);
     }
@@ -390,34 +366,11 @@
     }
   }
 
-  /**
-   * Marks a call as started, unless it is made again after a conflict, at the latest time passed to
-   * {@link #startCallIfDue}. Callbacks pass on the start time of their own call, which may be
-   * outdated when they start the next one.
-   */
-  private void startCall() {
-    callInProgress = true;
-    if (conflicts == 0) {
-      callStartNanos = latestNanos;
-    }
-  }
-
-  private void onResponse() {
-    callInProgress = false;
-    lastCallFailed = false;
-  }
-
-  private void retryLater(long nowNanos) {
-    callInProgress = false;
-    lastCallFailed = true;
-    pausedUntilNanos = nowNanos + RETRY_DELAY_NANOS;
-  }
-
   private Batch nextBatch(long nowNanos) {
     List<LedgerRecord> records = new ArrayList<>();
     Map<CustomerId, Long> changes = new LinkedHashMap<>();
     for (CustomerId customer : totals.understated()) {
-      records.add(record(customer, 0, nowNanos));
+      records.add(claimRecords.record(customer, 0, era, millis(nowNanos)));
       changes.put(customer, 0L);
     }
     for (CustomerAccount account : accounts.values()) {
@@ -425,53 +378,13 @@
       boolean held = inquiry.isOpen() || changes.containsKey(customer);
       long change = held ? 0 : plannedChange(account, nowNanos);
       if (change != 0) {
-        records.add(record(customer, change, nowNanos));
+        records.add(claimRecords.record(customer, change, era, millis(nowNanos)));
         changes.put(customer, change);
       }
     }
     return records.isEmpty() ? null : new Batch(end, records, changes);
   }
 
-  private LedgerRecord record(CustomerId customer, long change, long nowNanos) {
-    sequence++;
-    long nowMillis = millis(nowNanos);
-    ClaimedTotal total = totals.total(customer);
-    ClaimedTotal changed =
-        change == 0 ? total : total.with(ownPart(customer).changed(sequence, change, nowMillis));
-    long tokens = changed.tokens();
-    return new LedgerRecord(
-        customer,
-        totals.isReverted() ? Math.max(0, tokens) : tokens,
-        writer,
-        sequence,
-        change,
-        era,
-        Optional.of(changed.keptParts(nowMillis)),
-        changed.completeSinceMillis());
-  }
-
-  /** Returns what this incarnation has claimed, a new part if the ledger does not hold it. */
-  private ClaimPart ownPart(CustomerId customer) {
-    Optional<ClaimPart> known =
-        Optional.ofNullable(partIds.get(customer)).flatMap(totals.total(customer)::part);
-    if (known.isPresent()) {
-      return known.get();
-    }
-    long id = ThreadLocalRandom.current().nextLong();
-    partIds.put(customer, id);
-    return new ClaimPart(id, 0, 0, 0);
-  }
-
-  private List<CustomerPart> ownParts(Set<CustomerId> customers) {
-    List<CustomerPart> parts = new ArrayList<>();
-    for (CustomerId customer : customers) {
-      Optional.ofNullable(partIds.get(customer))
-          .flatMap(totals.total(customer)::part)
-          .ifPresent(part -> parts.add(new CustomerPart(customer, part)));
-    }
-    return parts;
-  }
-
   /** Returns the tokens to claim, a negative number to return tokens, or 0 for no change. */
   private long plannedChange(CustomerAccount account, long nowNanos) {
     long unclaimed = unclaimed(account);
