A conflict of claims is over when nothing is left to write

After a conflict of which nothing was left to write the chain went on, and the next read, however late, counted as slow at once: it borrowed without need, and lent nothing that it would have to claim. Found by reading while the class was split. LedgerCallsTest.conflictIsOverWhenNothingIsLeftToWrite needs the new call, so it cannot run on the code before; without the call in it the read at 5.01 s is slow.

--- a/src/main/java/io/snipeloom/spend/LedgerCalls.java
+++ b/src/main/java/io/snipeloom/spend/LedgerCalls.java
@@ -54,6 +54,11 @@
     conflicts++;
   }
 
+  /** Records that nothing is to be written, so that the next call goes on with none. */
+  void onIdle() {
+    conflicts = 0;
+  }
+
   /** Records that a call failed, or that its outcome is unknown. */
   void onFailed(long nowNanos) {
     inProgress = false;
--- a/src/main/java/io/snipeloom/spend/LedgerPartition.java
+++ b/src/main/java/io/snipeloom/spend/LedgerPartition.java
@@ -155,6 +155,7 @@
       return;
     }
     if (!calls.isInProgress()) {
+      calls.onIdle();
       serveOrRefuseWaiters(nowNanos);
     }
   }
