A stream whose service has left the configuration is settled by its tokens

Output is counted by events, times the tokens that an event of the service may hold, which was looked up in the newest configuration: a stream that goes on after its service has left was counted by one token an event.

Each instance keeps that figure of every service as it was configured last. The new test of EdgeDaemonTest streams ten events of five tokens across such a change: 1,010 tokens before, 1,050 now (1,000 of input). An instance that starts after the change and takes a stream up that a caller resumes does not know the figure; it has no replica of that service either, so it does not serve it.

--- a/src/main/java/io/snipeloom/forwarding/Fleet.java
+++ b/src/main/java/io/snipeloom/forwarding/Fleet.java
@@ -77,6 +77,10 @@
   private final List<SentPrompt> sentPrompts = new ArrayList<>();
   private final AdmissionControl admission = new AdmissionControl(new Random());
   private final Map<AskedRequests, Integer> asked = new HashMap<>();
+
+  /** By service, as last configured: streams that run go on after their service has left. */
+  private final Map<String, Integer> tokensPerEvent = new HashMap<>();
+
   private FleetConfiguration configuration;
   private boolean storeAvailable = true;
   private boolean overloaded;
@@ -141,6 +145,11 @@
     streams.onRoutes(newer.servicesOfResumableStreams(), System.nanoTime());
     views.values().forEach(view -> view.limit().changeColdStart(coldStartOf(view.replica())));
     views.replaceAll((id, view) -> view.with(traitsOf(view.replica())));
+    for (ServiceConfiguration service : newer.services()) {
+      service
+          .engine()
+          .ifPresent(engine -> tokensPerEvent.put(service.name(), engine.tokensPerEvent()));
+    }
     for (CustomerConfiguration customer : newer.customers()) {
       customer.prepaidTokens().ifPresent(tokens -> spend.changeLimit(customer.id(), tokens));
     }
@@ -436,11 +445,7 @@
   }
 
   int tokensPerEvent(String service) {
-    return Optional.ofNullable(configuration)
-        .flatMap(current -> current.service(service))
-        .flatMap(ServiceConfiguration::engine)
-        .map(EngineTraits::tokensPerEvent)
-        .orElse(1);
+    return tokensPerEvent.getOrDefault(service, 1);
   }
 
   /** Returns where requests may be processed. */
--- a/src/main/java/io/snipeloom/routing/FleetConfiguration.java
+++ b/src/main/java/io/snipeloom/routing/FleetConfiguration.java
@@ -2,6 +2,8 @@
 
 import io.snipeloom.state.CustomerId;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -116,6 +118,11 @@
     return candidates.stream().filter(route -> path.startsWith(route.pathPrefix())).findFirst();
   }
 
+  /** Returns the services. */
+  public Collection<ServiceConfiguration> services() {
+    return Collections.unmodifiableCollection(services.values());
+  }
+
   /** Returns the services that may begin streams which callers can resume. */
   public Set<String> servicesOfResumableStreams() {
     return routesByHost.values().stream()
--- a/src/test/java/io/snipeloom/edge/EdgeDaemonTest.java
+++ b/src/test/java/io/snipeloom/edge/EdgeDaemonTest.java
@@ -343,6 +343,38 @@
     assertThat(draining.requests(), hasSize(0));
   }
 
+  /**
+   * Guards against an overspend: a stream was counted by one token an event once its service had
+   * left the configuration.
+   */
+  @Test
+  void streamWhoseServiceLeavesTheConfigurationIsSettledByItsTokens() throws Exception {
+    CountDownLatch left = new CountDownLatch(1);
+    startEngineReplica(
+        "e-1",
+        (request, socket) -> {
+          FakeReplica.write(socket, streamHead(request, "s"));
+          FakeReplica.write(socket, chunk("id: 0\ndata: x\n\n"));
+          left.await();
+          for (int i = 1; i < 10; i++) {
+            FakeReplica.write(socket, chunk("id: " + i + "\ndata: x\n\n"));
+          }
+          FakeReplica.write(socket, "0\r\n\r\n");
+          return true;
+        });
+    configureAndAwaitReady();
+    try (Socket caller = edge.open()) {
+      FakeReplica.write(caller, EdgeFixture.request("/draft/1", "a1", PROMPT_HEADERS, true));
+      edge.awaitLog("event=sent id=a1 ");
+      edge.configureWithoutModelService(2, 1_000_000);
+      edge.awaitLog("event=configuration version=2 ");
+      left.countDown();
+      assertThat(EdgeFixture.readAll(caller.getInputStream()), endsWith("0\r\n\r\n"));
+    }
+    edge.awaitLog("event=request id=a1 ");
+    assertThat(edge.lineWith("event=request id=a1 "), containsString(" tokens=1050 "));
+  }
+
   @Test
   void stopCompletesOpenStreamAndReturnsTokens() throws Exception {
     CountDownLatch started = new CountDownLatch(1);
--- a/src/test/java/io/snipeloom/edge/EdgeFixture.java
+++ b/src/test/java/io/snipeloom/edge/EdgeFixture.java
@@ -148,6 +148,15 @@
         total);
   }
 
+  /** Publishes the same configuration without the service of model replicas. */
+  void configureWithoutModelService(int version, long prepaid) {
+    String models =
+        ",\n  {\"name\":\"llm\",\"engine\":"
+            + "{\"slots\":64,\"kvCapacityTokens\":400000,\"stride\":5}}";
+    String document = document(version, ",\"prepaid\":" + prepaid);
+    store.put("keyed.op", "config", document.replace(models, ""));
+  }
+
   /**
    * Publishes the same configuration with a customer that has no prepaid total, whose requests need
    * not wait until tokens are claimed, and with routes that let callers wait for long.
