--- a/review/standins-3/RefusedAfterOutage.java
+++ b/review/standins-3/RefusedAfterOutage.java
@@ -21,7 +21,7 @@
 final class RefusedAfterOutage {
   private static final int REPLICAS = 3;
   private static final long WORK_MILLIS = 21;
-  private static final int STATUS_READERS = 24;
+  private static final int STATUS_READERS = 36;
   private static final long READER_PAUSE_MILLIS = 20;
 
   /** How long a reader waits after an answer that is no page. */
--- a/review/standins-3/Store.java
+++ b/review/standins-3/Store.java
@@ -100,11 +100,13 @@
     int from = Integer.parseInt(query.get("from"));
     long maxBytes = 1024 * Long.parseLong(query.getOrDefault("maxKb", "1024"));
     long waitMillis = Long.parseLong(query.getOrDefault("waitMs", "0"));
+    synchronized (this) {
+      awaitRecord(partition, from, waitMillis);
+    }
     pause();
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     int status = 200;
     synchronized (this) {
-      awaitRecord(partition, from, waitMillis);
       List<byte[]> records = records(partition);
       if (from > records.size()) {
         status = 410;
