--- a/review/standins-3/Edge.java
+++ b/review/standins-3/Edge.java
@@ -1,7 +1,5 @@
 import java.io.IOException;
 import java.net.HttpURLConnection;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,10 +14,10 @@
       Pattern.compile("(?s)\\[roles\\.edge\\].*?\\nrun\\s*=\\s*\"([^\"]*)\"");
 
   final String name;
-  final int port = freePort();
-  private final int readiness = freePort();
-  private final int metrics = freePort();
-  private final int loans = freePort();
+  final int port = Ports.free();
+  private final int readiness = Ports.free();
+  private final int metrics = Ports.free();
+  private final int loans = Ports.free();
   private final Path directory;
   private final Path repository;
   private final Store store;
@@ -33,12 +31,6 @@
     this.store = store;
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   /** Starts the process with settings as the template renders them for the site heshima-host. */
   void start() throws IOException {
     Path settings = directory.resolve(name + ".json");
--- a/review/standins-3/Replica.java
+++ b/review/standins-3/Replica.java
@@ -149,9 +149,7 @@
     this.store = store;
     this.record = record;
     this.script = script;
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      port = socket.getLocalPort();
-    }
+    port = Ports.free();
   }
 
   /** Starts the replica; the new boot registers after some time. */
--- a/review/standins-3/SoundPartRefused.java
+++ b/review/standins-3/SoundPartRefused.java
@@ -27,6 +27,9 @@
   private static final long DOWN_MILLIS = 2_000;
   private static final long CRASH_PERIOD_MILLIS = 3_000;
 
+  /** How long after a crashing request the sound ones are sent. */
+  private static final long BESIDE_MILLIS = 250;
+
   /** Twice stableMs. */
   private static final long SETTLE_MILLIS = 6_000;
 
@@ -114,17 +117,11 @@
       Thread.sleep(CRASH_PERIOD_MILLIS);
     }
     prefillMillis = PREFILL_MILLIS;
-    callers.execute(() -> send(1, true));
-    Thread.sleep(250);
-    for (int i = 0; i < INSTANCES; i++) {
-      int edge = i;
-      if (edge != 1) {
-        callers.execute(() -> send(edge, false));
-      }
-    }
+    crashBesideSoundOnes(callers);
+    Thread.sleep(CRASH_PERIOD_MILLIS - BESIDE_MILLIS);
+    crashBesideSoundOnes(callers);
     Thread.sleep(1_000);
     prefillMillis = FIRST_PREFILL_MILLIS;
-    callers.execute(() -> send(1, true));
     Thread.sleep(SETTLE_MILLIS);
 
     AtomicInteger after = new AtomicInteger();
@@ -153,6 +150,18 @@
     return shareAfter < shareBefore / 2 ? 1 : 0;
   }
 
+  /** Sends a crashing request, and a sound one at each other instance while it is read. */
+  private void crashBesideSoundOnes(ExecutorService callers) throws InterruptedException {
+    callers.execute(() -> send(1, true));
+    Thread.sleep(BESIDE_MILLIS);
+    for (int i = 0; i < INSTANCES; i++) {
+      int edge = i;
+      if (edge != 1) {
+        callers.execute(() -> send(edge, false));
+      }
+    }
+  }
+
   private void count(int edge, AtomicInteger begun) {
     if (send(edge, false)) {
       begun.incrementAndGet();
