--- a/review/standins-3/RestartedUnderItsId.java
+++ b/review/standins-3/RestartedUnderItsId.java
@@ -16,7 +16,7 @@
  * two versions.
  */
 final class RestartedUnderItsId {
-  private static final int STREAMS = 24;
+  private static final int STREAMS = 48;
   private static final int EVENTS = 50;
   private static final long EVENT_MILLIS = 100;
   private static final long CRASH_MILLIS = 2_000;
@@ -77,8 +77,9 @@
     store.put("keyed.op", "config", CONFIGURATION);
     Replica old = new Replica("i-7f3a91c2", "llm", store, record, RestartedUnderItsId::stream);
     old.start("v1", 0);
-    Replica other = new Replica("i-02bb61d9", "llm", store, record, RestartedUnderItsId::stream);
-    other.start("v2", 0);
+    for (String id : List.of("i-02bb61d9", "i-5c40e7a8", "i-e19d3b06")) {
+      new Replica(id, "llm", store, record, RestartedUnderItsId::stream).start("v2", 0);
+    }
     List<Edge> edges = new ArrayList<>();
     for (String name : List.of("edge-dar-a-1", "edge-dar-b-1")) {
       Edge edge = new Edge(name, repository, temporary, store);
